--- a/crates/codegen/src/generate.rs
+++ b/crates/codegen/src/generate.rs
@@ -17,7 +17,8 @@
     let target = schema.join("src/generated");
     let keys = read_keys(&schema.join("settings.ini"))?;
     let files = [
-        (target.join("peer.rs"), format_source(&peer_module(&schema)?)?),
+        (target.join("peer.rs"), messages(&schema, "peer", "Messages between entry instances")?),
+        (target.join("fleet.rs"), messages(&schema, "fleet", "Messages between instances that share workers")?),
         (target.join("keys.rs"), format_source(&keys_module(&keys))?),
         (target.join("values.rs"), format_source(&values_module(&keys))?),
         (root.join("docs/settings.md"), settings_page(&keys)),
@@ -33,15 +34,15 @@
     Ok(())
 }
 
-fn peer_module(schema: &Path) -> Result<String> {
+fn messages(schema: &Path, package: &str, doc: &str) -> Result<String> {
     let proto = schema.join("proto");
-    let files = protox::compile([proto.join("peer.proto")], [&proto])?;
+    let files = protox::compile([proto.join(format!("{package}.proto"))], [&proto])?;
     let out = std::env::temp_dir().join(format!("cranberryhatch-generate-{}", std::process::id()));
     fs::create_dir_all(&out)?;
     prost_build::Config::new().out_dir(&out).compile_fds(files)?;
-    let text = fs::read_to_string(out.join("cranberryhatch.peer.rs"))?;
+    let text = fs::read_to_string(out.join(format!("cranberryhatch.{package}.rs")))?;
     fs::remove_dir_all(&out)?;
-    Ok(format!("//! Messages between entry instances.\n\n{text}"))
+    format_source(&format!("//! {doc}.\n\n{text}"))
 }
 
 fn format_source(text: &str) -> Result<String> {
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,326 @@
+//! Carries out the decisions of one instance.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_channel::Sender;
+use bytes::Bytes;
+use cranberryhatch_fleet::{Command, Job, Listed, Member, Node, Note, Outcome, Output, VecMap};
+use cranberryhatch_schema::fleet::{Hello, frame::Body};
+use cranberryhatch_types::{InstanceId, Span, Time};
+use smol::{Executor, Timer};
+
+use crate::{Catalog, Clock, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port};
+
+/// Time between two ticks; the shortest task takes some 30 ms.
+const TICK: Duration = Duration::from_millis(20);
+/// Ticks between two measurements of gauges.
+const GAUGE_TICKS: u32 = 50;
+
+/// One instance: its decisions, and the I/O around them.
+pub struct Edge<P> {
+    node: Mutex<Node>,
+    port: Arc<P>,
+    links: Arc<Links>,
+    clock: Clock,
+    executor: Arc<Executor<'static>>,
+    replies: Mutex<VecMap<u64, Sender<Outcome>>>,
+    tickets: AtomicU64,
+    catalog: RwLock<Option<Arc<Catalog>>>,
+    journal: Journal,
+    meters: Meters,
+    list_read: AtomicU64,
+}
+
+impl<P: Port> Edge<P> {
+    /// An instance that says `hello` to the others.
+    #[must_use]
+    pub fn new(me: Member, hello: Hello, port: Arc<P>, executor: Arc<Executor<'static>>) -> Self {
+        let clock = Clock;
+        Self {
+            node: Mutex::new(Node::new(me, clock.now())),
+            port,
+            links: Arc::new(Links::new(hello, Arc::clone(&executor))),
+            clock,
+            executor,
+            replies: Mutex::default(),
+            tickets: AtomicU64::new(0),
+            catalog: RwLock::default(),
+            journal: Journal::default(),
+            meters: Meters::default(),
+            list_read: AtomicU64::new(0),
+        }
+    }
+
+    fn node(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn replies(&self) -> MutexGuard<'_, VecMap<u64, Sender<Outcome>>> {
+        self.replies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The platform.
+    pub const fn port(&self) -> &Arc<P> {
+        &self.port
+    }
+
+    /// Links to the other instances.
+    pub const fn links(&self) -> &Arc<Links> {
+        &self.links
+    }
+
+    /// Metrics.
+    pub const fn meters(&self) -> &Meters {
+        &self.meters
+    }
+
+    /// Clock of the process.
+    pub const fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Kinds of job in force; none before any settings were read.
+    #[must_use]
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Runs a decision and carries out what follows.
+    fn decide<T>(
+        self: &Arc<Self>,
+        decision: impl FnOnce(&mut Node, Time, &mut Output) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let mut out = Output::default();
+        let mut node = self.node();
+        let result = decision(&mut node, now, &mut out);
+        for command in out.commands {
+            self.carry_out(command, now);
+        }
+        drop(node);
+        result
+    }
+
+    fn carry_out(self: &Arc<Self>, command: Command, now: Time) {
+        match command {
+            Command::Answer { ticket, outcome } => {
+                if let Some(reply) = self.replies().remove(&ticket) {
+                    // The caller may be gone.
+                    let _ = reply.try_send(outcome);
+                }
+            }
+            Command::Send { to, message } => self.links.send(self, &to, message),
+            Command::Unlink { peer } => self.links.down(&Arc::new(Quiet), &peer),
+            Command::Look { worker, token, acked, lease, wait, fresh } => {
+                let look = LookOrder { acked, lease, wait, fresh };
+                self.spawn_look(Order { worker, token }, look, now);
+            }
+            Command::StartRun { worker, token, run, payload, lease } => {
+                let edge = Arc::clone(self);
+                let start = async move {
+                    let id = worker.id.clone();
+                    let order = Order { worker, token };
+                    let (answer, clock) = edge.port.start(order, &run, &payload, lease).await;
+                    edge.decide(|node, now, out| {
+                        node.started(&id, &run, answer, clock, now, out);
+                    });
+                };
+                self.executor.spawn(start).detach();
+            }
+            Command::StopRun { worker, token, run } => {
+                let edge = Arc::clone(self);
+                let stop = async move {
+                    let id = worker.id.clone();
+                    let accepted = edge.port.stop(Order { worker, token }, &run).await;
+                    edge.decide(|node, now, _| node.stopped(&id, &run, accepted, now));
+                };
+                self.executor.spawn(stop).detach();
+            }
+            Command::Adopt { version, body } => self.adopt(version, &body),
+            Command::Note(note) => self.note(&note, now),
+        }
+    }
+
+    fn spawn_look(self: &Arc<Self>, order: Order, look: LookOrder, asked: Time) {
+        let edge = Arc::clone(self);
+        let run = async move {
+            let (id, token) = (order.worker.id.clone(), order.token);
+            let answer = edge.port.look(order, look).await;
+            edge.decide(|node, now, out| node.looked(&id, token, asked, answer, now, out));
+        };
+        self.executor.spawn(run).detach();
+    }
+
+    fn adopt(&self, version: u64, body: &Bytes) {
+        match self.port.decode_settings(body) {
+            Ok(catalog) => {
+                let mut current = self.catalog.write().unwrap_or_else(PoisonError::into_inner);
+                *current = Some(Arc::new(catalog));
+                self.meters.version.set(version);
+            }
+            Err(error) => log::error!(version, error = error.to_string(); "settings-unreadable"),
+        }
+    }
+
+    fn note(&self, note: &Note, now: Time) {
+        match note {
+            Note::Answered { outcome, took, queued, .. } => {
+                Meters::count(&self.meters.answers, outcome);
+                Meters::observe(&self.meters.answer_time, *took);
+                if let Some(queued) = queued {
+                    Meters::observe(&self.meters.queue_time, *queued);
+                }
+            }
+            Note::RunEnded { how, took, .. } => {
+                Meters::count(&self.meters.runs, how.as_str_name());
+                Meters::observe(&self.meters.run_time, *took);
+            }
+            _ => {}
+        }
+        if self.journal.note(note, now) {
+            self.meters.dropped_lines.inc();
+        }
+    }
+
+    /// Runs a job to its end; a caller that goes away drops the future, which ends the job.
+    pub async fn run_job(self: &Arc<Self>, job: Job) -> Outcome {
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (reply, answered) = async_channel::bounded(1);
+        self.replies().insert(ticket, reply);
+        let caller = Caller { edge: Arc::clone(self), ticket };
+        self.decide(|node, now, out| node.submit(ticket, job, now, out));
+        let outcome = answered.recv().await.unwrap_or(Outcome::GivenUp);
+        drop(caller);
+        outcome
+    }
+
+    /// Cancels a job; whether it was known here.
+    pub fn cancel(self: &Arc<Self>, job: &str) -> bool {
+        self.decide(|node, now, out| node.cancel(job, now, out))
+    }
+
+    /// Whether a job that is not ended has begun; none if it is not known here.
+    #[must_use]
+    pub fn is_begun(&self, job: &str) -> Option<bool> {
+        self.node().front().is_begun(job)
+    }
+
+    /// Jobs of a kind that wait for their first start.
+    #[must_use]
+    pub fn pending(&self, kind: &str) -> usize {
+        self.node().front().pending(kind)
+    }
+
+    /// Whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.node().is_ready()
+    }
+
+    /// Whether it is stopping.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.node().is_draining()
+    }
+
+    /// Number of jobs that have not ended.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.node().front().len()
+    }
+
+    /// Stops taking duties.
+    pub fn drain(self: &Arc<Self>) {
+        self.decide(Node::drain);
+    }
+
+    /// Takes settings that were read from the platform.
+    pub fn settings(self: &Arc<Self>, version: u64, body: Bytes) {
+        self.decide(|node, now, out| node.settings(version, body, now, out));
+    }
+
+    /// Takes a list of workers that was read from the platform.
+    pub fn listed(self: &Arc<Self>, workers: Vec<Listed>) {
+        let wall = self.clock.wall_ms();
+        self.list_read.store(self.clock.now().as_ms(), Ordering::Relaxed);
+        self.decide(|node, now, out| node.listed(workers, wall, now, out));
+    }
+
+    /// Does what is due by the time, until the process ends.
+    pub async fn run_ticks(self: Arc<Self>) {
+        let mut count = 0;
+        loop {
+            let before = self.clock.now();
+            Timer::after(TICK).await;
+            let took = self.clock.now().since(before).as_ms();
+            let lag = took.saturating_sub(u64::try_from(TICK.as_millis()).unwrap_or_default());
+            Meters::observe(&self.meters.loop_lag, Span::from_ms(lag));
+            let wall = self.clock.wall_ms();
+            self.decide(|node, now, out| node.tick(wall, now, out));
+            count += 1;
+            if count % GAUGE_TICKS == 0 {
+                self.measure();
+            }
+        }
+    }
+
+    fn measure(&self) {
+        let node = self.node();
+        let as_u64 = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+        self.meters.jobs.set(as_u64(node.front().len()));
+        self.meters.held.set(as_u64(node.owner().runs()));
+        self.meters.workers.set(as_u64(node.owner().counts().0));
+        self.meters.peers.set(as_u64(node.members().peers().len()));
+        let read = Time::from_ms(self.list_read.load(Ordering::Relaxed));
+        self.meters.list_age_ms.set(self.clock.now().since(read).as_ms());
+    }
+}
+
+impl<P: Port> LinkEvents for Edge<P> {
+    fn link_up(self: &Arc<Self>, peer: Member) {
+        self.decide(|node, now, out| node.link_up(peer, now, out));
+    }
+
+    fn link_down(self: &Arc<Self>, peer: &InstanceId) {
+        self.decide(|node, now, out| node.link_down(peer, now, out));
+    }
+
+    fn messages(self: &Arc<Self>, peer: &InstanceId, messages: Vec<Body>) {
+        self.decide(|node, now, out| {
+            for message in messages {
+                node.message(peer, message, now, out);
+            }
+            node.settle(now, false, out);
+        });
+    }
+}
+
+/// Takes no events: the node has already handled the end of the link.
+struct Quiet;
+
+impl LinkEvents for Quiet {
+    fn link_up(self: &Arc<Self>, _: Member) {}
+    fn link_down(self: &Arc<Self>, _: &InstanceId) {}
+    fn messages(self: &Arc<Self>, _: &InstanceId, _: Vec<Body>) {}
+}
+
+/// A caller that waits; dropping it ends the job, unless it was answered.
+struct Caller<P: Port> {
+    edge: Arc<Edge<P>>,
+    ticket: u64,
+}
+
+impl<P: Port> Drop for Caller<P> {
+    fn drop(&mut self) {
+        if self.edge.replies().remove(&self.ticket).is_some() {
+            let ticket = self.ticket;
+            self.edge.decide(|node, now, out| node.caller_gone(ticket, now, out));
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/journal.rs
@@ -0,0 +1,151 @@
+//! Log lines of decisions, bounded in volume and never blocking.
+
+use std::sync::{Mutex, PoisonError};
+
+use cranberryhatch_fleet::{Note, Outcome, VecMap, is_sampled};
+use cranberryhatch_types::{Span, Time};
+use logforth::{append, layout};
+
+/// Lines of one kind in a second; further ones are dropped and counted.
+const LINES_PER_SECOND: u32 = 20;
+/// One job in this many has a line for each of its decisions, the same on all instances.
+const SAMPLED: u64 = 16;
+/// Lines that wait for standard output; further ones are dropped.
+const BUFFER: usize = 4_096;
+/// Time over which lines are counted.
+const WINDOW: Span = Span::from_ms(1_000);
+
+/// Sends log lines to standard output through a bounded buffer.
+pub fn start_logs() {
+    let stdout = append::Stdout::default().with_layout(layout::JsonLayout::default());
+    let buffered = append::asynchronous::AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(BUFFER))
+        .overflow_drop_incoming()
+        .append(stdout)
+        .build();
+    logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(buffered)).apply();
+}
+
+#[derive(Default)]
+struct Windows {
+    since: Time,
+    lines: VecMap<&'static str, u32>,
+    dropped: u64,
+}
+
+/// Decides which decisions get a line.
+#[derive(Default)]
+pub struct Journal {
+    windows: Mutex<Windows>,
+}
+
+impl Journal {
+    /// Logs a decision, unless it is routine for a job that is not sampled or its kind has had its
+    /// lines in this second; whether it was dropped for the latter.
+    pub fn note(&self, note: &Note, now: Time) -> bool {
+        if !is_wanted(note) {
+            return false;
+        }
+        let name: &'static str = note.into();
+        if !self.admit(name, now) {
+            return true;
+        }
+        write(name, note);
+        false
+    }
+
+    fn admit(&self, name: &'static str, now: Time) -> bool {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.since(windows.since) >= WINDOW {
+            let dropped = std::mem::take(&mut windows.dropped);
+            if dropped > 0 {
+                log::warn!(dropped; "lines-dropped");
+            }
+            windows.since = now;
+            windows.lines = VecMap::default();
+        }
+        let lines = windows.lines.entry(name, || 0);
+        *lines += 1;
+        let admitted = *lines <= LINES_PER_SECOND;
+        windows.dropped += u64::from(!admitted);
+        admitted
+    }
+}
+
+/// Whether a decision is rare, went wrong, or concerns a sampled job.
+fn is_wanted(note: &Note) -> bool {
+    match note {
+        Note::Admitted { job, .. }
+        | Note::Granted { job, .. }
+        | Note::Answered { job, outcome: Outcome::Completed, .. } => is_sampled(job, SAMPLED),
+        Note::RunEnded { run, how, .. } => {
+            *how != cranberryhatch_schema::fleet::How::Done || is_sampled(&run.task.job, SAMPLED)
+        }
+        _ => true,
+    }
+}
+
+fn run_text(run: &cranberryhatch_fleet::RunKey) -> String {
+    format!("{}.{}.{}#{}", run.task.job, run.task.step, run.task.task, run.run)
+}
+
+fn write(name: &'static str, note: &Note) {
+    match note {
+        Note::Admitted { job, kind, tasks, left } => {
+            log::info!(job, kind, tasks, left_ms = left.as_ms(); "{name}");
+        }
+        Note::Answered { job, kind, outcome, took, queued, runs } => {
+            let cause = match outcome {
+                Outcome::NotRun { cause, .. } => cause.to_string(),
+                _ => String::new(),
+            };
+            let queued_ms = queued.map_or(-1, |span| i64::try_from(span.as_ms()).unwrap_or(-1));
+            log::info!(
+                job, kind, outcome = outcome.to_string(), cause, took_ms = took.as_ms(), queued_ms,
+                runs;
+                "{name}"
+            );
+        }
+        Note::CallerGone { job, age } => log::info!(job, age_ms = age.as_ms(); "{name}"),
+        Note::Granted { job, tasks, slack } => {
+            log::info!(job, tasks, slack_ms = slack.as_ms(); "{name}");
+        }
+        Note::Refused { job, ahead } => log::info!(job, ahead_ms = ahead.as_ms(); "{name}"),
+        Note::RunEnded { run, worker, how, took } => {
+            let how = how.as_str_name();
+            log::info!(
+                run = run_text(run), worker = worker.as_str(), how, took_ms = took.as_ms();
+                "{name}"
+            );
+        }
+        Note::Stalled { run, worker, took, expected, percent } => {
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), took_ms = took.as_ms(),
+                expected_ms = expected.as_ms(), percent;
+                "{name}"
+            );
+        }
+        Note::RunLost { run, owner } => {
+            log::warn!(run = run_text(run), owner = owner.as_str(); "{name}");
+        }
+        Note::PeerUp { peer, peers } => log::info!(peer = peer.as_str(), peers; "{name}"),
+        Note::PeerDown { peer, silence, peers } => {
+            log::warn!(peer = peer.as_str(), silence_ms = silence.as_ms(), peers; "{name}");
+        }
+        Note::SchedulerChanged { scheduler } => {
+            let scheduler = scheduler.as_ref().map_or("none", |id| id.as_str());
+            log::info!(scheduler; "{name}");
+        }
+        Note::WorkerOpened { worker, token, found, kept } => {
+            log::info!(worker = worker.as_str(), token, found, kept; "{name}");
+        }
+        Note::WorkerDropped { worker, cause } => {
+            log::info!(worker = worker.as_str(), cause = cause.to_string(); "{name}");
+        }
+        Note::WorkerDark { worker, silence, runs } => {
+            log::warn!(worker = worker.as_str(), silence_ms = silence.as_ms(), runs; "{name}");
+        }
+        Note::Settings { version, before } => log::info!(version, before; "{name}"),
+        Note::Paused { gap } => log::warn!(gap_ms = gap.as_ms(); "{name}"),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/meters.rs
@@ -0,0 +1,119 @@
+//! Counters and histograms as text that common collectors read.
+
+use std::sync::atomic::AtomicU64;
+
+use cranberryhatch_types::Span;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Upper bounds of the buckets of run times and waits, in seconds.
+const BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Label of a counter that is split by what happened.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Cause {
+    /// What happened.
+    pub cause: String,
+}
+
+/// All metrics of an instance.
+pub struct Meters {
+    registry: Registry,
+    /// Answers to callers, by outcome.
+    pub answers: Family<Cause, Counter>,
+    /// Ends of runs on the workers of this instance, by how they ended.
+    pub runs: Family<Cause, Counter>,
+    /// Log lines that were dropped to bound their volume.
+    pub dropped_lines: Counter,
+    /// Calls to the platform's store that failed, by list.
+    pub store_failures: Family<Cause, Counter>,
+    /// Time from a job's arrival to its answer.
+    pub answer_time: Histogram,
+    /// Time from a job's arrival to its first start.
+    pub queue_time: Histogram,
+    /// Run time of tasks.
+    pub run_time: Histogram,
+    /// Delay of the timer of this process, which shows a lack of processor time.
+    pub loop_lag: Histogram,
+    /// Jobs of the callers of this instance.
+    pub jobs: Gauge<u64, AtomicU64>,
+    /// Runs on the workers of this instance.
+    pub held: Gauge<u64, AtomicU64>,
+    /// Workers of this instance that take starts.
+    pub workers: Gauge<u64, AtomicU64>,
+    /// Peers whose links are up.
+    pub peers: Gauge<u64, AtomicU64>,
+    /// Version of the settings in force.
+    pub version: Gauge<u64, AtomicU64>,
+    /// Time since the list of workers was last read.
+    pub list_age_ms: Gauge<u64, AtomicU64>,
+}
+
+impl Default for Meters {
+    fn default() -> Self {
+        let histogram = || Histogram::new(BUCKETS);
+        let mut meters = Self {
+            registry: Registry::with_prefix("cranberryhatch"),
+            answers: Family::default(),
+            runs: Family::default(),
+            dropped_lines: Counter::default(),
+            store_failures: Family::default(),
+            answer_time: histogram(),
+            queue_time: histogram(),
+            run_time: histogram(),
+            loop_lag: histogram(),
+            jobs: Gauge::default(),
+            held: Gauge::default(),
+            workers: Gauge::default(),
+            peers: Gauge::default(),
+            version: Gauge::default(),
+            list_age_ms: Gauge::default(),
+        };
+        meters.register();
+        meters
+    }
+}
+
+impl Meters {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("answers", "Answers to callers", self.answers.clone());
+        r.register("runs", "Ends of runs", self.runs.clone());
+        r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
+        r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
+        r.register("answer_seconds", "Arrival to answer", self.answer_time.clone());
+        r.register("queue_seconds", "Arrival to first start", self.queue_time.clone());
+        r.register("run_seconds", "Run time of tasks", self.run_time.clone());
+        r.register("loop_lag_seconds", "Delay of the timer", self.loop_lag.clone());
+        r.register("jobs", "Jobs of callers", self.jobs.clone());
+        r.register("held_runs", "Runs on own workers", self.held.clone());
+        r.register("open_workers", "Own workers that take starts", self.workers.clone());
+        r.register("peers", "Peers in reach", self.peers.clone());
+        r.register("settings_version", "Settings in force", self.version.clone());
+        r.register("worker_list_age_ms", "Age of the list of workers", self.list_age_ms.clone());
+    }
+
+    /// Counts one of a family.
+    pub fn count(family: &Family<Cause, Counter>, cause: impl ToString) {
+        family.get_or_create(&Cause { cause: cause.to_string() }).inc();
+    }
+
+    /// Adds to a histogram.
+    pub fn observe(histogram: &Histogram, span: Span) {
+        let ms = u32::try_from(span.as_ms()).unwrap_or(u32::MAX);
+        histogram.observe(f64::from(ms) / 1_000.0);
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Formatting into a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/backlog.rs
@@ -0,0 +1,143 @@
+//! Queueing: the order in which waiting tasks get room.
+//!
+//! The load it answers is a burst above all room: short tasks with tight objectives arrive among long
+//! ones with slack. In order of arrival every kind would be late; in order of the latest useful
+//! start, what can still be on time goes first, and what cannot gets only the room that is left.
+
+use std::cmp::Ordering;
+
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use crate::Need;
+
+/// Times the objective after which an answer is of no use to the caller.
+///
+/// Source: the users' rule that an answer is late up to three times its objective.
+const USEFUL_OBJECTIVES: u64 = 3;
+
+/// Tasks of one step of a job that wait for room.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Instance that has the job.
+    pub front: InstanceId,
+    /// Zone of that instance.
+    pub zone: String,
+    /// Name of the job.
+    pub job: String,
+    /// Number of the step.
+    pub step: u32,
+    /// Tasks that wait.
+    pub tasks: Vec<u32>,
+    /// Kind of job.
+    pub kind: String,
+    /// Service whose workers may run them.
+    pub service: String,
+    /// Smaller numbers come first.
+    pub priority: u32,
+    /// Size of each task.
+    pub need: Need,
+    /// Expected run time of each task.
+    pub expected: Span,
+    /// Latest start that meets the objective.
+    pub on_time: Time,
+    /// Latest start that is of any use.
+    pub useful: Time,
+    /// Label that a worker must have; empty for any.
+    pub label: String,
+    /// Rack near the data; empty for none.
+    pub rack: String,
+    /// Most tasks of the step on one worker; 0 for no limit.
+    pub spread: u32,
+    /// Workers on which tasks of the job failed or stalled.
+    pub avoid: Vec<String>,
+    /// Whether a task of the job has started.
+    pub begun: bool,
+}
+
+impl Waiting {
+    /// Work in thousandths of a core times milliseconds.
+    #[must_use]
+    pub fn work(&self) -> u64 {
+        let tasks = self.tasks.len() as u64;
+        tasks * u64::from(self.need.cores.get().max(1)) * self.expected.as_ms()
+    }
+
+    /// Order among those that can still be on time: jobs that have begun free their room soonest.
+    fn compare(&self, other: &Self) -> Ordering {
+        let key = |w: &Self| (w.priority, !w.begun, w.on_time);
+        key(self).cmp(&key(other))
+    }
+}
+
+/// Latest starts of a job: the one that meets the objective, and the last one of any use.
+#[must_use]
+pub fn latest_starts(born: Time, limit: Time, objective: Span, expected: Span) -> (Time, Time) {
+    let useful_until = born + Span::from_ms(objective.as_ms() * USEFUL_OBJECTIVES);
+    (born + objective - expected, useful_until.min(limit) - expected)
+}
+
+/// All waiting tasks in the order in which they get room.
+#[derive(Debug, Default)]
+pub struct Backlog {
+    timely: Vec<Waiting>,
+    late: Vec<Waiting>,
+}
+
+impl Backlog {
+    /// Adds tasks, behind those that come before them.
+    pub fn add(&mut self, waiting: Waiting, now: Time) {
+        if now > waiting.on_time && !waiting.begun {
+            let place = self.late.partition_point(|known| known.useful <= waiting.useful);
+            self.late.insert(place, waiting);
+            return;
+        }
+        let place = self.timely.partition_point(|known| known.compare(&waiting).is_le());
+        self.timely.insert(place, waiting);
+    }
+
+    /// Moves what cannot be on time any more behind all that can.
+    pub fn age(&mut self, now: Time) {
+        let is_late = |waiting: &Waiting| now > waiting.on_time && !waiting.begun;
+        if !self.timely.iter().any(is_late) {
+            return;
+        }
+        let (late, timely) = std::mem::take(&mut self.timely).into_iter().partition(is_late);
+        self.timely = timely;
+        for waiting in late {
+            self.add(waiting, now);
+        }
+    }
+
+    /// Entries in the order in which they get room.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.timely.iter().chain(&self.late)
+    }
+
+    /// Entries in the order in which they get room, to take tasks from them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Waiting> {
+        self.timely.iter_mut().chain(&mut self.late)
+    }
+
+    /// Removes the entries for which `gone` holds.
+    pub fn remove(&mut self, mut gone: impl FnMut(&Waiting) -> bool) {
+        self.timely.retain(|waiting| !gone(waiting));
+        self.late.retain(|waiting| !gone(waiting));
+    }
+
+    /// Removes entries without tasks.
+    pub fn compact(&mut self) {
+        self.remove(|waiting| waiting.tasks.is_empty());
+    }
+
+    /// Number of entries.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.timely.len() + self.late.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.timely.is_empty() && self.late.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/front.rs
@@ -0,0 +1,542 @@
+//! Jobs of the callers that are connected to this instance.
+//!
+//! The front is the only one that starts runs of a job's tasks. It starts a further run of a task only
+//! when the earlier one certainly is no longer at work.
+
+use std::sync::Arc;
+
+use cranberryhatch_schema::fleet::{
+    Ask, Claim, Ended, Grant, How, Refusal, Start, Stop, Takeover, Unused, Withdraw,
+};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+use crate::{
+    Job, Outcome, Output, Policy, RunKey, TaskKey, VecMap,
+    members::text_hash,
+    note::Note,
+    outcome::Refusal as RefusalCause,
+    output::Message,
+    task_state::{Phase, TaskState},
+};
+
+/// Time after the last sign of an owner by which none of the runs that it started can be at work.
+///
+/// It covers the longest chain: the owner is lost, its lease is nearly over when a new owner lists the
+/// worker, the new owner waits for claims and then stops what nobody claimed.
+pub const RUN_GONE: Span = Span::from_ms(1_500);
+/// Step between run numbers after a worker refused one as old.
+const OLD_STEP: u32 = 4;
+/// When a caller should come back whose job was not started before its time limit.
+const RETRY: Span = Span::from_ms(500);
+/// Longest time that one job is worked on after its caller is gone, to learn that its runs ended.
+const CLOSING_LIMIT: Span = Span::from_secs(10);
+
+/// One job.
+#[derive(Debug)]
+struct Active {
+    // The caller that waits; none once the job was answered or the caller went away.
+    ticket: Option<u64>,
+    job: Job,
+    steps: Vec<Vec<TaskState>>,
+    started: Option<Time>,
+    runs: u32,
+    avoid: Vec<String>,
+    closing: Option<Time>,
+    // The same job, sent again while runs of the first are being stopped.
+    next: Option<(u64, Job)>,
+}
+
+impl Active {
+    fn new(ticket: u64, job: Job) -> Self {
+        let steps = job.steps.iter().map(|step| {
+            (0..step.tasks).map(|_| TaskState::default()).collect()
+        });
+        let steps = steps.collect();
+        Self {
+            ticket: Some(ticket),
+            job,
+            steps,
+            started: None,
+            runs: 0,
+            avoid: Vec::new(),
+            closing: None,
+            next: None,
+        }
+    }
+
+    fn task(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
+        let step = self.steps.get_mut(usize::try_from(key.step).ok()?)?;
+        step.get_mut(usize::try_from(key.task).ok()?)
+    }
+
+    fn step_done(&self, step: u32) -> bool {
+        let tasks = usize::try_from(step).ok().and_then(|step| self.steps.get(step));
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.phase == Phase::Done))
+    }
+
+    fn is_ready(&self, step: usize) -> bool {
+        self.job.steps[step].after.iter().all(|earlier| self.step_done(*earlier))
+    }
+
+    fn all_done(&self) -> bool {
+        self.steps.iter().flatten().all(|task| task.phase == Phase::Done)
+    }
+
+    /// Runs that may be at work.
+    fn placed(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
+        let name = &self.job.name;
+        self.steps.iter().zip(0..).flat_map(move |(tasks, step)| {
+            tasks.iter().zip(0..).map(move |(state, task)| {
+                (TaskKey { job: name.clone(), step, task }, state)
+            })
+        })
+        .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
+    }
+
+    fn is_quiet(&self) -> bool {
+        self.placed().next().is_none()
+    }
+}
+
+/// All jobs of the callers of this instance.
+#[derive(Debug)]
+pub struct Front {
+    me: InstanceId,
+    zone: String,
+    jobs: VecMap<String, Active>,
+    scheduler: Option<InstanceId>,
+}
+
+impl Front {
+    /// No jobs yet.
+    #[must_use]
+    pub fn new(me: InstanceId, zone: String) -> Self {
+        Self { me, zone, jobs: VecMap::default(), scheduler: None }
+    }
+
+    /// Takes a job; the same job sent again takes the place of its lost caller.
+    pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
+        if let Some(active) = self.jobs.get_mut(&job.name) {
+            if active.closing.is_some() {
+                if let Some((older, _)) = active.next.replace((ticket, job)) {
+                    out.answer(older, Outcome::GivenUp);
+                }
+            } else if let Some(older) = active.ticket.replace(ticket) {
+                out.answer(older, Outcome::GivenUp);
+            }
+            return;
+        }
+        let tasks = job.steps.iter().map(|step| step.tasks).sum();
+        out.note(Note::Admitted {
+            job: job.name.clone(),
+            kind: job.policy.kind.clone(),
+            tasks,
+            left: job.limit.since(now),
+        });
+        let name = job.name.clone();
+        self.jobs.insert(name.clone(), Active::new(ticket, job));
+        self.ask(&name, now, out);
+        self.finish(&name, now, out);
+    }
+
+    /// Asks the scheduler for room for all tasks of a job that wait for it.
+    fn ask(&mut self, name: &str, now: Time, out: &mut Output) {
+        let Some(scheduler) = &self.scheduler else { return };
+        let Some(active) = self.jobs.get_mut(name) else { return };
+        if active.closing.is_some() {
+            return;
+        }
+        for index in 0..active.steps.len() {
+            if !active.is_ready(index) {
+                continue;
+            }
+            let mut tasks = Vec::new();
+            for (state, task) in active.steps[index].iter_mut().zip(0..) {
+                if state.phase == Phase::Ready {
+                    state.phase = Phase::Asked;
+                    tasks.push(task);
+                }
+            }
+            if tasks.is_empty() {
+                continue;
+            }
+            let (job, step) = (&active.job, &active.job.steps[index]);
+            let ask = Ask {
+                job: job.name.clone(),
+                step: to_u32(index as u64),
+                tasks,
+                kind: job.policy.kind.clone(),
+                service: job.policy.service.clone(),
+                priority: job.policy.priority,
+                need: Some((&step.need).into()),
+                declared_ms: to_u32(step.declared.as_ms()),
+                age_ms: to_u32(now.since(job.born).as_ms()),
+                left_ms: to_u32(job.limit.since(now).as_ms()),
+                label: step.label.clone(),
+                rack: step.rack.clone(),
+                spread: step.spread,
+                avoid: active.avoid.clone(),
+                begun: active.started.is_some(),
+                zone: self.zone.clone(),
+                stretch: job.policy.stretch,
+                slack_ms: to_u32(job.policy.slack.as_ms()),
+            };
+            out.send(scheduler, Message::Ask(ask));
+        }
+    }
+
+    /// Asks another scheduler for everything that waits.
+    pub fn follow(&mut self, scheduler: Option<InstanceId>, now: Time, out: &mut Output) {
+        self.scheduler = scheduler;
+        let names: Vec<String> = self.jobs.iter().map(|(name, _)| name.clone()).collect();
+        for name in names {
+            if let Some(active) = self.jobs.get_mut(&name) {
+                for state in active.steps.iter_mut().flatten() {
+                    if state.phase == Phase::Asked {
+                        state.phase = Phase::Ready;
+                    }
+                }
+            }
+            self.ask(&name, now, out);
+        }
+    }
+
+    /// Starts runs where room was granted.
+    pub fn granted(
+        &mut self,
+        from: &InstanceId,
+        grant: Grant,
+        reaches: impl Fn(&InstanceId) -> bool,
+        now: Time,
+        out: &mut Output,
+    ) {
+        for place in grant.places {
+            let key = TaskKey { job: grant.job.clone(), step: grant.step, task: place.task };
+            let owner = place.owner.parse::<InstanceId>().ok().filter(&reaches);
+            let worker = place.worker.parse::<WorkerId>().ok();
+            let started = owner.zip(worker).is_some_and(|(owner, worker)| {
+                let expected = Span::from_ms(place.run_ms.into());
+                self.start(&key, owner, worker, expected, now, out)
+            });
+            if !started {
+                let TaskKey { job, step, task } = key;
+                let unused = Unused { worker: place.worker, job, step, task };
+                out.send(from, Message::Unused(unused));
+            }
+        }
+        self.ask(&grant.job, now, out);
+    }
+
+    /// Whether the task was waiting and its run was ordered.
+    fn start(
+        &mut self,
+        key: &TaskKey,
+        owner: InstanceId,
+        worker: WorkerId,
+        expected: Span,
+        now: Time,
+        out: &mut Output,
+    ) -> bool {
+        let Some(active) = self.jobs.get_mut(&key.job) else { return false };
+        if active.closing.is_some() {
+            return false;
+        }
+        let Some(state) = active.task(key) else { return false };
+        if !matches!(state.phase, Phase::Asked | Phase::Ready) {
+            return false;
+        }
+        state.place(owner.clone(), worker, expected, now);
+        let state = state.clone();
+        let start = start_message(&active.job, key, &state);
+        active.started.get_or_insert(now);
+        active.runs += 1;
+        if let Some(start) = start {
+            out.send(&owner, Message::Start(start));
+        }
+        true
+    }
+
+    /// Takes the scheduler's refusal of a job.
+    pub fn refused(&mut self, refusal: &Refusal, now: Time, out: &mut Output) {
+        let Some(active) = self.jobs.get_mut(&refusal.job) else { return };
+        if active.started.is_some() || active.closing.is_some() {
+            // Tasks that wait again after a run ended are asked for anew.
+            for state in active.steps.iter_mut().flatten() {
+                if state.phase == Phase::Asked {
+                    state.phase = Phase::Ready;
+                }
+            }
+            self.ask(&refusal.job, now, out);
+            return;
+        }
+        out.note(Note::Refused {
+            job: refusal.job.clone(),
+            ahead: Span::from_ms(refusal.ahead_ms.into()),
+        });
+        let retry = Span::from_ms(refusal.retry_ms.into());
+        let outcome = Outcome::NotRun { cause: RefusalCause::Overload, retry };
+        self.close(&refusal.job, Some(outcome), now, out);
+    }
+
+    /// Takes the end of a run.
+    pub fn ended(&mut self, ended: &Ended, now: Time, out: &mut Output) {
+        let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
+        self.end(&run, &ended.worker, ended.how(), now, out);
+    }
+
+    fn end(&mut self, run: &RunKey, worker: &str, how: How, now: Time, out: &mut Output) {
+        let name = &run.task.job;
+        let Some(active) = self.jobs.get_mut(name) else { return };
+        let attempts = active.job.policy.attempts.max(1);
+        let Some(state) = active.task(&run.task) else { return };
+        if !state.is_run(run.run) {
+            return;
+        }
+        let mut failed = false;
+        state.phase = Phase::Ready;
+        match how {
+            How::Done => state.phase = Phase::Done,
+            How::Failed => {
+                state.failures += 1;
+                failed = state.failures >= attempts;
+            }
+            How::Old => state.run += OLD_STEP,
+            How::Stalled => state.stalls += 1,
+            How::Unknown | How::Stopped | How::NotStarted | How::NoRoom => {}
+        }
+        if matches!(how, How::Failed | How::Stalled) && !active.avoid.iter().any(|w| w == worker) {
+            active.avoid.push(worker.to_owned());
+        }
+        if failed && active.closing.is_none() {
+            self.close(name, Some(Outcome::Failed), now, out);
+            return;
+        }
+        self.ask(name, now, out);
+        self.finish(name, now, out);
+    }
+
+    /// Answers a job whose tasks have all ended, and forgets one that is closed.
+    fn finish(&mut self, name: &str, now: Time, out: &mut Output) {
+        let Some(active) = self.jobs.get(name) else { return };
+        if active.closing.is_none() {
+            if active.all_done() {
+                self.close(name, Some(Outcome::Completed), now, out);
+            }
+            return;
+        }
+        if !active.is_quiet() {
+            return;
+        }
+        let next = self.jobs.remove(name).and_then(|active| active.next);
+        if let Some((ticket, job)) = next {
+            self.submit(ticket, job, now, out);
+        }
+    }
+
+    /// Ends a job: answers its caller and stops its runs.
+    fn close(&mut self, name: &str, outcome: Option<Outcome>, now: Time, out: &mut Output) {
+        let Some(active) = self.jobs.get_mut(name) else { return };
+        if active.closing.is_some() {
+            return;
+        }
+        active.closing = Some(now);
+        if let Some((ticket, outcome)) = active.ticket.take().zip(outcome) {
+            out.answer(ticket, outcome);
+            out.note(Note::Answered {
+                job: name.to_owned(),
+                kind: active.job.policy.kind.clone(),
+                outcome,
+                took: now.since(active.job.born),
+                queued: active.started.map(|at| at.since(active.job.born)),
+                runs: active.runs,
+            });
+        }
+        for (key, state) in active.placed() {
+            stop(&key, state, out);
+        }
+        let waits = active.steps.iter().flatten().any(|task| task.phase == Phase::Asked);
+        if let (true, Some(scheduler)) = (waits, &self.scheduler) {
+            out.send(scheduler, Message::Withdraw(Withdraw { job: name.to_owned() }));
+        }
+        self.finish(name, now, out);
+    }
+
+    /// Ends a job whose caller went away.
+    pub fn caller_gone(&mut self, ticket: u64, now: Time, out: &mut Output) {
+        let waits = |active: &Active| active.ticket == Some(ticket);
+        let found = self.jobs.iter().find(|(_, active)| waits(active));
+        if let Some((name, active)) = found.map(|(name, active)| (name.clone(), active)) {
+            let age = now.since(active.job.born);
+            out.note(Note::CallerGone { job: name.clone(), age });
+            if let Some(active) = self.jobs.get_mut(&name) {
+                active.ticket = None;
+            }
+            self.close(&name, None, now, out);
+            return;
+        }
+        for (_, active) in self.jobs.iter_mut() {
+            if active.next.as_ref().is_some_and(|(next, _)| *next == ticket) {
+                active.next = None;
+            }
+        }
+    }
+
+    /// Ends a job on its caller's request; whether it was known.
+    pub fn cancel(&mut self, name: &str, now: Time, out: &mut Output) -> bool {
+        let known = self.jobs.get(name).is_some_and(|active| active.closing.is_none());
+        // The caller that waits for the job learns that it did not end well.
+        self.close(name, Some(Outcome::Failed), now, out);
+        known
+    }
+
+    /// Marks the runs of an owner that is out of reach.
+    pub fn owner_lost(&mut self, owner: &InstanceId, heard: Time, out: &mut Output) {
+        for (name, active) in self.jobs.iter_mut() {
+            for (tasks, step) in active.steps.iter_mut().zip(0..) {
+                for (state, task) in tasks.iter_mut().zip(0..) {
+                    if state.lose(owner, heard) {
+                        let key = TaskKey { job: name.clone(), step, task };
+                        let run = RunKey { task: key, run: state.run };
+                        out.note(Note::RunLost { run, owner: owner.clone() });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes what a new owner found on a worker, and claims the runs that are still wanted.
+    pub fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
+        let running: Vec<RunKey> = found.running.iter().map(RunKey::from).collect();
+        let mut ends = Vec::new();
+        let mut claims = Vec::new();
+        for (_, active) in self.jobs.iter_mut() {
+            let wanted = active.closing.is_none();
+            let job = active.job.clone();
+            let keys: Vec<TaskKey> = active.placed().map(|(key, _)| key).collect();
+            for key in keys {
+                let Some(state) = active.task(&key) else { continue };
+                let Phase::Placed(place) = &mut state.phase else { continue };
+                if place.worker.as_str() != found.worker || place.owner == *from {
+                    continue;
+                }
+                let run = RunKey { task: key.clone(), run: state.run };
+                if running.contains(&run) {
+                    place.owner = from.clone();
+                    place.lost = None;
+                    if wanted {
+                        claims.extend(start_message(&job, &key, state));
+                    }
+                    continue;
+                }
+                let said = found.ended.iter().find(|ended| {
+                    ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
+                });
+                // The worker obeys the new owner only, so what is not there never starts.
+                ends.push((run, said.map_or(How::NotStarted, Ended::how)));
+            }
+        }
+        let claim = Claim { worker: found.worker.clone(), runs: claims };
+        out.send(from, Message::Claim(claim));
+        for (run, how) in ends {
+            self.end(&run, &found.worker, how, now, out);
+        }
+    }
+
+    /// Ends jobs whose time limit passed, and runs that were lost with their owner.
+    pub fn tick(&mut self, now: Time, out: &mut Output) {
+        let mut over = Vec::new();
+        let mut gone = Vec::new();
+        for (name, active) in self.jobs.iter() {
+            if active.closing.is_none() && now >= active.job.limit {
+                over.push((name.clone(), active.started.is_some()));
+            }
+            for (key, state) in active.placed() {
+                let Phase::Placed(place) = &state.phase else { continue };
+                let lost = place.lost.is_some_and(|heard| now.since(heard) >= RUN_GONE);
+                let stuck = active.closing.is_some_and(|at| now.since(at) >= CLOSING_LIMIT);
+                if lost || stuck {
+                    let run = RunKey { task: key, run: state.run };
+                    gone.push((run, place.worker.to_string()));
+                }
+            }
+        }
+        for (run, worker) in gone {
+            self.end(&run, &worker, How::Stopped, now, out);
+        }
+        for (name, begun) in over {
+            let outcome = if begun {
+                Outcome::GivenUp
+            } else {
+                Outcome::NotRun { cause: RefusalCause::TimeLimit, retry: RETRY }
+            };
+            self.close(&name, Some(outcome), now, out);
+        }
+    }
+
+    /// Jobs of a kind of which no task has started.
+    #[must_use]
+    pub fn pending(&self, kind: &str) -> usize {
+        let waits = |active: &Active| active.started.is_none() && active.closing.is_none();
+        let jobs = self.jobs.iter().map(|(_, active)| active);
+        jobs.filter(|active| active.job.policy.kind == kind && waits(active)).count()
+    }
+
+    /// What a caller is told of a job; none if it is not known.
+    #[must_use]
+    pub fn is_begun(&self, name: &str) -> Option<bool> {
+        let active = self.jobs.get(name).filter(|active| active.closing.is_none())?;
+        Some(active.started.is_some())
+    }
+
+    /// Number of jobs that are not ended.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether there are no jobs.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// This instance.
+    #[must_use]
+    pub const fn me(&self) -> &InstanceId {
+        &self.me
+    }
+}
+
+fn start_message(job: &Job, key: &TaskKey, state: &TaskState) -> Option<Start> {
+    let Phase::Placed(place) = &state.phase else { return None };
+    let step = job.steps.get(usize::try_from(key.step).ok()?)?;
+    let policy: &Arc<Policy> = &job.policy;
+    let run = RunKey { task: key.clone(), run: state.run };
+    Some(Start {
+        run: Some((&run).into()),
+        worker: place.worker.to_string(),
+        service: policy.service.clone(),
+        need: Some((&step.need).into()),
+        run_ms: to_u32(place.expected.as_ms()),
+        payload: job.payload.to_string(),
+        kind: policy.kind.clone(),
+        stalls: state.stalls,
+    })
+}
+
+fn stop(key: &TaskKey, state: &TaskState, out: &mut Output) {
+    let Phase::Placed(place) = &state.phase else { return };
+    let run = RunKey { task: key.clone(), run: state.run };
+    let stop = Stop { run: Some((&run).into()), worker: place.worker.to_string() };
+    out.send(&place.owner, Message::Stop(stop));
+}
+
+fn to_u32(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
+/// Whether log lines of a job are kept when lines are dropped to bound their volume.
+#[must_use]
+pub fn is_sampled(job: &str, one_in: u64) -> bool {
+    text_hash(job).is_multiple_of(one_in.max(1))
+}
--- /dev/null
+++ b/crates/fleet/src/held.rs
@@ -0,0 +1,114 @@
+//! A run that an owner has ordered on a worker.
+
+use cranberryhatch_schema::fleet::{Held as HeldMessage, Start};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use crate::{Need, RunKey};
+
+/// Slack in a forecast of progress, for the delay of reports.
+const STALL_SLACK: Span = Span::from_ms(50);
+/// A run is hopelessly slow when the time left is this many times the expected run time, in
+/// thousandths: starting again elsewhere is then faster even if half of the forecast is wrong.
+const STALL_RATIO: u64 = 1_500;
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The start was sent and not answered.
+    Starting,
+    /// The worker said that it is at work.
+    AtWork {
+        /// When that answer came.
+        since: Time,
+    },
+    /// The start got no answer. A look that was sent later than `until` and does not list the run
+    /// shows that it never starts.
+    Doubtful {
+        /// End of its lease, or of the time that a stop takes.
+        until: Time,
+    },
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The run.
+    pub run: RunKey,
+    /// Instance that has the job.
+    pub front: InstanceId,
+    /// Room that it holds.
+    pub need: Need,
+    /// Kind of job.
+    pub kind: String,
+    /// Expected run time.
+    pub expected: Span,
+    /// Earlier runs of the task that were stopped for lack of progress.
+    pub stalls: u32,
+    /// When the start was sent.
+    pub sent: Time,
+    /// What is known of it.
+    pub stage: Stage,
+    /// Whether it is to be stopped, and when the stop was last sent.
+    pub stopping: Option<Time>,
+    /// Whether it is stopped for lack of progress.
+    pub stalled: bool,
+    /// Progress in percent.
+    pub percent: u32,
+    /// Whether an earlier owner started it.
+    pub adopted: bool,
+}
+
+impl Held {
+    /// A run whose start is being sent.
+    #[must_use]
+    pub fn new(front: InstanceId, start: &Start, now: Time) -> Option<Self> {
+        Some(Self {
+            run: RunKey::from(start.run.as_ref()?),
+            front,
+            need: Need::from(start.need.as_ref()?),
+            kind: start.kind.clone(),
+            expected: Span::from_ms(start.run_ms.into()),
+            stalls: start.stalls,
+            sent: now,
+            stage: Stage::Starting,
+            stopping: None,
+            stalled: false,
+            percent: 0,
+            adopted: false,
+        })
+    }
+
+    /// The report of it for the scheduler.
+    #[must_use]
+    pub fn report(&self) -> HeldMessage {
+        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()) }
+    }
+
+    /// Whether a look that was sent at `asked` and does not list the run shows that it is gone.
+    #[must_use]
+    pub fn is_gone(&self, asked: Time) -> bool {
+        match self.stage {
+            Stage::Starting => false,
+            Stage::AtWork { since } => asked > since,
+            Stage::Doubtful { until } => asked > until,
+        }
+    }
+
+    /// Whether starting again elsewhere is faster than waiting for the end.
+    ///
+    /// A task that was stopped before for this reason may simply be long, so it gets more time.
+    #[must_use]
+    pub fn is_stalled(&self, now: Time) -> bool {
+        let Stage::AtWork { since } = self.stage else { return false };
+        let ran = now.since(since).as_ms();
+        let expected = self.expected.as_ms().max(1);
+        let patience = expected * STALL_RATIO / 1_000 * (1 + 2 * u64::from(self.stalls))
+            + STALL_SLACK.as_ms();
+        if ran < patience {
+            return false;
+        }
+        let percent = u64::from(self.percent);
+        let left = if percent == 0 { ran * 4 } else { ran * (100 - percent.min(100)) / percent };
+        left > patience
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,70 @@
+//! Decisions of instances that share workers by size.
+//!
+//! Callers submit jobs of many tasks to any instance. That instance is the job's *front*; one
+//! instance of all that reach each other is the *scheduler* and grants room; each worker has one
+//! *owner*, which alone gives it orders. This crate does no I/O and reads no clock.
+//!
+//! ```
+//! use cranberryhatch_fleet::{Member, Node, Output};
+//! use cranberryhatch_types::Time;
+//!
+//! let me = Member {
+//!     id: "edge-1".parse().expect("a name"),
+//!     incarnation: 1,
+//!     zone: "a".parse().expect("a zone"),
+//!     cores: 250,
+//!     draining: false,
+//!     joined: false,
+//!     version: 0,
+//! };
+//! let mut node = Node::new(me, Time::ZERO);
+//! let mut out = Output::default();
+//! node.tick(1_800_000_000_000, Time::from_ms(20), &mut out);
+//! assert!(!node.is_ready());
+//! ```
+
+mod backlog;
+mod front;
+mod held;
+mod job;
+mod listing;
+mod members;
+mod need;
+mod node;
+mod note;
+mod outcome;
+mod output;
+mod owner;
+mod placing;
+mod refusing;
+mod run_key;
+mod run_times;
+mod scheduler;
+mod site;
+mod task_state;
+mod vec_map;
+mod worker;
+
+pub use backlog::{Backlog, Waiting, latest_starts};
+pub use front::{Front, RUN_GONE, is_sampled};
+pub use held::{Held, Stage};
+pub use job::{Job, Policy, Step};
+pub use listing::{Listed, Listing};
+pub use members::{Member, Members, text_hash};
+pub use need::Need;
+pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
+pub use note::{DropCause, Note};
+pub use outcome::{Outcome, Refusal};
+pub use output::{
+    Command, End, Lease, LookAnswer, Message, Output, RunEnd, Running, Seen, StartAnswer,
+};
+pub use owner::Owner;
+pub use placing::choose;
+pub use refusing::{Hopeless, hopeless};
+pub use run_key::{RunKey, TaskKey};
+pub use run_times::RunTimes;
+pub use scheduler::Scheduler;
+pub use site::Site;
+pub use task_state::{Phase, Placed, TaskState};
+pub use vec_map::VecMap;
+pub use worker::{Charge, LEASE, Worker};
--- /dev/null
+++ b/crates/fleet/src/node.rs
@@ -0,0 +1,395 @@
+//! All decisions of one instance.
+
+use bytes::Bytes;
+use cranberryhatch_schema::fleet::{Beat, Settings, frame::Body};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+use crate::{
+    Command, Front, Job, Listed, Listing, LookAnswer, Member, Members, Output, Owner, RunKey,
+    Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
+};
+
+/// Time between two signs of life on a link.
+pub const BEAT_EVERY: Span = Span::from_ms(100);
+/// Silence after which a peer counts as out of reach; a few signs of life may be late.
+pub const PEER_TIMEOUT: Span = Span::from_ms(600);
+/// Time that an instance has to find its peers before it takes duties.
+const JOIN_TIME: Span = Span::from_ms(600);
+/// Time between two checks which workers this instance should own.
+const ASSIGN_EVERY: Span = Span::from_ms(500);
+/// Time without new duties after most peers were lost at once: it is more likely that this instance
+/// is cut off or was paused than that all others are gone.
+const DOUBT: Span = Span::from_ms(800);
+/// Gap between two ticks that counts as a pause of this process.
+const PAUSE: Span = Span::from_ms(400);
+/// Time after which a peer with older settings gets them from here; it usually has them by then.
+const SETTINGS_GRACE: Span = Span::from_ms(250);
+
+/// Decisions of one instance: callers' jobs, its workers, and room if it schedules.
+///
+/// It does no I/O. Every method takes the time and leaves what is to be done in the output.
+#[derive(Debug)]
+pub struct Node {
+    members: Members,
+    listing: Listing,
+    front: Front,
+    owner: Owner,
+    scheduler: Scheduler,
+    elected: Option<InstanceId>,
+    heard: VecMap<InstanceId, Time>,
+    settings: (u64, Bytes),
+    settings_at: Time,
+    started: Time,
+    beat_at: Time,
+    assigned_at: Time,
+    doubt_until: Time,
+    ticked: Time,
+}
+
+impl Node {
+    /// An instance that has just started.
+    #[must_use]
+    pub fn new(me: Member, now: Time) -> Self {
+        let front = Front::new(me.id.clone(), me.zone.to_string());
+        let owner = Owner::new(me.id.clone());
+        Self {
+            members: Members::new(me),
+            listing: Listing::default(),
+            front,
+            owner,
+            scheduler: Scheduler::default(),
+            elected: None,
+            heard: VecMap::default(),
+            settings: (0, Bytes::new()),
+            settings_at: now,
+            started: now,
+            beat_at: Time::ZERO,
+            assigned_at: Time::ZERO,
+            doubt_until: Time::ZERO,
+            ticked: now,
+        }
+    }
+
+    /// Takes a caller's job.
+    pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
+        self.front.submit(ticket, job, now, out);
+        self.settle(now, false, out);
+    }
+
+    /// A caller went away before its answer.
+    pub fn caller_gone(&mut self, ticket: u64, now: Time, out: &mut Output) {
+        self.front.caller_gone(ticket, now, out);
+        self.settle(now, false, out);
+    }
+
+    /// Cancels a job; whether it was known here.
+    pub fn cancel(&mut self, job: &str, now: Time, out: &mut Output) -> bool {
+        let known = self.front.cancel(job, now, out);
+        self.settle(now, false, out);
+        known
+    }
+
+    /// A link to a peer is up in both directions.
+    pub fn link_up(&mut self, peer: Member, now: Time, out: &mut Output) {
+        let id = peer.id.clone();
+        self.heard.insert(id.clone(), now);
+        self.members.up(peer);
+        out.note(Note::PeerUp { peer: id.clone(), peers: self.members.peers().len() });
+        out.send(&id, Body::Beat(self.beat()));
+        self.duties(now, out);
+        self.settle(now, false, out);
+    }
+
+    /// The link to a peer is down; messages on it may be lost.
+    pub fn link_down(&mut self, peer: &InstanceId, now: Time, out: &mut Output) {
+        let before = self.members.peers().len();
+        if !self.members.down(peer) {
+            return;
+        }
+        let heard = self.heard.remove(peer).unwrap_or(now);
+        let peers = self.members.peers().len();
+        out.note(Note::PeerDown { peer: peer.clone(), silence: now.since(heard), peers });
+        if before > 1 && peers * 2 < before || peers == 0 {
+            self.doubt_until = now + DOUBT;
+        }
+        self.front.owner_lost(peer, heard, out);
+        self.owner.front_lost(peer, now, out);
+        self.scheduler.lose(peer);
+        self.duties(now, out);
+        self.settle(now, false, out);
+    }
+
+    /// Takes a message of a peer whose link is up.
+    pub fn message(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
+        if let Some(heard) = self.heard.get_mut(from) {
+            *heard = now;
+        }
+        self.take(from, message, now, out);
+    }
+
+    fn take(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
+        match message {
+            Body::Hello(_) => {}
+            Body::Beat(beat) => self.beat_of(from, &beat, now, out),
+            Body::Settings(settings) => {
+                self.settings(settings.version, settings.body.into(), now, out);
+            }
+            Body::Ask(ask) => self.scheduler.ask(from, ask, now),
+            Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
+            Body::Unused(unused) => {
+                if let Ok(worker) = unused.worker.parse::<WorkerId>() {
+                    let (job, step, task) = (unused.job, unused.step, unused.task);
+                    self.scheduler.unused(&worker, &TaskKey { job, step, task });
+                }
+            }
+            Body::Rooms(rooms) => self.scheduler.rooms(from, rooms, &self.listing, now),
+            Body::Freed(freed) => self.scheduler.freed(&freed, now),
+            Body::Grant(grant) => {
+                let members = &self.members;
+                self.front.granted(from, grant, |id| members.reaches(id), now, out);
+            }
+            Body::Refusal(refusal) => self.front.refused(&refusal, now, out),
+            Body::Ended(ended) => self.front.ended(&ended, now, out),
+            Body::Takeover(found) => self.front.takeover(from, &found, now, out),
+            Body::Start(start) => self.owner.start(from, start, now, out),
+            Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
+            Body::Claim(claim) => self.owner.claimed(from, &claim, now, out),
+        }
+    }
+
+    /// Handles what this instance sends to itself, and grants room once for all that happened.
+    pub fn settle(&mut self, now: Time, tick: bool, out: &mut Output) {
+        let mut tick = tick;
+        loop {
+            self.deliver_own(now, out);
+            if self.is_scheduler() {
+                self.scheduler.run(now, std::mem::take(&mut tick), out);
+            }
+            let me = &self.members.me().id;
+            let own = |command: &Command| matches!(command, Command::Send { to, .. } if to == me);
+            if !out.commands.iter().any(own) {
+                break;
+            }
+        }
+        self.owner.look(now, out);
+    }
+
+    fn deliver_own(&mut self, now: Time, out: &mut Output) {
+        let me = self.members.me().id.clone();
+        let mut place = 0;
+        while place < out.commands.len() {
+            if !matches!(&out.commands[place], Command::Send { to, .. } if *to == me) {
+                place += 1;
+                continue;
+            }
+            if let Command::Send { message, .. } = out.commands.remove(place) {
+                self.take(&me, message, now, out);
+            }
+        }
+    }
+
+    fn beat(&self) -> Beat {
+        let me = self.members.me();
+        Beat { version: self.settings.0, draining: me.draining, joined: me.joined }
+    }
+
+    fn beat_of(&mut self, from: &InstanceId, beat: &Beat, now: Time, out: &mut Output) {
+        let Some(peer) = self.members.peer_mut(from) else { return };
+        let changed = peer.draining != beat.draining || peer.joined != beat.joined;
+        peer.draining = beat.draining;
+        peer.joined = beat.joined;
+        peer.version = beat.version;
+        if beat.version < self.settings.0 && now.since(self.settings_at) >= SETTINGS_GRACE {
+            let (version, body) = (self.settings.0, self.settings.1.to_vec());
+            out.send(from, Body::Settings(Settings { version, body }));
+        }
+        if changed {
+            self.duties(now, out);
+        }
+    }
+
+    /// Takes settings; older ones than those in force are dropped.
+    pub fn settings(&mut self, version: u64, body: Bytes, now: Time, out: &mut Output) {
+        let before = self.settings.0;
+        if version <= before {
+            return;
+        }
+        self.settings = (version, body.clone());
+        self.settings_at = now;
+        self.members.me_mut().version = version;
+        out.note(Note::Settings { version, before });
+        out.commands.push(Command::Adopt { version, body });
+    }
+
+    /// Takes a list of workers that was read from the platform.
+    pub fn listed(&mut self, workers: Vec<Listed>, wall_ms: u64, now: Time, out: &mut Output) {
+        self.listing.replace(workers, now);
+        self.scheduler.listed(&self.listing);
+        self.assign(wall_ms, now);
+        self.settle(now, false, out);
+    }
+
+    fn assign(&mut self, wall_ms: u64, now: Time) {
+        self.assigned_at = now;
+        if self.members.me().joined && now >= self.doubt_until {
+            self.owner.assign(&self.listing, &self.members, wall_ms, now);
+        }
+    }
+
+    /// Works out the duties anew after the members changed.
+    fn duties(&mut self, now: Time, out: &mut Output) {
+        // Workers are assigned with the next tick.
+        self.assigned_at = Time::ZERO;
+        let elected = self.members.scheduler().cloned();
+        if elected == self.elected {
+            return;
+        }
+        out.note(Note::SchedulerChanged { scheduler: elected.clone() });
+        self.elected.clone_from(&elected);
+        if !self.is_scheduler() {
+            self.scheduler.resign();
+        }
+        self.owner.follow(elected.clone());
+        self.front.follow(elected, now, out);
+    }
+
+    fn is_scheduler(&self) -> bool {
+        self.elected.as_ref() == Some(&self.members.me().id)
+    }
+
+    /// Takes what a worker says to a look.
+    pub fn looked(
+        &mut self,
+        worker: &WorkerId,
+        token: u64,
+        asked: Time,
+        answer: LookAnswer,
+        now: Time,
+        out: &mut Output,
+    ) {
+        self.owner.looked(worker, token, asked, answer, &self.members, now, out);
+        self.settle(now, false, out);
+    }
+
+    /// Takes what a worker says to a start.
+    pub fn started(
+        &mut self,
+        worker: &WorkerId,
+        run: &RunKey,
+        answer: StartAnswer,
+        clock: Option<u64>,
+        now: Time,
+        out: &mut Output,
+    ) {
+        self.owner.started(worker, run, answer, clock, now, out);
+        self.settle(now, false, out);
+    }
+
+    /// Takes what a worker says to a stop.
+    pub fn stopped(&mut self, worker: &WorkerId, run: &RunKey, accepted: bool, now: Time) {
+        self.owner.stopped(worker, run, accepted, now);
+    }
+
+    /// This instance is stopping: it takes no duties any more.
+    pub fn drain(&mut self, now: Time, out: &mut Output) {
+        self.members.me_mut().draining = true;
+        self.send_beats(now, out);
+        self.duties(now, out);
+        self.settle(now, false, out);
+    }
+
+    /// Does what is due by the time.
+    pub fn tick(&mut self, wall_ms: u64, now: Time, out: &mut Output) {
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap >= PAUSE {
+            out.note(Note::Paused { gap });
+            self.doubt_until = now + DOUBT;
+        }
+        self.check_peers(now, out);
+        if now.since(self.beat_at) >= BEAT_EVERY {
+            self.send_beats(now, out);
+        }
+        self.join(now, out);
+        if now.since(self.assigned_at) >= ASSIGN_EVERY {
+            self.assign(wall_ms, now);
+        }
+        self.front.tick(now, out);
+        self.owner.tick(&self.listing, &self.members, wall_ms, now, out);
+        self.settle(now, true, out);
+    }
+
+    fn join(&mut self, now: Time, out: &mut Output) {
+        let listed = self.listing.read_at > Time::ZERO;
+        if self.members.me().joined || !listed || now.since(self.started) < JOIN_TIME {
+            return;
+        }
+        self.members.me_mut().joined = true;
+        self.send_beats(now, out);
+        self.duties(now, out);
+    }
+
+    fn send_beats(&mut self, now: Time, out: &mut Output) {
+        self.beat_at = now;
+        let beat = self.beat();
+        for peer in self.members.peers() {
+            out.send(&peer.id, Body::Beat(beat));
+        }
+    }
+
+    fn check_peers(&mut self, now: Time, out: &mut Output) {
+        let silent = |at: &Time| now.since(*at) >= PEER_TIMEOUT;
+        let lost: Vec<InstanceId> = self
+            .heard
+            .iter()
+            .filter(|(_, at)| silent(at))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for peer in lost {
+            out.commands.push(Command::Unlink { peer: peer.clone() });
+            self.link_down(&peer, now, out);
+        }
+    }
+
+    /// Whether callers should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.members.me().draining && self.settings.0 > 0 && self.elected.is_some()
+    }
+
+    /// Whether it is stopping.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.members.me().draining
+    }
+
+    /// Version of the settings in force; 0 for none.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.settings.0
+    }
+
+    /// Jobs of the callers of this instance.
+    #[must_use]
+    pub const fn front(&self) -> &Front {
+        &self.front
+    }
+
+    /// Workers of this instance.
+    #[must_use]
+    pub const fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// This instance and its peers.
+    #[must_use]
+    pub const fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Steps that wait and workers that take tasks, if this instance schedules.
+    #[must_use]
+    pub fn load(&self, now: Time) -> Option<(usize, usize)> {
+        self.is_scheduler().then(|| self.scheduler.load(now))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/note.rs
@@ -0,0 +1,165 @@
+//! Decisions worth a log line.
+
+use cranberryhatch_schema::fleet::How;
+use cranberryhatch_types::{InstanceId, Span, WorkerId};
+use strum::IntoStaticStr;
+
+use crate::{Outcome, RunKey};
+
+/// A decision with the inputs that led to it; the name of the variant is the name of the log line.
+#[derive(Clone, Debug, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Note {
+    /// A job was admitted.
+    Admitted {
+        /// The job.
+        job: String,
+        /// Kind of job.
+        kind: String,
+        /// Number of tasks.
+        tasks: u32,
+        /// Time until its limit.
+        left: Span,
+    },
+    /// A job got its answer.
+    Answered {
+        /// The job.
+        job: String,
+        /// Kind of job.
+        kind: String,
+        /// The answer.
+        outcome: Outcome,
+        /// Time since it arrived.
+        took: Span,
+        /// Time from its arrival to its first start; none if nothing started.
+        queued: Option<Span>,
+        /// Runs that were started.
+        runs: u32,
+    },
+    /// The caller of a job went away.
+    CallerGone {
+        /// The job.
+        job: String,
+        /// Time since the job arrived.
+        age: Span,
+    },
+    /// The scheduler granted room.
+    Granted {
+        /// The job.
+        job: String,
+        /// Tasks that got room.
+        tasks: usize,
+        /// Time left until the latest start that meets the objective.
+        slack: Span,
+    },
+    /// The scheduler refused a job.
+    Refused {
+        /// The job.
+        job: String,
+        /// Expected wait, from the work ahead of the job.
+        ahead: Span,
+    },
+    /// A run ended.
+    RunEnded {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// How.
+        how: How,
+        /// Time that it ran.
+        took: Span,
+    },
+    /// A run was stopped because it made too little progress.
+    Stalled {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Time that it ran.
+        took: Span,
+        /// Expected run time.
+        expected: Span,
+        /// Progress in percent.
+        percent: u32,
+    },
+    /// A run is no longer known to end, because its owner was lost.
+    RunLost {
+        /// The run.
+        run: RunKey,
+        /// The owner.
+        owner: InstanceId,
+    },
+    /// A link to a peer came up.
+    PeerUp {
+        /// The peer.
+        peer: InstanceId,
+        /// Peers that are up.
+        peers: usize,
+    },
+    /// A link to a peer went down.
+    PeerDown {
+        /// The peer.
+        peer: InstanceId,
+        /// Time since it was last heard.
+        silence: Span,
+        /// Peers that are up.
+        peers: usize,
+    },
+    /// Another instance schedules.
+    SchedulerChanged {
+        /// The new scheduler; none if no instance takes duties.
+        scheduler: Option<InstanceId>,
+    },
+    /// A worker is owned by this instance.
+    WorkerOpened {
+        /// The worker.
+        worker: WorkerId,
+        /// Fencing token.
+        token: u64,
+        /// Runs that were found on it.
+        found: usize,
+        /// Runs that their fronts still want.
+        kept: usize,
+    },
+    /// A worker is no longer owned by this instance.
+    WorkerDropped {
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        cause: DropCause,
+    },
+    /// A worker does not answer.
+    WorkerDark {
+        /// The worker.
+        worker: WorkerId,
+        /// Time since its last answer.
+        silence: Span,
+        /// Runs on it.
+        runs: usize,
+    },
+    /// Settings came into force.
+    Settings {
+        /// Their version.
+        version: u64,
+        /// The version before; 0 for none.
+        before: u64,
+    },
+    /// This process was paused.
+    Paused {
+        /// How long.
+        gap: Span,
+    },
+}
+
+/// Why a worker was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DropCause {
+    /// Another instance has a higher token.
+    Fenced,
+    /// The worker's process is another life.
+    OtherLife,
+    /// It is not listed any more and nothing runs on it.
+    Unlisted,
+}
--- /dev/null
+++ b/crates/fleet/src/scheduler.rs
@@ -0,0 +1,279 @@
+//! Grants room on workers to waiting tasks of all instances.
+
+use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, Place, Refusal, Rooms};
+use cranberryhatch_types::{Cores, InstanceId, Span, Time, WorkerId};
+
+use crate::{
+    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, TaskKey, VecMap, Waiting,
+    backlog::latest_starts, note::Note, output::Message, placing, refusing,
+};
+
+/// Largest number of jobs whose first failure is remembered.
+const SUSPECTS: usize = 1_000;
+/// Share by which the longest task of a step outlasts the expected one, in thousandths.
+const LONGEST: u64 = 1_150;
+/// Time after an election in which owners report their workers; nothing is refused before its end.
+const ELECTION: Span = Span::from_ms(1_000);
+
+/// Waiting tasks and the room of all workers whose owners report here.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    backlog: Backlog,
+    sites: VecMap<WorkerId, Site>,
+    times: RunTimes,
+    // Worker on which a job first failed, to tell a bad worker from a bad job.
+    suspects: VecMap<String, WorkerId>,
+    dirty: bool,
+    // When this instance began to schedule.
+    since: Option<Time>,
+}
+
+impl Scheduler {
+    /// Takes tasks that wait; tasks that were asked for before are not counted twice.
+    pub fn ask(&mut self, front: &InstanceId, ask: Ask, now: Time) {
+        let tasks = self.unknown_tasks(front, &ask);
+        if tasks.is_empty() {
+            return;
+        }
+        let need = Need::from(&ask.need.unwrap_or_default());
+        let expected = self.times.expect(&ask.kind, Span::from_ms(ask.declared_ms.into()));
+        let longest = Span::from_ms(expected.as_ms() * LONGEST / 1_000);
+        let objective = u64::from(ask.stretch) * longest.as_ms() / 1_000 + u64::from(ask.slack_ms);
+        let born = now - Span::from_ms(ask.age_ms.into());
+        let limit = now + Span::from_ms(ask.left_ms.into());
+        let (on_time, useful) =
+            latest_starts(born, limit, Span::from_ms(objective), longest);
+        let waiting = Waiting {
+            front: front.clone(),
+            zone: ask.zone,
+            job: ask.job,
+            step: ask.step,
+            tasks,
+            kind: ask.kind,
+            service: ask.service,
+            priority: ask.priority,
+            need,
+            expected,
+            on_time,
+            useful,
+            label: ask.label,
+            rack: ask.rack,
+            spread: ask.spread,
+            avoid: ask.avoid,
+            begun: ask.begun,
+        };
+        self.backlog.add(waiting, now);
+        self.dirty = true;
+    }
+
+    fn unknown_tasks(&self, front: &InstanceId, ask: &Ask) -> Vec<u32> {
+        let same =
+            |w: &&Waiting| w.job == ask.job && w.step == ask.step && w.front == *front;
+        let known: Vec<u32> =
+            self.backlog.iter().filter(same).flat_map(|w| w.tasks.iter().copied()).collect();
+        ask.tasks.iter().copied().filter(|task| !known.contains(task)).collect()
+    }
+
+    /// Forgets the waiting tasks of a job.
+    pub fn withdraw(&mut self, front: &InstanceId, job: &str) {
+        self.backlog.remove(|waiting| waiting.job == job && waiting.front == *front);
+    }
+
+    /// Forgets the waiting tasks of an instance, and the workers that it owned.
+    pub fn lose(&mut self, instance: &InstanceId) {
+        self.backlog.remove(|waiting| waiting.front == *instance);
+        self.sites.retain(|_, site| site.owner != *instance);
+    }
+
+    /// Forgets everything but run times: another instance schedules now.
+    pub fn resign(&mut self) {
+        self.backlog = Backlog::default();
+        self.sites = VecMap::default();
+        self.suspects = VecMap::default();
+        self.since = None;
+    }
+
+    /// Gives back a place that was not used.
+    pub fn unused(&mut self, worker: &WorkerId, task: &TaskKey) {
+        if let Some(site) = self.sites.get_mut(worker) {
+            site.release(task);
+            self.dirty = true;
+        }
+    }
+
+    /// Takes an owner's report of its workers.
+    pub fn rooms(&mut self, owner: &InstanceId, rooms: Rooms, listing: &Listing, now: Time) {
+        for room in rooms.rooms {
+            let Ok(id) = room.worker.parse::<WorkerId>() else { continue };
+            let Some(listed) = listing.get(&id) else { continue };
+            let site = self
+                .sites
+                .entry(id, || Site::new(listed.clone(), owner.clone(), room.token));
+            if room.token < site.token {
+                continue;
+            }
+            site.listed = listed.clone();
+            site.owner = owner.clone();
+            site.token = room.token;
+            site.open = room.open;
+            let held = room.held.into_iter().filter_map(|held| {
+                let key = RunKey::from(&held.run?);
+                Some((key.task, Need::from(&held.need?)))
+            });
+            site.report(held.collect(), now);
+            self.dirty = true;
+        }
+    }
+
+    /// Takes a new list of workers.
+    pub fn listed(&mut self, listing: &Listing) {
+        self.sites.retain(|id, site| match listing.get(id) {
+            Some(listed) => {
+                site.listed = listed.clone();
+                true
+            }
+            None => false,
+        });
+    }
+
+    /// Takes the end of a run.
+    pub fn freed(&mut self, freed: &Freed, now: Time) {
+        let Some(run) = freed.run.as_ref().map(RunKey::from) else { return };
+        let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
+        let how = freed.how();
+        let took = Span::from_ms(freed.took_ms.into());
+        if how == How::Done && !freed.kind.is_empty() {
+            self.times.learn(&freed.kind, took);
+        }
+        let guilty = how == How::Failed && self.suspect(&run.task.job, &worker);
+        let Some(site) = self.sites.get_mut(&worker) else { return };
+        site.release(&run.task);
+        if !freed.kind.is_empty() {
+            site.learn(how, took, Span::from_ms(freed.expected_ms.into()), guilty, now);
+        }
+        self.dirty = true;
+    }
+
+    /// Whether the failure of a job may be the worker's: a job that fails on a second worker is
+    /// to blame itself.
+    fn suspect(&mut self, job: &str, worker: &WorkerId) -> bool {
+        match self.suspects.get(job) {
+            None => {
+                if self.suspects.len() >= SUSPECTS {
+                    self.suspects = VecMap::default();
+                }
+                self.suspects.insert(job.to_owned(), worker.clone());
+                true
+            }
+            Some(first) if first == worker => false,
+            Some(first) => {
+                if let Some(site) = self.sites.get_mut(first) {
+                    site.acquit();
+                }
+                false
+            }
+        }
+    }
+
+    /// Grants what room there is and refuses what cannot be served.
+    pub fn run(&mut self, now: Time, tick: bool, out: &mut Output) {
+        self.since.get_or_insert(now);
+        if self.backlog.is_empty() || !(self.dirty || tick) {
+            return;
+        }
+        self.dirty = false;
+        self.backlog.age(now);
+        self.grant(now, out);
+        if now.since(*self.since.get_or_insert(now)) >= ELECTION {
+            self.refuse(now, out);
+        }
+    }
+
+    fn grant(&mut self, now: Time, out: &mut Output) {
+        let mut largest = self.largest_room(now);
+        for waiting in self.backlog.iter_mut() {
+            if waiting.need.cores > largest {
+                continue;
+            }
+            let mut places = Vec::new();
+            let mut left = Vec::new();
+            for task in std::mem::take(&mut waiting.tasks) {
+                let sites = self.sites.iter_mut().map(|(_, site)| site);
+                let Some(site) = placing::choose(sites, waiting, now) else {
+                    left.push(task);
+                    continue;
+                };
+                let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
+                site.grant(key, waiting.need, now);
+                places.push(Place {
+                    task,
+                    worker: site.id().to_string(),
+                    owner: site.owner.to_string(),
+                    run_ms: to_u32(waiting.expected.as_ms()),
+                });
+            }
+            waiting.tasks = left;
+            if places.is_empty() {
+                continue;
+            }
+            waiting.begun = true;
+            let (job, step) = (waiting.job.clone(), waiting.step);
+            let slack = waiting.on_time.since(now);
+            out.note(Note::Granted { job: job.clone(), tasks: places.len(), slack });
+            out.send(&waiting.front, Message::Grant(Grant { job, step, places }));
+            largest = largest_of(&self.sites, now);
+        }
+        self.backlog.compact();
+    }
+
+    fn largest_room(&self, now: Time) -> Cores {
+        largest_of(&self.sites, now)
+    }
+
+    fn refuse(&mut self, now: Time, out: &mut Output) {
+        let mut services: Vec<String> =
+            self.backlog.iter().map(|waiting| waiting.service.clone()).collect();
+        services.sort();
+        services.dedup();
+        for service in services {
+            let cores = self.cores(&service);
+            for hopeless in refusing::hopeless(&self.backlog, &service, cores, now) {
+                let gone = |waiting: &Waiting| waiting.job == hopeless.job;
+                let Some(front) = self.backlog.iter().find(|w| gone(w)).map(|w| w.front.clone())
+                else {
+                    continue;
+                };
+                self.backlog.remove(gone);
+                let refusal = Refusal {
+                    job: hopeless.job,
+                    retry_ms: to_u32(hopeless.retry.as_ms()),
+                    ahead_ms: to_u32(hopeless.ahead.as_ms()),
+                };
+                out.send(&front, Message::Refusal(refusal));
+            }
+        }
+    }
+
+    /// Room of all workers of a service that take work, in thousandths of a core.
+    fn cores(&self, service: &str) -> u64 {
+        let usable = |site: &&Site| site.is_usable() && site.listed.service == service;
+        let sites = self.sites.iter().map(|(_, site)| site).filter(usable);
+        sites.map(|site| u64::from(site.listed.room.cores.get()) / site.caution()).sum()
+    }
+
+    /// Number of steps that wait, and of workers that take tasks.
+    #[must_use]
+    pub fn load(&self, now: Time) -> (usize, usize) {
+        let open = self.sites.iter().filter(|(_, site)| site.takes_tasks(now)).count();
+        (self.backlog.len(), open)
+    }
+}
+
+fn largest_of(sites: &VecMap<WorkerId, Site>, now: Time) -> Cores {
+    let open = sites.iter().filter(|(_, site)| site.takes_tasks(now));
+    open.map(|(_, site)| site.free().cores).max().unwrap_or_default()
+}
+
+fn to_u32(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/task_state.rs
@@ -0,0 +1,71 @@
+//! State of one task at its front.
+
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// It waits, for earlier steps or to be asked for.
+    #[default]
+    Ready,
+    /// The scheduler was asked for room.
+    Asked,
+    /// A run may be at work.
+    Placed(Placed),
+    /// It ended successfully.
+    Done,
+}
+
+/// Where a run may be at work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Instance that owns the worker.
+    pub owner: InstanceId,
+    /// The worker.
+    pub worker: WorkerId,
+    /// Expected run time.
+    pub expected: Span,
+    /// When the run was ordered.
+    pub since: Time,
+    /// Last sign of the owner, if it is out of reach.
+    pub lost: Option<Time>,
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, Default)]
+pub struct TaskState {
+    /// Number of the last run; 0 before the first.
+    pub run: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Runs that were stopped because they made too little progress.
+    pub stalls: u32,
+    /// Where it stands.
+    pub phase: Phase,
+}
+
+impl TaskState {
+    /// Orders a further run.
+    pub fn place(&mut self, owner: InstanceId, worker: WorkerId, expected: Span, now: Time) {
+        self.run += 1;
+        let placed = Placed { owner, worker, expected, since: now, lost: None };
+        self.phase = Phase::Placed(placed);
+    }
+
+    /// Whether this run may be at work.
+    #[must_use]
+    pub const fn is_run(&self, run: u32) -> bool {
+        self.run == run && matches!(self.phase, Phase::Placed(_))
+    }
+
+    /// Marks a run whose owner is out of reach; whether it was not marked before.
+    pub fn lose(&mut self, owner: &InstanceId, heard: Time) -> bool {
+        match &mut self.phase {
+            Phase::Placed(placed) if placed.owner == *owner && placed.lost.is_none() => {
+                placed.lost = Some(heard);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/worker.rs
@@ -0,0 +1,108 @@
+//! A worker that this instance owns, or is about to own.
+
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use crate::{Held, Listed, output::Lease};
+
+/// Lease of runs on a worker.
+///
+/// The platform shortens longer leases to 1 s; below 800 ms a new owner would come too late to keep
+/// the runs of one that lost power.
+pub const LEASE: Span = Span::from_ms(950);
+/// Time that covers a worker's clock that is slow by 2 % (the platform's bound) and the way of the
+/// answers.
+const LEASE_SLACK: Span = Span::from_ms(70);
+/// Time that a stop takes on a worker, with some slack; the platform's bound is 50 ms.
+pub const STOP_TIME: Span = Span::from_ms(80);
+
+/// Whether this instance is in charge of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Charge {
+    /// The worker is asked whether it obeys; the next try is due at this time.
+    Opening {
+        /// When to ask, unless an answer is awaited.
+        at: Time,
+    },
+    /// The worker obeys; the fronts are asked which runs they still want.
+    Claiming {
+        /// When unclaimed runs are stopped.
+        until: Time,
+        /// Fronts that have not answered.
+        waits_for: Vec<InstanceId>,
+        /// Runs that were found.
+        found: usize,
+    },
+    /// It takes starts.
+    Open,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// What the platform says of it.
+    pub listed: Listed,
+    /// Fencing token.
+    pub token: u64,
+    /// Whether this instance is in charge.
+    pub charge: Charge,
+    /// Ends up to this number were taken note of.
+    pub acked: u64,
+    /// Runs on it.
+    pub held: Vec<Held>,
+    /// When the look that is under way was sent.
+    pub looking: Option<Time>,
+    /// When the last look was sent.
+    pub looked: Time,
+    /// When the worker last answered.
+    pub answered: Time,
+    /// Whether the last look got no answer.
+    pub dark: bool,
+    /// Latest time at which a lease ends that this instance gave.
+    pub lease_end: Time,
+    /// Looks at runs in a row that the worker refused for a higher token.
+    pub refusals: u32,
+    // The worker's clock and ours at the moment of its last answer.
+    clock: Option<(u64, Time)>,
+}
+
+impl Worker {
+    /// A worker that is to be opened.
+    #[must_use]
+    pub const fn new(listed: Listed, token: u64, now: Time) -> Self {
+        Self {
+            listed,
+            token,
+            charge: Charge::Opening { at: now },
+            acked: 0,
+            held: Vec::new(),
+            looking: None,
+            looked: Time::ZERO,
+            answered: now,
+            dark: false,
+            lease_end: Time::ZERO,
+            refusals: 0,
+            clock: None,
+        }
+    }
+
+    /// Whether it takes starts.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.charge == Charge::Open && !self.dark && !self.listed.draining
+    }
+
+    /// Takes the worker's clock from an answer.
+    pub fn set_clock(&mut self, clock: u64, now: Time) {
+        self.clock = Some((clock, now));
+        self.answered = now;
+    }
+
+    /// A lease from now on, and a note of when it ends at the latest.
+    pub fn lease(&mut self, now: Time) -> Option<Lease> {
+        let (clock, at) = self.clock?;
+        // The answer was under way for a while, so the worker's clock is ahead of this.
+        let until = clock + now.since(at).as_ms() + LEASE.as_ms();
+        self.lease_end = self.lease_end.max(now + LEASE + LEASE_SLACK);
+        Some(Lease { until })
+    }
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -24,5 +24,7 @@
 pub use level::Level;
 pub use set_error::SetError;
 
+/// Messages between instances that share workers.
+pub use generated::fleet;
 /// Messages between entry instances.
 pub use generated::peer;
