fix(fleet): takeovers are ordered by fencing token

Two instances opened the same worker within milliseconds; the report of the first, with the lower token, reached the front after a run was started under the second, and the front took the run for not started. Change: grants, starts and takeovers carry the token; a front ignores a takeover that is not newer than its run's token, and an owner refuses a start under another token.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -7,7 +7,7 @@
 use logforth::{append, layout};
 
 /// Lines of one kind in a second; further ones are dropped and counted.
-const LINES_PER_SECOND: u32 = 20;
+const LINES_PER_SECOND: u32 = 60;
 /// One job in this many has a line for each of its decisions, the same on all instances.
 const SAMPLED: u64 = 16;
 /// Lines that wait for standard output; further ones are dropped.
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -16,7 +16,7 @@
     note::Note,
     outcome::Refusal as RefusalCause,
     output::Message,
-    task_state::{Phase, TaskState},
+    task_state::{Phase, Placed, TaskState},
 };
 
 /// Time after the last sign of an owner by which none of the runs that it started can be at work.
@@ -216,7 +216,9 @@
             let worker = place.worker.parse::<WorkerId>().ok();
             let started = owner.zip(worker).is_some_and(|(owner, worker)| {
                 let expected = Span::from_ms(place.run_ms.into());
-                self.start(&key, owner, worker, expected, now, out)
+                let token = place.token;
+                let placed = Placed { owner, token, worker, expected, since: now, lost: None };
+                self.start(&key, placed, now, out)
             });
             if !started {
                 let TaskKey { job, step, task } = key;
@@ -228,15 +230,7 @@
     }
 
     /// Whether the task was waiting and its run was ordered.
-    fn start(
-        &mut self,
-        key: &TaskKey,
-        owner: InstanceId,
-        worker: WorkerId,
-        expected: Span,
-        now: Time,
-        out: &mut Output,
-    ) -> bool {
+    fn start(&mut self, key: &TaskKey, placed: Placed, now: Time, out: &mut Output) -> bool {
         let Some(active) = self.jobs.get_mut(&key.job) else { return false };
         if active.closing.is_some() {
             return false;
@@ -245,7 +239,8 @@
         if !matches!(state.phase, Phase::Asked | Phase::Ready) {
             return false;
         }
-        state.place(owner.clone(), worker, expected, now);
+        let owner = placed.owner.clone();
+        state.place(placed);
         let state = state.clone();
         let start = start_message(&active.job, key, &state);
         active.started.get_or_insert(now);
@@ -416,12 +411,14 @@
             for key in keys {
                 let Some(state) = active.task(&key) else { continue };
                 let Phase::Placed(place) = &mut state.phase else { continue };
-                if place.worker.as_str() != found.worker || place.owner == *from {
+                // The report of an earlier owner may come later than that of the present one.
+                if place.worker.as_str() != found.worker || place.token >= found.token {
                     continue;
                 }
                 let run = RunKey { task: key.clone(), run: state.run };
                 if running.contains(&run) {
                     place.owner = from.clone();
+                    place.token = found.token;
                     place.lost = None;
                     if wanted {
                         claims.extend(start_message(&job, &key, state));
@@ -521,6 +518,7 @@
         payload: job.payload.to_string(),
         kind: policy.kind.clone(),
         stalls: state.stalls,
+        token: place.token,
     })
 }
 
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -131,7 +131,9 @@
         }
         let others = worker.held.iter().any(|known| known.run.task == held.run.task);
         let room = worker.held.iter().fold(worker.listed.room, |room, h| room.without(&h.need));
-        let takes = worker.is_open() && worker.listed.service == start.service;
+        let takes = worker.is_open()
+            && worker.token == start.token
+            && worker.listed.service == start.service;
         let lease = if takes && !others && held.need.fits(&room) { worker.lease(now) } else { None };
         let Some(lease) = lease else {
             refuse(self, &held, out);
@@ -296,6 +298,7 @@
             worker: id.to_string(),
             running: seen.running.iter().map(|running| Run::from(&running.run)).collect(),
             ended: seen.ended.iter().map(|end| found_end(id, end)).collect(),
+            token: worker.token,
         };
         let peers: Vec<InstanceId> = members.peers().iter().map(|peer| peer.id.clone()).collect();
         let mut waits_for = peers.clone();
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -210,6 +210,7 @@
                     worker: site.id().to_string(),
                     owner: site.owner.to_string(),
                     run_ms: to_u32(waiting.expected.as_ms()),
+                    token: site.token,
                 });
             }
             waiting.tasks = left;
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -21,6 +21,8 @@
 pub struct Placed {
     /// Instance that owns the worker.
     pub owner: InstanceId,
+    /// Fencing token of the owner.
+    pub token: u64,
     /// The worker.
     pub worker: WorkerId,
     /// Expected run time.
@@ -46,9 +48,8 @@
 
 impl TaskState {
     /// Orders a further run.
-    pub fn place(&mut self, owner: InstanceId, worker: WorkerId, expected: Span, now: Time) {
+    pub fn place(&mut self, placed: Placed) {
         self.run += 1;
-        let placed = Placed { owner, worker, expected, since: now, lost: None };
         self.phase = Phase::Placed(placed);
     }
 
