--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -137,6 +137,8 @@
     /// Broken promises.
     pub faults: Vec<String>,
     sessions: Vec<Vec<u64>>,
+    // When the last message of each link arrives.
+    arrivals: Vec<Vec<u64>>,
     next_session: u64,
     events: BinaryHeap<Reverse<Event>>,
     order: u64,
@@ -205,6 +207,7 @@
             verbose: std::env::var_os("FUZZ_VERBOSE").is_some(),
             faults: Vec::new(),
             sessions: vec![vec![0; instances]; instances],
+            arrivals: vec![vec![0; instances]; instances],
             next_session: 1,
             events: BinaryHeap::new(),
             order: 0,
@@ -375,8 +378,10 @@
                 let to = self.index(&to);
                 let session = self.sessions[node][to];
                 if session > 0 {
-                    // Messages of one link stay in order: equal times keep the order of sending.
-                    let at = self.now + 2;
+                    // Messages of one link stay in order, those of different links do not.
+                    let slow = if self.roll(50) { 40 } else { 4 };
+                    let at = (self.now + self.rng.u64(1..slow)).max(self.arrivals[node][to]);
+                    self.arrivals[node][to] = at;
                     let message = Box::new(message);
                     self.at(at, Happening::Deliver { from: node, to, session, message });
                 }
