--- a/crates/codegen/src/generate.rs
+++ b/crates/codegen/src/generate.rs
@@ -18,7 +18,10 @@
     let keys = read_keys(&schema.join("settings.ini"))?;
     let files = [
         (target.join("peer.rs"), messages(&schema, "peer", "Messages between entry instances")?),
-        (target.join("fleet.rs"), messages(&schema, "fleet", "Messages between instances that share workers")?),
+        (
+            target.join("fleet.rs"),
+            messages(&schema, "fleet", "Messages between instances that share workers")?,
+        ),
         (target.join("keys.rs"), format_source(&keys_module(&keys))?),
         (target.join("values.rs"), format_source(&values_module(&keys))?),
         (root.join("docs/settings.md"), settings_page(&keys)),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -10,7 +10,9 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use cranberryhatch_fleet::{Command, Job, Listed, Member, Node, Note, Outcome, Output, VecMap};
+use cranberryhatch_fleet::{
+    Command, Job, Listed, Looked, Member, Node, Note, Outcome, Output, VecMap,
+};
 use cranberryhatch_schema::fleet::{Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
 use smol::{Executor, Timer};
@@ -92,10 +94,7 @@
     }
 
     /// Runs a decision and carries out what follows.
-    fn decide<T>(
-        self: &Arc<Self>,
-        decision: impl FnOnce(&mut Node, Time, &mut Output) -> T,
-    ) -> T {
+    fn decide<T>(self: &Arc<Self>, decision: impl FnOnce(&mut Node, Time, &mut Output) -> T) -> T {
         let now = self.clock.now();
         let mut out = Output::default();
         let mut node = self.node();
@@ -150,9 +149,10 @@
     fn spawn_look(self: &Arc<Self>, order: Order, look: LookOrder, asked: Time) {
         let edge = Arc::clone(self);
         let run = async move {
-            let (id, token) = (order.worker.id.clone(), order.token);
+            let (worker, token) = (order.worker.id.clone(), order.token);
             let answer = edge.port.look(order, look).await;
-            edge.decide(|node, now, out| node.looked(&id, token, asked, answer, now, out));
+            let looked = Looked { worker, token, asked, answer };
+            edge.decide(|node, now, out| node.looked(looked, now, out));
         };
         self.executor.spawn(run).detach();
     }
@@ -178,7 +178,7 @@
                 }
             }
             Note::RunEnded { how, took, .. } => {
-                Meters::count(&self.meters.runs, how.as_str_name());
+                Meters::count(&self.meters.runs, &how.as_str_name());
                 Meters::observe(&self.meters.run_time, *took);
             }
             _ => {}
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -39,7 +39,7 @@
     }
 
     async fn failed<P: Port>(&mut self, edge: &Edge<P>, list: List, error: &StoreError) {
-        Meters::count(&edge.meters().store_failures, list);
+        Meters::count(&edge.meters().store_failures, &list);
         if !self.failing {
             let (list, error) = (list.to_string(), error.to_string());
             log::warn!(list, error; "store-lost");
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -123,8 +123,7 @@
         }
         let dial = Arc::clone(self).dial(Arc::clone(events), id.clone(), addr);
         let dialer = self.executor.spawn(dial);
-        let peer =
-            Peer { hello, addr, outgoing: None, incoming: None, up: false, _dialer: dialer };
+        let peer = Peer { hello, addr, outgoing: None, incoming: None, up: false, _dialer: dialer };
         peers.insert(id, peer);
     }
 
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -10,8 +10,7 @@
 };
 
 /// Upper bounds of the buckets of run times and waits, in seconds.
-const BUCKETS: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
 /// Label of a counter that is split by what happened.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -98,7 +97,7 @@
     }
 
     /// Counts one of a family.
-    pub fn count(family: &Family<Cause, Counter>, cause: impl ToString) {
+    pub fn count(family: &Family<Cause, Counter>, cause: &impl ToString) {
         family.get_or_create(&Cause { cause: cause.to_string() }).inc();
     }
 
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -48,9 +48,8 @@
 
 impl Active {
     fn new(ticket: u64, job: Job) -> Self {
-        let steps = job.steps.iter().map(|step| {
-            (0..step.tasks).map(|_| TaskState::default()).collect()
-        });
+        let steps =
+            job.steps.iter().map(|step| (0..step.tasks).map(|_| TaskState::default()).collect());
         let steps = steps.collect();
         Self {
             ticket: Some(ticket),
@@ -85,12 +84,16 @@
     /// Runs that may be at work.
     fn placed(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
         let name = &self.job.name;
-        self.steps.iter().zip(0..).flat_map(move |(tasks, step)| {
-            tasks.iter().zip(0..).map(move |(state, task)| {
-                (TaskKey { job: name.clone(), step, task }, state)
+        self.steps
+            .iter()
+            .zip(0..)
+            .flat_map(move |(tasks, step)| {
+                tasks
+                    .iter()
+                    .zip(0..)
+                    .map(move |(state, task)| (TaskKey { job: name.clone(), step, task }, state))
             })
-        })
-        .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
+            .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
     }
 
     fn is_quiet(&self) -> bool {
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -102,13 +102,13 @@
         let Stage::AtWork { since } = self.stage else { return false };
         let ran = now.since(since).as_ms();
         let expected = self.expected.as_ms().max(1);
-        let patience = expected * STALL_RATIO / 1_000 * (1 + 2 * u64::from(self.stalls))
-            + STALL_SLACK.as_ms();
+        let patience =
+            expected * STALL_RATIO / 1_000 * (1 + 2 * u64::from(self.stalls)) + STALL_SLACK.as_ms();
         if ran < patience {
             return false;
         }
         let percent = u64::from(self.percent);
-        let left = if percent == 0 { ran * 4 } else { ran * (100 - percent.min(100)) / percent };
+        let left = (ran * (100 - percent.min(100))).checked_div(percent).unwrap_or(ran * 4);
         left > patience
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,7 +56,7 @@
 pub use note::{DropCause, Note};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
-    Command, End, Lease, LookAnswer, Message, Output, RunEnd, Running, Seen, StartAnswer,
+    Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
 };
 pub use owner::Owner;
 pub use placing::choose;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -102,9 +102,8 @@
     /// The instance that owns a worker: one of the worker's zone, if that zone has any.
     #[must_use]
     pub fn owner(&self, worker: &WorkerId, zone: &str) -> Option<&InstanceId> {
-        let rank = |member: &&Member| {
-            (member.zone.as_str() == zone, weight(worker.as_str(), &member.id))
-        };
+        let rank =
+            |member: &&Member| (member.zone.as_str() == zone, weight(worker.as_str(), &member.id));
         self.on_duty().max_by_key(rank).map(|member| &member.id)
     }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,7 +5,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Listed, Listing, LookAnswer, Member, Members, Output, Owner, RunKey,
+    Command, Front, Job, Listed, Listing, Looked, Member, Members, Output, Owner, RunKey,
     Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
 };
 
@@ -261,16 +261,8 @@
     }
 
     /// Takes what a worker says to a look.
-    pub fn looked(
-        &mut self,
-        worker: &WorkerId,
-        token: u64,
-        asked: Time,
-        answer: LookAnswer,
-        now: Time,
-        out: &mut Output,
-    ) {
-        self.owner.looked(worker, token, asked, answer, &self.members, now, out);
+    pub fn looked(&mut self, looked: Looked, now: Time, out: &mut Output) {
+        self.owner.looked(looked, &self.members, now, out);
         self.settle(now, false, out);
     }
 
@@ -342,12 +334,8 @@
 
     fn check_peers(&mut self, now: Time, out: &mut Output) {
         let silent = |at: &Time| now.since(*at) >= PEER_TIMEOUT;
-        let lost: Vec<InstanceId> = self
-            .heard
-            .iter()
-            .filter(|(_, at)| silent(at))
-            .map(|(id, _)| id.clone())
-            .collect();
+        let lost: Vec<InstanceId> =
+            self.heard.iter().filter(|(_, at)| silent(at)).map(|(id, _)| id.clone()).collect();
         for peer in lost {
             out.commands.push(Command::Unlink { peer: peer.clone() });
             self.link_down(&peer, now, out);
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cranberryhatch_schema::fleet::frame::Body;
-use cranberryhatch_types::{InstanceId, Span};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{Listed, Outcome, RunKey, note::Note};
 
@@ -110,6 +110,19 @@
     }
 }
 
+/// A look that was answered, or that was given up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Looked {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Fencing token that the look carried.
+    pub token: u64,
+    /// When it was sent.
+    pub asked: Time,
+    /// The answer.
+    pub answer: LookAnswer,
+}
+
 /// What a worker says to [`Command::Look`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LookAnswer {
@@ -188,4 +201,3 @@
     /// No answer; it may be at work, now or later.
     Lost,
 }
-
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -6,8 +6,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, End, Held, Listed, Listing, LookAnswer, Members, Need, Output, RunEnd, RunKey, Seen,
-    StartAnswer, VecMap, Worker,
+    Command, End, Held, Listed, Listing, LookAnswer, Looked, Members, Need, Output, RunEnd, RunKey,
+    Seen, StartAnswer, VecMap, Worker,
     held::Stage,
     members::text_hash,
     note::{DropCause, Note},
@@ -145,7 +145,8 @@
         let takes = worker.is_open()
             && worker.token == start.token
             && worker.listed.service == start.service;
-        let lease = if takes && !others && held.need.fits(&room) { worker.lease(now) } else { None };
+        let lease =
+            if takes && !others && held.need.fits(&room) { worker.lease(now) } else { None };
         let Some(lease) = lease else {
             refuse(self, &held, out);
             return;
@@ -260,17 +261,10 @@
         }
     }
 
-    /// Takes what a worker says to a look that was sent at `asked`.
-    pub fn looked(
-        &mut self,
-        id: &WorkerId,
-        token: u64,
-        asked: Time,
-        answer: LookAnswer,
-        members: &Members,
-        now: Time,
-        out: &mut Output,
-    ) {
+    /// Takes what a worker says to a look.
+    pub fn looked(&mut self, looked: Looked, members: &Members, now: Time, out: &mut Output) {
+        let Looked { worker: id, token, asked, answer } = looked;
+        let id = &id;
         let Some(worker) = self.workers.get_mut(id) else { return };
         if worker.token != token || worker.looking != Some(asked) {
             return;
@@ -327,7 +321,8 @@
         let found = seen.running.len();
         worker.charge = Charge::Claiming { until: now + CLAIM_WAIT, waits_for, found };
         // Until its front claims it, a run counts as lost and is stopped in the end.
-        worker.held = seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
+        worker.held =
+            seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
     }
 
     /// Takes a front's claim of runs that were found on a worker.
@@ -620,9 +615,7 @@
                 Charge::Opening { at } => now >= at,
                 // A lease must not be extended for runs that nobody claims.
                 Charge::Claiming { .. } => false,
-                Charge::Open => {
-                    busy || worker.dark || now.since(worker.looked) >= IDLE_LOOK
-                }
+                Charge::Open => busy || worker.dark || now.since(worker.looked) >= IDLE_LOOK,
             };
             if !due || (worker.dark && now.since(worker.looked) < LOOK_WAIT) {
                 continue;
@@ -657,9 +650,7 @@
         let rooms: Vec<Room> = self
             .workers
             .iter()
-            .filter(|(id, worker)| {
-                wanted(id) && !matches!(worker.charge, Charge::Opening { .. })
-            })
+            .filter(|(id, worker)| wanted(id) && !matches!(worker.charge, Charge::Opening { .. }))
             .map(|(id, worker)| Room {
                 worker: id.to_string(),
                 token: worker.token,
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -44,8 +44,7 @@
         let objective = u64::from(ask.stretch) * longest.as_ms() / 1_000 + u64::from(ask.slack_ms);
         let born = now - Span::from_ms(ask.age_ms.into());
         let limit = now + Span::from_ms(ask.left_ms.into());
-        let (on_time, useful) =
-            latest_starts(born, limit, Span::from_ms(objective), longest);
+        let (on_time, useful) = latest_starts(born, limit, Span::from_ms(objective), longest);
         let waiting = Waiting {
             front: front.clone(),
             zone: ask.zone,
@@ -70,8 +69,7 @@
     }
 
     fn unknown_tasks(&self, front: &InstanceId, ask: &Ask) -> Vec<u32> {
-        let same =
-            |w: &&Waiting| w.job == ask.job && w.step == ask.step && w.front == *front;
+        let same = |w: &&Waiting| w.job == ask.job && w.step == ask.step && w.front == *front;
         let known: Vec<u32> =
             self.backlog.iter().filter(same).flat_map(|w| w.tasks.iter().copied()).collect();
         ask.tasks.iter().copied().filter(|task| !known.contains(task)).collect()
@@ -109,9 +107,8 @@
         for room in rooms.rooms {
             let Ok(id) = room.worker.parse::<WorkerId>() else { continue };
             let Some(listed) = listing.get(&id) else { continue };
-            let site = self
-                .sites
-                .entry(id, || Site::new(listed.clone(), owner.clone(), room.token));
+            let site =
+                self.sites.entry(id, || Site::new(listed.clone(), owner.clone(), room.token));
             if room.token < site.token {
                 continue;
             }
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -27,7 +27,13 @@
         world.run_until(world.now + rng.u64(5..120));
         if rng.u32(0..10) < 7 {
             let tasks = rng.u32(1..9);
-            world.request(name, tasks, rng.u32(4_000..20_000), rng.u64(20..2_500), rng.u32(0..20) == 0);
+            world.request(
+                name,
+                tasks,
+                rng.u32(4_000..20_000),
+                rng.u64(20..2_500),
+                rng.u32(0..20) == 0,
+            );
             name += 1;
         }
         let node = rng.usize(0..instances);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -14,8 +14,8 @@
 };
 
 use cranberryhatch_fleet::{
-    Command, Job, Listed, LookAnswer, Member, Message, Need, Node, Outcome, Output, Policy, RunKey,
-    StartAnswer, Step,
+    Command, Job, Listed, LookAnswer, Looked, Member, Message, Need, Node, Outcome, Output, Policy,
+    RunKey, StartAnswer, Step,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
 
@@ -34,22 +34,86 @@
 
 /// What happens at a moment.
 enum Happening {
-    Tick { node: usize, life: u64 },
-    Deliver { from: usize, to: usize, session: u64, message: Box<Message> },
-    LinkDown { node: usize, peer: usize, session: u64 },
-    Connect { a: usize, b: usize },
-    Look { node: usize, life: u64, look: Look },
-    LookAnswer { node: usize, life: u64, worker: WorkerId, token: u64, asked: u64, answer: LookAnswer },
-    Start { node: usize, life: u64, worker: WorkerId, token: u64, run: RunKey, lease: u64, answered: bool },
-    StartAnswer { node: usize, life: u64, worker: WorkerId, run: RunKey, answer: StartAnswer, clock: Option<u64> },
-    Stop { node: usize, life: u64, worker: WorkerId, token: u64, run: RunKey, answered: bool },
-    StopAnswer { node: usize, life: u64, worker: WorkerId, run: RunKey, accepted: bool },
-    Submit { request: usize },
-    Leave { request: usize, attempt: usize },
-    Revive { node: usize },
-    Thaw { node: usize },
-    Heal { worker: usize },
-    HealZone { zone: usize },
+    Tick {
+        node: usize,
+        life: u64,
+    },
+    Deliver {
+        from: usize,
+        to: usize,
+        session: u64,
+        message: Box<Message>,
+    },
+    LinkDown {
+        node: usize,
+        peer: usize,
+        session: u64,
+    },
+    Connect {
+        a: usize,
+        b: usize,
+    },
+    Look {
+        node: usize,
+        life: u64,
+        look: Look,
+    },
+    LookAnswer {
+        node: usize,
+        life: u64,
+        looked: Looked,
+    },
+    Start {
+        node: usize,
+        life: u64,
+        worker: WorkerId,
+        token: u64,
+        run: RunKey,
+        lease: u64,
+        answered: bool,
+    },
+    StartAnswer {
+        node: usize,
+        life: u64,
+        worker: WorkerId,
+        run: RunKey,
+        answer: StartAnswer,
+        clock: Option<u64>,
+    },
+    Stop {
+        node: usize,
+        life: u64,
+        worker: WorkerId,
+        token: u64,
+        run: RunKey,
+        answered: bool,
+    },
+    StopAnswer {
+        node: usize,
+        life: u64,
+        worker: WorkerId,
+        run: RunKey,
+        accepted: bool,
+    },
+    Submit {
+        request: usize,
+    },
+    Leave {
+        request: usize,
+        attempt: usize,
+    },
+    Revive {
+        node: usize,
+    },
+    Thaw {
+        node: usize,
+    },
+    Heal {
+        worker: usize,
+    },
+    HealZone {
+        zone: usize,
+    },
 }
 
 struct Look {
@@ -288,10 +352,9 @@
             Happening::LinkDown { node, peer, session } => self.link_down(node, peer, session),
             Happening::Connect { a, b } => self.connect(a, b),
             Happening::Look { node, life, look } => self.look(node, life, look),
-            Happening::LookAnswer { node, life, worker, token, asked, answer } => {
+            Happening::LookAnswer { node, life, looked } => {
                 if self.instances[node].life == life {
-                    let asked = Time::from_ms(asked);
-                    self.decide(node, |n, now, out| n.looked(&worker, token, asked, answer, now, out));
+                    self.decide(node, |n, now, out| n.looked(looked, now, out));
                 }
             }
             Happening::Start { node, life, worker, token, run, lease, answered } => {
@@ -360,7 +423,11 @@
         Some(&mut self.workers[place])
     }
 
-    fn decide<T>(&mut self, node: usize, decision: impl FnOnce(&mut Node, Time, &mut Output) -> T) -> Option<T> {
+    fn decide<T>(
+        &mut self,
+        node: usize,
+        decision: impl FnOnce(&mut Node, Time, &mut Output) -> T,
+    ) -> Option<T> {
         let now = Time::from_ms(self.now);
         let mut out = Output::default();
         let result = decision(self.instances[node].node.as_mut()?, now, &mut out);
@@ -404,7 +471,8 @@
                     let at = until + ANSWER_LIMIT;
                     let (worker, asked) = (look.worker, look.asked);
                     let answer = LookAnswer::Lost;
-                    self.at(at, Happening::LookAnswer { node, life, worker, token, asked, answer });
+                    let looked = Looked { worker, token, asked: Time::from_ms(asked), answer };
+                    self.at(at, Happening::LookAnswer { node, life, looked });
                 } else {
                     self.later(Happening::Look { node, life, look });
                 }
@@ -439,8 +507,14 @@
                 let lost = self.loses(&worker);
                 let late = self.roll(self.odds.order_late);
                 let answered = !lost && !late;
-                let order =
-                    Happening::Stop { node, life, worker: worker.clone(), token, run: run.clone(), answered };
+                let order = Happening::Stop {
+                    node,
+                    life,
+                    worker: worker.clone(),
+                    token,
+                    run: run.clone(),
+                    answered,
+                };
                 if late {
                     let delay = self.rng.u64(2_000..12_000);
                     self.at(self.now + delay, order);
@@ -474,8 +548,9 @@
         let Some(worker) = self.reach(&look.worker) else {
             let Look { worker, token, asked, .. } = look;
             let answer = LookAnswer::Lost;
+            let looked = Looked { worker, token, asked: Time::from_ms(asked), answer };
             let at = now + ANSWER_LIMIT;
-            self.at(at, Happening::LookAnswer { node, life, worker, token, asked, answer });
+            self.at(at, Happening::LookAnswer { node, life, looked });
             return;
         };
         let answer = worker.look(look.token, look.acked, look.lease, now);
@@ -485,7 +560,8 @@
             return;
         }
         let Look { worker, token, asked, .. } = look;
-        self.later(Happening::LookAnswer { node, life, worker, token, asked, answer });
+        let looked = Looked { worker, token, asked: Time::from_ms(asked), answer };
+        self.later(Happening::LookAnswer { node, life, looked });
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
@@ -575,8 +651,7 @@
         self.next_session += 1;
         self.sessions[a][b] = session;
         self.sessions[b][a] = session;
-        let (for_a, for_b) =
-            (self.instances[b].member.clone(), self.instances[a].member.clone());
+        let (for_a, for_b) = (self.instances[b].member.clone(), self.instances[a].member.clone());
         self.decide(a, |n, now, out| n.link_up(for_a, now, out));
         self.decide(b, |n, now, out| n.link_up(for_b, now, out));
     }
@@ -629,7 +704,9 @@
     fn break_callers(&mut self, node: usize, silent: bool) {
         let waits = |r: &Request| {
             r.outcome.is_none()
-                && r.attempts.last().is_some_and(|a| a.node == node && a.answer.is_none() && !a.left)
+                && r.attempts
+                    .last()
+                    .is_some_and(|a| a.node == node && a.answer.is_none() && !a.left)
         };
         let broken: Vec<usize> =
             (0..self.requests.len()).filter(|index| waits(&self.requests[*index])).collect();
@@ -679,14 +756,17 @@
     }
 
     /// Hands a job in at an instance.
-    pub fn request(&mut self, name: u64, tasks: u32, cores: u32, run_ms: u64, fails: bool) -> usize {
+    pub fn request(
+        &mut self,
+        name: u64,
+        tasks: u32,
+        cores: u32,
+        run_ms: u64,
+        fails: bool,
+    ) -> usize {
         let limit = self.now + 1_500 + run_ms * 4;
-        let step = Step {
-            tasks,
-            need: need(cores),
-            declared: Span::from_ms(run_ms),
-            ..Step::default()
-        };
+        let step =
+            Step { tasks, need: need(cores), declared: Span::from_ms(run_ms), ..Step::default() };
         let job = Job {
             name: format!("{name:016x}"),
             policy: Arc::new(policy("k")),
@@ -725,7 +805,13 @@
         job.born = Time::from_ms(self.now);
         job.limit = job.born + patience;
         self.requests[request].limit = self.now + patience.as_ms();
-        self.requests[request].attempts.push(Attempt { node, life, ticket, answer: None, left: false });
+        self.requests[request].attempts.push(Attempt {
+            node,
+            life,
+            ticket,
+            answer: None,
+            left: false,
+        });
         self.decide(node, |n, now, out| n.submit(ticket, job, now, out));
     }
 
@@ -744,9 +830,11 @@
 
     fn answered(&mut self, node: usize, life: u64, ticket: u64, outcome: Outcome) {
         let request = usize::try_from(ticket / 10).expect("small");
-        let Some(attempt) = self.requests[request].attempts.iter_mut().find(|a| {
-            a.ticket == ticket && a.node == node && a.life == life
-        }) else {
+        let Some(attempt) = self.requests[request]
+            .attempts
+            .iter_mut()
+            .find(|a| a.ticket == ticket && a.node == node && a.life == life)
+        else {
             return;
         };
         if attempt.answer.replace(outcome).is_some() {
@@ -784,10 +872,8 @@
     pub fn check_end(&mut self) {
         for request in &self.requests {
             let name = &request.job.name;
-            let refused = request
-                .attempts
-                .iter()
-                .all(|a| matches!(a.answer, Some(Outcome::NotRun { .. })));
+            let refused =
+                request.attempts.iter().all(|a| matches!(a.answer, Some(Outcome::NotRun { .. })));
             if refused && self.starts.iter().any(|run| run.task.job == *name) {
                 self.faults.push(format!("{name} was refused and ran"));
             }
