feat(fleet): few owners a zone, and signs of life as often as duties need them

Change: at most one owner for 30 workers and at least three a zone, the largest instances first; instances that do nothing for each other beat every 700 ms and say so in the message.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -2,6 +2,11 @@
 
 use cranberryhatch_types::{InstanceId, WorkerId, ZoneId};
 
+/// Workers for which one owner is enough; it starts and ends some ten tasks a second on each.
+const WORKERS_PER_OWNER: usize = 30;
+/// Fewest owners of a zone, so that the loss of one stops a small part.
+const OWNERS_MIN: usize = 3;
+
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -99,12 +104,26 @@
         self.on_duty().max_by_key(rank).map(|member| &member.id)
     }
 
-    /// The instance that owns a worker: one of the worker's zone, if that zone has any.
+    /// Instances that own workers: some of each zone, the largest first.
+    ///
+    /// With all instances as owners, each would exchange signs of life with each.
     #[must_use]
-    pub fn owner(&self, worker: &WorkerId, zone: &str) -> Option<&InstanceId> {
-        let rank =
-            |member: &&Member| (member.zone.as_str() == zone, weight(worker.as_str(), &member.id));
-        self.on_duty().max_by_key(rank).map(|member| &member.id)
+    pub fn owners(&self, workers: usize) -> Owners {
+        let mut zones: Vec<&str> = self.on_duty().map(|member| member.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let per_zone = workers.div_ceil(zones.len().max(1)).div_ceil(WORKERS_PER_OWNER);
+        let per_zone = per_zone.max(OWNERS_MIN);
+        let mut owners = Vec::new();
+        for zone in zones {
+            let mut members: Vec<&Member> =
+                self.on_duty().filter(|member| member.zone.as_str() == zone).collect();
+            members.sort_by_key(|member| (member.cores, weight("owner", &member.id)));
+            let chosen = members.iter().rev().take(per_zone);
+            owners.extend(chosen.map(|member| (member.id.clone(), zone.to_owned())));
+        }
+        owners.sort();
+        Owners { owners }
     }
 
     fn on_duty(&self) -> impl Iterator<Item = &Member> {
@@ -116,6 +135,27 @@
     }
 }
 
+/// Instances that own workers, with their zones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Owners {
+    owners: Vec<(InstanceId, String)>,
+}
+
+impl Owners {
+    /// The instance that owns a worker: one of the worker's zone, if that zone has any.
+    #[must_use]
+    pub fn of(&self, worker: &WorkerId, zone: &str) -> Option<&InstanceId> {
+        let rank = |(id, of): &&(InstanceId, String)| (of == zone, weight(worker.as_str(), id));
+        self.owners.iter().max_by_key(rank).map(|(id, _)| id)
+    }
+
+    /// Whether an instance owns workers.
+    #[must_use]
+    pub fn contains(&self, id: &InstanceId) -> bool {
+        self.owners.binary_search_by(|(known, _)| known.cmp(id)).is_ok()
+    }
+}
+
 /// Rendezvous weight of an instance for a name; the largest wins.
 fn weight(name: &str, id: &InstanceId) -> u64 {
     mix(fnv(fnv(FNV_OFFSET, name.as_bytes()), id.as_str().as_bytes()))
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,13 +5,17 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Listed, Listing, Looked, Member, Members, Output, Owner, RunKey,
+    Command, Front, Job, Listed, Listing, Looked, Member, Members, Output, Owner, Owners, RunKey,
     Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
 };
 
-/// Time between two signs of life on a link.
-pub const BEAT_EVERY: Span = Span::from_ms(100);
-/// Silence after which a peer counts as out of reach; a few signs of life may be late.
+/// Time between two signs of life where one side has duties for the other.
+pub const BEAT_EVERY: Span = Span::from_ms(140);
+/// Time between two signs of life of instances that do nothing for each other.
+const SLOW_BEAT_EVERY: Span = Span::from_ms(700);
+/// Signs of life in a row that may be missing or late before a peer counts as out of reach.
+const BEATS_MISSED: u64 = 4;
+/// Silence after which a peer with duties counts as out of reach.
 pub const PEER_TIMEOUT: Span = Span::from_ms(600);
 /// Time that an instance has to find its peers before it takes duties.
 const JOIN_TIME: Span = Span::from_ms(600);
@@ -25,6 +29,15 @@
 /// Time after which a peer with older settings gets them from here; it usually has them by then.
 const SETTINGS_GRACE: Span = Span::from_ms(250);
 
+/// Last sign of life of a peer, and how long it may be silent.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Time,
+    limit: Span,
+    // When this instance last sent a sign of life to it.
+    told: Time,
+}
+
 /// Decisions of one instance: callers' jobs, its workers, and room if it schedules.
 ///
 /// It does no I/O. Every method takes the time and leaves what is to be done in the output.
@@ -36,11 +49,13 @@
     owner: Owner,
     scheduler: Scheduler,
     elected: Option<InstanceId>,
-    heard: VecMap<InstanceId, Time>,
+    heard: VecMap<InstanceId, Heard>,
+    owners: Owners,
     settings: (u64, Bytes),
     settings_at: Time,
     started: Time,
-    beat_at: Time,
+    // What the last signs of life said of this instance.
+    said: (bool, bool, u64),
     assigned_at: Time,
     doubt_until: Time,
     ticked: Time,
@@ -60,10 +75,11 @@
             scheduler: Scheduler::default(),
             elected: None,
             heard: VecMap::default(),
+            owners: Owners::default(),
             settings: (0, Bytes::new()),
             settings_at: now,
             started: now,
-            beat_at: Time::ZERO,
+            said: (false, false, 0),
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             ticked: now,
@@ -92,10 +108,10 @@
     /// A link to a peer is up in both directions.
     pub fn link_up(&mut self, peer: Member, now: Time, out: &mut Output) {
         let id = peer.id.clone();
-        self.heard.insert(id.clone(), now);
+        self.heard.insert(id.clone(), Heard { at: now, limit: PEER_TIMEOUT, told: Time::ZERO });
         self.members.up(peer);
-        out.note(Note::PeerUp { peer: id.clone(), peers: self.members.peers().len() });
-        out.send(&id, Body::Beat(self.beat()));
+        out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
+        self.send_beats(now, out);
         self.duties(now, out);
         self.settle(now, false, out);
     }
@@ -106,7 +122,7 @@
         if !self.members.down(peer) {
             return;
         }
-        let heard = self.heard.remove(peer).unwrap_or(now);
+        let heard = self.heard.remove(peer).map_or(now, |heard| heard.at);
         let peers = self.members.peers().len();
         out.note(Note::PeerDown { peer: peer.clone(), silence: now.since(heard), peers });
         if before > 1 && peers * 2 < before || peers == 0 {
@@ -122,7 +138,11 @@
     /// Takes a message of a peer whose link is up.
     pub fn message(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
         if let Some(heard) = self.heard.get_mut(from) {
-            *heard = now;
+            heard.at = now;
+            if matches!(message, Body::Start(_)) {
+                // What this instance does for the peer ends soon after the peer's last sign of life.
+                heard.limit = PEER_TIMEOUT;
+            }
         }
         self.take(from, message, now, out);
     }
@@ -191,12 +211,11 @@
         }
     }
 
-    fn beat(&self) -> Beat {
-        let me = self.members.me();
-        Beat { version: self.settings.0, draining: me.draining, joined: me.joined }
-    }
-
     fn beat_of(&mut self, from: &InstanceId, beat: &Beat, now: Time, out: &mut Output) {
+        if let Some(heard) = self.heard.get_mut(from) {
+            let limit = u64::from(beat.next_ms) * BEATS_MISSED;
+            heard.limit = Span::from_ms(limit).max(PEER_TIMEOUT);
+        }
         let Some(peer) = self.members.peer_mut(from) else { return };
         let changed = peer.draining != beat.draining || peer.joined != beat.joined;
         peer.draining = beat.draining;
@@ -234,8 +253,9 @@
 
     fn assign(&mut self, wall_ms: u64, now: Time) {
         self.assigned_at = now;
+        self.owners = self.members.owners(self.listing.all().len());
         if self.members.me().joined && now >= self.doubt_until {
-            self.owner.assign(&self.listing, &self.members, wall_ms, now);
+            self.owner.assign(&self.listing, &self.owners, wall_ms, now);
         }
     }
 
@@ -302,15 +322,13 @@
             self.doubt_until = now + DOUBT;
         }
         self.check_peers(now, out);
-        if now.since(self.beat_at) >= BEAT_EVERY {
-            self.send_beats(now, out);
-        }
+        self.send_beats(now, out);
         self.join(now, out);
         if now.since(self.assigned_at) >= ASSIGN_EVERY {
             self.assign(wall_ms, now);
         }
         self.front.tick(now, out);
-        self.owner.tick(&self.listing, &self.members, wall_ms, now, out);
+        self.owner.tick(&self.listing, &self.owners, wall_ms, now, out);
         self.settle(now, true, out);
     }
 
@@ -324,18 +342,38 @@
         self.duties(now, out);
     }
 
+    /// Sends signs of life that are due, and one to all when this instance's state changed.
     fn send_beats(&mut self, now: Time, out: &mut Output) {
-        self.beat_at = now;
-        let beat = self.beat();
-        for peer in self.members.peers() {
-            out.send(&peer.id, Body::Beat(beat));
+        let me = self.members.me();
+        let said = (me.draining, me.joined, self.settings.0);
+        let all = std::mem::replace(&mut self.said, said) != said;
+        for (id, heard) in self.heard.iter_mut() {
+            let every = if self.owners.contains(&me.id)
+                || self.owners.contains(id)
+                || self.elected.as_ref().is_some_and(|elected| elected == id || *elected == me.id)
+            {
+                BEAT_EVERY
+            } else {
+                SLOW_BEAT_EVERY
+            };
+            if !all && now.since(heard.told) < every {
+                continue;
+            }
+            heard.told = now;
+            let (draining, joined, version) = said;
+            let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
+            out.send(id, Body::Beat(Beat { version, draining, joined, next_ms }));
         }
     }
 
     fn check_peers(&mut self, now: Time, out: &mut Output) {
-        let silent = |at: &Time| now.since(*at) >= PEER_TIMEOUT;
-        let lost: Vec<InstanceId> =
-            self.heard.iter().filter(|(_, at)| silent(at)).map(|(id, _)| id.clone()).collect();
+        let silent = |heard: &Heard| now.since(heard.at) >= heard.limit;
+        let lost: Vec<InstanceId> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| silent(heard))
+            .map(|(id, _)| id.clone())
+            .collect();
         for peer in lost {
             out.commands.push(Command::Unlink { peer: peer.clone() });
             self.link_down(&peer, now, out);
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -9,7 +9,7 @@
     Command, End, Held, Listed, Listing, LookAnswer, Looked, Members, Need, Output, RunEnd, RunKey,
     Seen, StartAnswer, VecMap, Worker,
     held::Stage,
-    members::text_hash,
+    members::{Owners, text_hash},
     note::{DropCause, Note},
     output::Message,
     worker::{Charge, STOP_TIME},
@@ -95,7 +95,7 @@
 
     /// Opens the workers that are this instance's by the list and the members, and takes over
     /// what the list says of the others.
-    pub fn assign(&mut self, listing: &Listing, members: &Members, wall_ms: u64, now: Time) {
+    pub fn assign(&mut self, listing: &Listing, owners: &Owners, wall_ms: u64, now: Time) {
         self.wall_ms = wall_ms;
         self.fenced.retain(|_, at| now.since(*at) < FENCED_PAUSE);
         for listed in listing.all() {
@@ -104,7 +104,7 @@
                     worker.listed = listed.clone();
                     self.changed.push(listed.id.clone());
                 }
-            } else if members.owner(&listed.id, &listed.zone) == Some(&self.me)
+            } else if owners.of(&listed.id, &listed.zone) == Some(&self.me)
                 && !self.fenced.contains(&listed.id)
             {
                 let token = self.next_token(0);
@@ -539,7 +539,7 @@
     pub fn tick(
         &mut self,
         listing: &Listing,
-        members: &Members,
+        owners: &Owners,
         wall_ms: u64,
         now: Time,
         out: &mut Output,
@@ -550,7 +550,7 @@
             self.settle_claims(id, now, out);
             self.stop_again(id, now, out);
             self.lapse(id, now, out);
-            self.drop_unused(id, listing, members, now, out);
+            self.drop_unused(id, listing, owners, now, out);
         }
         self.look(now, out);
         self.report(now, out);
@@ -588,7 +588,7 @@
         &mut self,
         id: &WorkerId,
         listing: &Listing,
-        members: &Members,
+        owners: &Owners,
         now: Time,
         out: &mut Output,
     ) {
@@ -598,7 +598,7 @@
         }
         let unlisted = listing.get(id).is_none();
         let idle = matches!(worker.charge, Charge::Opening { .. }) || worker.dark;
-        let others = members.owner(id, &worker.listed.zone).is_some_and(|owner| *owner != self.me);
+        let others = owners.of(id, &worker.listed.zone).is_some_and(|owner| *owner != self.me);
         if unlisted || (idle && others && now >= worker.lease_end) {
             self.drop_worker(id, DropCause::Unlisted, now, out);
         }
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -63,7 +63,8 @@
     pub fn lose(&mut self, owner: &InstanceId, heard: Time) -> bool {
         match &mut self.phase {
             Phase::Placed(placed) if placed.owner == *owner && placed.lost.is_none() => {
-                placed.lost = Some(heard);
+                // The owner may have got the order after its last sign of life.
+                placed.lost = Some(heard.max(placed.since));
                 true
             }
             _ => false,
