--- /dev/null
+++ b/crates/fleet/tests/common/mod.rs
@@ -0,0 +1,61 @@
+//! Builders for tests.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use cranberryhatch_fleet::{Listed, Need, Site, Waiting};
+use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
+
+/// Size of a task or of room, with memory that never binds.
+pub fn need(cores: u32) -> Need {
+    Need { cores: Cores::new(cores), memory: Count::new(64), accels: Accels::new(0) }
+}
+
+/// Two tasks of 14 cores and 100 ms with latest starts in milliseconds.
+pub fn waiting(job: &str, on_time: u64, useful: u64) -> Waiting {
+    Waiting {
+        front: "e-1".parse().expect("a name"),
+        zone: "a".to_owned(),
+        job: job.to_owned(),
+        step: 0,
+        tasks: vec![0, 1],
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 1,
+        need: need(14_000),
+        expected: Span::from_ms(100),
+        on_time: Time::from_ms(on_time),
+        useful: Time::from_ms(useful),
+        label: String::new(),
+        rack: String::new(),
+        spread: 0,
+        avoid: Vec::new(),
+        begun: false,
+    }
+}
+
+/// Work of an entry.
+pub fn work(waiting: &Waiting) -> u64 {
+    waiting.work()
+}
+
+/// A listed worker.
+pub fn listed(id: &str, zone: &str, cores: u32) -> Listed {
+    let mut room = need(cores);
+    room.memory = Count::new(65_536);
+    Listed {
+        id: id.parse().expect("an id"),
+        service: "svc".to_owned(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: zone.to_owned(),
+        labels: vec!["a".to_owned(), format!("rack-{zone}")],
+        room,
+        draining: false,
+    }
+}
+
+/// An open worker.
+pub fn site(id: &str, zone: &str, cores: u32) -> Site {
+    let mut site = Site::new(listed(id, zone, cores), "e-1".parse().expect("a name"), 1);
+    site.open = true;
+    site
+}
--- /dev/null
+++ b/crates/fleet/tests/front.rs
@@ -0,0 +1,173 @@
+//! Guards against a second run of a task whose first run may still be at work.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::need;
+use cranberryhatch_fleet::{Command, Front, Job, Message, Outcome, Output, Policy, RUN_GONE, Step};
+use cranberryhatch_schema::fleet::{Ended, Grant, How, Place, Run, Takeover};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+const SENT: Time = Time::from_ms(10_000);
+
+fn id(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+fn job(limit: u64) -> Job {
+    let policy = Policy {
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1_600,
+        slack: Span::from_ms(60),
+        timeout: Span::from_ms(1_500),
+    };
+    let step = Step { tasks: 1, need: need(14_000), ..Step::default() };
+    Job {
+        name: "j".to_owned(),
+        policy: Arc::new(policy),
+        payload: "x".into(),
+        steps: vec![step],
+        born: SENT,
+        limit: SENT + Span::from_ms(limit),
+    }
+}
+
+/// A front whose only task was ordered at `SENT` on worker `w` of owner `o` under token 7.
+fn placed(out: &mut Output) -> Front {
+    let mut front = Front::new(id("me"), "a".to_owned());
+    front.follow(Some(id("s")), SENT, out);
+    front.submit(1, job(60_000), SENT, out);
+    grant(&mut front, 7, SENT, out);
+    out.commands.clear();
+    front
+}
+
+fn grant(front: &mut Front, token: u64, now: Time, out: &mut Output) {
+    let (worker, owner) = ("w".to_owned(), "o".to_owned());
+    let place = Place { task: 0, worker, owner, run_ms: 100, token };
+    let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
+    front.granted(&id("s"), grant, |_| true, now, out);
+}
+
+fn asks(out: &Output) -> usize {
+    let is_ask =
+        |command: &&Command| matches!(command, Command::Send { message: Message::Ask(_), .. });
+    out.commands.iter().filter(is_ask).count()
+}
+
+fn run() -> Run {
+    Run { job: "j".to_owned(), step: 0, task: 0, run: 1 }
+}
+
+#[test]
+fn a_lost_run_counts_as_gone_from_the_later_of_its_order_and_the_owners_last_sign() {
+    struct Case {
+        name: &'static str,
+        heard: u64,
+        gone: u64,
+    }
+    let ms = RUN_GONE.as_ms();
+    let cases = [
+        Case { name: "silent since before the order", heard: 7_000, gone: 10_000 + ms },
+        Case { name: "heard after the order", heard: 10_400, gone: 10_400 + ms },
+    ];
+    for Case { name, heard, gone } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        front.owner_lost(&id("o"), Time::from_ms(heard), &mut out);
+        front.tick(Time::from_ms(gone - 1), &mut out);
+        assert_eq!(asks(&out), 0, "{name}: asked again too soon");
+        front.tick(Time::from_ms(gone), &mut out);
+        assert_eq!(asks(&out), 1, "{name}: not asked again");
+    }
+}
+
+#[test]
+fn a_takeover_ends_a_run_only_if_its_token_is_newer() {
+    struct Case {
+        name: &'static str,
+        token: u64,
+        running: bool,
+        asks: usize,
+    }
+    let cases = [
+        Case { name: "an earlier owner reports late", token: 6, running: false, asks: 0 },
+        Case { name: "the same owner", token: 7, running: false, asks: 0 },
+        Case { name: "a later owner does not find it", token: 8, running: false, asks: 1 },
+        Case { name: "a later owner finds it", token: 8, running: true, asks: 0 },
+    ];
+    for Case { name, token, running, asks: expected } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        let running = if running { vec![run()] } else { Vec::new() };
+        let found = Takeover { worker: "w".to_owned(), running, ended: Vec::new(), token };
+        front.takeover(&id("p"), &found, SENT, &mut out);
+        assert_eq!(asks(&out), expected, "{name}");
+    }
+}
+
+#[test]
+fn ends_decide_about_the_job() {
+    struct Case {
+        name: &'static str,
+        ends: Vec<How>,
+        answer: Option<Outcome>,
+    }
+    let cases = [
+        Case { name: "done", ends: vec![How::Done], answer: Some(Outcome::Completed) },
+        Case { name: "failed once of two", ends: vec![How::Failed], answer: None },
+        Case { name: "failed twice", ends: vec![How::Failed; 2], answer: Some(Outcome::Failed) },
+        Case { name: "stopped often is no failure", ends: vec![How::Stopped; 5], answer: None },
+        Case { name: "no room is no failure", ends: vec![How::NoRoom; 5], answer: None },
+    ];
+    for Case { name, ends, answer } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        for (how, number) in ends.into_iter().zip(1..) {
+            let run = Run { run: number, ..run() };
+            let ended =
+                Ended { run: Some(run), worker: "w".to_owned(), how: how.into(), took_ms: 9 };
+            front.ended(&ended, SENT, &mut out);
+            grant(&mut front, 7, SENT, &mut out);
+        }
+        let found = out.commands.iter().find_map(|command| match command {
+            Command::Answer { outcome, .. } => Some(*outcome),
+            _ => None,
+        });
+        assert_eq!(found, answer, "{name}");
+    }
+}
+
+#[test]
+fn a_time_limit_ends_a_job_at_once_and_truthfully() {
+    struct Case {
+        name: &'static str,
+        begun: bool,
+        not_run: bool,
+    }
+    let cases = [
+        Case { name: "nothing was started", begun: false, not_run: true },
+        Case { name: "a run may be at work", begun: true, not_run: false },
+    ];
+    for Case { name, begun, not_run } in cases {
+        let mut out = Output::default();
+        let mut front = Front::new(id("me"), "a".to_owned());
+        front.follow(Some(id("s")), SENT, &mut out);
+        front.submit(1, job(500), SENT, &mut out);
+        if begun {
+            grant(&mut front, 7, SENT, &mut out);
+        }
+        front.tick(SENT + Span::from_ms(500), &mut out);
+        let found = out.commands.iter().find_map(|command| match command {
+            Command::Answer { outcome, .. } => Some(*outcome),
+            _ => None,
+        });
+        let is_not_run = matches!(found, Some(Outcome::NotRun { .. }));
+        assert!(found.is_some(), "{name}: no answer");
+        assert_eq!(is_not_run, not_run, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/refusing.rs
@@ -0,0 +1,77 @@
+//! Guards against callers that wait for their whole time limit in an overload, and against refusals
+//! of jobs that could have been served.
+
+mod common;
+
+use common::waiting;
+use cranberryhatch_fleet::{Backlog, Waiting, hopeless};
+use cranberryhatch_types::Time;
+
+struct Case {
+    name: &'static str,
+    queued: Vec<Waiting>,
+    cores: u64,
+    now: u64,
+    refused: &'static [&'static str],
+}
+
+/// Jobs of two tasks of 14 cores and 100 ms each, so 2,800 core-milliseconds.
+fn jobs(count: usize, useful: u64) -> Vec<Waiting> {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    names.iter().take(count).map(|name| waiting(name, useful / 2, useful)).collect()
+}
+
+#[test]
+fn a_job_is_refused_when_the_work_ahead_leaves_no_useful_start() {
+    let cases = [
+        Case { name: "nothing waits", queued: vec![], cores: 32_000, now: 0, refused: &[] },
+        Case {
+            name: "two jobs on one worker: the second waits 103 ms of its 150",
+            queued: jobs(2, 150),
+            cores: 32_000,
+            now: 0,
+            refused: &[],
+        },
+        Case {
+            name: "five jobs on one worker: the third waits 206 ms of 150; all behind it too",
+            queued: jobs(5, 150),
+            cores: 32_000,
+            now: 0,
+            refused: &["c", "d", "e"],
+        },
+        Case {
+            name: "five jobs on four workers",
+            queued: jobs(5, 150),
+            cores: 128_000,
+            now: 0,
+            refused: &[],
+        },
+        Case { name: "no worker at all", queued: jobs(1, 150), cores: 0, now: 0, refused: &[] },
+        Case {
+            name: "the last useful start has passed",
+            queued: jobs(1, 150),
+            cores: 32_000,
+            now: 151,
+            refused: &["a"],
+        },
+        Case {
+            name: "a job that has begun is never refused",
+            queued: vec![Waiting { begun: true, ..waiting("a", 10, 20) }],
+            cores: 32_000,
+            now: 100,
+            refused: &[],
+        },
+    ];
+    for Case { name, queued, cores, now, refused } in cases {
+        let mut backlog = Backlog::default();
+        for waiting in queued {
+            backlog.add(waiting, Time::ZERO);
+        }
+        let found = hopeless(&backlog, "svc", cores, Time::from_ms(now));
+        let names: Vec<&str> = found.iter().map(|hopeless| hopeless.job.as_str()).collect();
+        assert_eq!(names, refused, "{name}");
+        for hopeless in &found {
+            assert!(hopeless.retry >= hopeless.ahead, "{name}: comes back before there is room");
+        }
+    }
+}
