--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -72,6 +72,14 @@
         /// File with the tree.
         file: PathBuf,
     },
+    /// Prints what the logs of several instances say of one job, in order.
+    Explain {
+        /// Name of the job.
+        job: String,
+        /// Logs of the instances.
+        #[arg(long, num_args = 1.., required = true)]
+        log: Vec<PathBuf>,
+    },
     /// Prints a completion script.
     Completion {
         /// Shell to complete for.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod client;
 mod exit;
+mod explain;
 mod failure;
 mod job;
 mod output;
@@ -37,6 +38,7 @@
             Ok(Exit::Success)
         }
         Command::Check { file } => settings::check(file),
+        Command::Explain { job, log } => explain::run(job, log, args.output),
         command => {
             let client = ApiClient::new(&args.connection)?;
             match command {
@@ -45,7 +47,9 @@
                 Command::Keys { count } => views::keys(&client, *count, args.output),
                 Command::Instances => views::instances(&client, args.output),
                 Command::Workers => views::workers(&client, args.output),
-                Command::Completion { .. } | Command::Check { .. } => Ok(Exit::Success),
+                Command::Completion { .. } | Command::Check { .. } | Command::Explain { .. } => {
+                    Ok(Exit::Success)
+                }
             }
         }
     }
