fix(edge): one connection a link, opened by one side; refusals stay true after starts that never happened

Each side sent on a connection of its own and gave both up together; two sides that did so out of step ended each other's new connections for ever. Runs of the front were stopped at each end. A second cause: an owner expected signs of life every 140 ms from any front that had sent it a start, and a front sent them every 700 ms to an instance that had just given its duty up. Ruled out: processor time (0.025 of a core) and cuts, of which the pair had none at that time. Change: the instance with the larger name opens the only connection, the other one introduces itself; signs of life are frequent where runs are held.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -240,7 +240,7 @@
             Err(error) => {
                 if edge.links().is_empty() {
                     for seed in &seeds {
-                        edge.links().introduce(*seed);
+                        edge.links().introduce(*seed).await;
                     }
                 }
                 backoff.failed(&edge, List::Instances, &error).await;
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -1,13 +1,16 @@
 //! Links to the other instances.
 //!
-//! Each instance sends on connections that it opened and receives on those that it accepted. A link
-//! is up while both are, and goes down as a whole, so that no message of an earlier link is handled
-//! after a later one came up.
+//! A link is one connection. Of two instances the one with the larger name opens it; the other one
+//! introduces itself until that happens. A message that is not written when the connection ends is
+//! lost, and none of an earlier connection is handled after a later one was opened.
 
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -47,14 +50,38 @@
     fn messages(self: &Arc<Self>, peer: &InstanceId, messages: Vec<Body>);
 }
 
+/// A connection that carries a link.
+struct Line {
+    // Tells the connection from earlier ones to the same peer.
+    number: u64,
+    queue: Sender<Vec<u8>>,
+}
+
+/// A connection whose other side has said who it is.
+struct Call {
+    reader: FrameReader<TcpStream>,
+    writer: TcpStream,
+    // Messages that came together with the greeting.
+    first: Vec<Body>,
+}
+
+impl Call {
+    async fn open(stream: TcpStream) -> io::Result<(Hello, Self)> {
+        let mut reader = FrameReader::new(stream.clone());
+        let mut first = within(HELLO_TIMEOUT, reader.next()).await?;
+        match first.remove(0) {
+            Body::Hello(hello) => Ok((hello, Self { reader, writer: stream, first })),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+}
+
 struct Peer {
     hello: Hello,
     addr: SocketAddr,
-    outgoing: Option<Sender<Vec<u8>>>,
-    // Number of the connection that the peer opened.
-    incoming: Option<u64>,
-    up: bool,
-    _dialer: Task<()>,
+    line: Option<Line>,
+    // Keeps the link open; dropping it stops that.
+    _keeper: Task<()>,
 }
 
 /// All links of this instance.
@@ -62,48 +89,49 @@
     me: Hello,
     executor: Arc<Executor<'static>>,
     peers: Mutex<VecMap<InstanceId, Peer>>,
-    readers: Mutex<VecMap<InstanceId, (u64, Task<()>)>>,
-    accepted: Mutex<u64>,
+    lines: AtomicU64,
 }
 
 impl Links {
     /// No links yet.
     #[must_use]
     pub fn new(me: Hello, executor: Arc<Executor<'static>>) -> Self {
-        let (peers, readers) = (Mutex::default(), Mutex::default());
-        Self { me, executor, peers, readers, accepted: Mutex::default() }
+        Self { me, executor, peers: Mutex::default(), lines: AtomicU64::new(0) }
     }
 
     fn peers(&self) -> MutexGuard<'_, VecMap<InstanceId, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn readers(&self) -> MutexGuard<'_, VecMap<InstanceId, (u64, Task<()>)>> {
-        self.readers.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// What this instance says of itself.
     #[must_use]
     pub const fn me(&self) -> &Hello {
         &self.me
     }
 
+    /// Whether no peer is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers().is_empty()
+    }
+
     /// Sends a message, or drops it when the link is down.
-    pub fn send<E: LinkEvents>(&self, events: &Arc<E>, to: &InstanceId, message: Body) {
-        let full = match self.peers().get(to) {
-            Some(Peer { up: true, outgoing: Some(queue), .. }) => {
-                queue.try_send(encode(message)).is_err()
+    pub fn send<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, to: &InstanceId, message: Body) {
+        let number = match self.peers().get(to) {
+            Some(Peer { line: Some(line), .. }) => {
+                if line.queue.try_send(encode(message)).is_ok() {
+                    return;
+                }
+                line.number
             }
-            _ => false,
+            _ => return,
         };
-        if full {
-            let (events, to) = (Arc::clone(events), to.clone());
-            // The caller may hold the lock that the event takes.
-            self.executor.spawn(async move { events.link_down(&to) }).detach();
-        }
+        // The peer reads too slowly. The caller may hold the lock that the event takes.
+        let (links, events, to) = (Arc::clone(self), Arc::clone(events), to.clone());
+        self.executor.spawn(async move { links.end(&events, &to, number) }).detach();
     }
 
-    /// Learns of a peer and keeps a connection to it open.
+    /// Learns of a peer and keeps a link to it open.
     pub fn learn<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, hello: Hello) {
         let Ok(addr) = hello.addr.parse::<SocketAddr>() else { return };
         let Ok(id) = hello.instance.parse::<InstanceId>() else { return };
@@ -111,41 +139,23 @@
             return;
         }
         let mut peers = self.peers();
-        if let Some(peer) = peers.get_mut(&id) {
-            let older = hello.incarnation < peer.hello.incarnation;
-            if older || (peer.addr == addr && peer.hello.incarnation == hello.incarnation) {
-                return;
-            }
-            if peer.addr == addr {
-                peer.hello = hello;
-                return;
-            }
+        if let Some(peer) = peers.get_mut(&id)
+            && (hello.incarnation < peer.hello.incarnation || peer.addr == addr)
+        {
+            return;
         }
-        let dial = Arc::clone(self).dial(Arc::clone(events), id.clone(), addr);
-        let dialer = self.executor.spawn(dial);
-        let peer = Peer { hello, addr, outgoing: None, incoming: None, up: false, _dialer: dialer };
-        peers.insert(id, peer);
-    }
-
-    /// Whether no peer is known.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.peers().is_empty()
+        let keeper = if self.dials(&hello) {
+            self.executor.spawn(Arc::clone(self).dial(Arc::clone(events), id.clone(), addr))
+        } else {
+            self.executor.spawn(Arc::clone(self).keep_introducing(id.clone(), addr))
+        };
+        peers.insert(id, Peer { hello, addr, line: None, _keeper: keeper });
     }
 
-    /// Tells an instance whose name is not known that this one is here; it opens a connection then.
-    pub fn introduce(self: &Arc<Self>, addr: SocketAddr) {
-        let links = Arc::clone(self);
-        let introduce = async move {
-            let Ok(mut stream) = within(CONNECT_TIMEOUT, TcpStream::connect(addr)).await else {
-                return;
-            };
-            let hello = encode(Body::Hello(links.me.clone()));
-            if within(WRITE_TIMEOUT, stream.write_all(&hello)).await.is_ok() {
-                Timer::after(HELLO_TIMEOUT).await;
-            }
-        };
-        self.executor.spawn(introduce).detach();
+    /// Whether this instance opens the connection to a peer; the other one only accepts it, so that
+    /// two connections that are opened at the same time cannot end each other.
+    fn dials(&self, peer: &Hello) -> bool {
+        self.me.instance > peer.instance
     }
 
     async fn dial<E: LinkEvents>(
@@ -156,41 +166,50 @@
     ) {
         let mut pause = RETRY;
         loop {
-            if let Ok(stream) = within(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+            if let Ok((hello, call)) = self.call(addr).await
+                && hello.instance == id.as_str()
+            {
                 pause = RETRY;
-                let (queue, messages) = async_channel::bounded(QUEUE);
-                self.set_outgoing(&events, &id, queue);
-                // The error only says that the connection is over.
-                let _ = self.write(stream, &messages).await;
-                messages.close();
-                self.down(&events, &id);
+                self.run(&events, &id, hello, call).await;
             }
             Timer::after(pause).await;
             pause = (pause * 2).min(RETRY_MAX);
         }
     }
 
-    async fn write(&self, mut stream: TcpStream, messages: &Receiver<Vec<u8>>) -> io::Result<()> {
-        // Messages are small and wait for each other.
+    /// Opens a connection; both sides say who they are.
+    async fn call(&self, addr: SocketAddr) -> io::Result<(Hello, Call)> {
+        let mut stream = within(CONNECT_TIMEOUT, TcpStream::connect(addr)).await?;
+        // Messages are small and must not wait for each other.
         stream.set_nodelay(true)?;
         let hello = encode(Body::Hello(self.me.clone()));
         within(WRITE_TIMEOUT, stream.write_all(&hello)).await?;
+        Call::open(stream).await
+    }
+
+    /// Tells a peer that opens the connections where this instance is, while there is no link.
+    async fn keep_introducing(self: Arc<Self>, id: InstanceId, addr: SocketAddr) {
         loop {
-            let mut bytes = messages.recv().await.map_err(io::Error::other)?;
-            while let Ok(more) = messages.try_recv() {
-                bytes.extend_from_slice(&more);
+            if self.peers().get(&id).is_some_and(|peer| peer.line.is_none()) {
+                self.introduce(addr).await;
             }
-            within(WRITE_TIMEOUT, stream.write_all(&bytes)).await?;
+            Timer::after(RETRY_MAX).await;
         }
     }
 
+    /// Tells an instance that this one is here; it opens a connection then, or answers this one.
+    pub async fn introduce(&self, addr: SocketAddr) {
+        // A failure shows in that no link comes up.
+        let _ = self.call(addr).await;
+    }
+
     /// Accepts connections of peers.
     pub async fn accept<E: LinkEvents>(self: Arc<Self>, events: Arc<E>, listener: TcpListener) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let read = Arc::clone(&self).greet(Arc::clone(&events), stream);
-                    self.executor.spawn(read).detach();
+                    let greet = Arc::clone(&self).greet(Arc::clone(&events), stream);
+                    self.executor.spawn(greet).detach();
                 }
                 // Out of descriptors: wait before the next try.
                 Err(_) => {
@@ -200,113 +219,91 @@
         }
     }
 
-    async fn greet<E: LinkEvents>(self: Arc<Self>, events: Arc<E>, stream: TcpStream) {
-        let mut reader = FrameReader::new(stream);
-        let Ok(mut messages) = within(HELLO_TIMEOUT, reader.next()).await else { return };
-        let Body::Hello(hello) = messages.remove(0) else { return };
+    async fn greet<E: LinkEvents>(self: Arc<Self>, events: Arc<E>, mut stream: TcpStream) {
+        let Ok((hello, call)) = Call::open(stream.clone()).await else { return };
         let Ok(id) = hello.instance.parse::<InstanceId>() else { return };
         self.learn(&events, hello.clone());
-        let number = {
-            let mut accepted = self.accepted.lock().unwrap_or_else(PoisonError::into_inner);
-            *accepted += 1;
-            *accepted
-        };
-        self.set_incoming(&events, &id, hello, number);
-        let read = Arc::clone(&self).read(events, id.clone(), number, reader, messages);
-        let task = self.executor.spawn(read);
-        // Dropping the reader of an earlier connection closes it.
-        self.readers().insert(id, (number, task));
+        let answer = encode(Body::Hello(self.me.clone()));
+        let nodelay = stream.set_nodelay(true);
+        let answered = within(WRITE_TIMEOUT, stream.write_all(&answer)).await;
+        if self.dials(&hello) || nodelay.and(answered).is_err() {
+            return;
+        }
+        self.run(&events, &id, hello, call).await;
+    }
+
+    /// Carries a link on a connection until one side ends it.
+    async fn run<E: LinkEvents>(&self, events: &Arc<E>, id: &InstanceId, hello: Hello, call: Call) {
+        let Call { reader, writer, first } = call;
+        let Some(member) = member(&hello) else { return };
+        let number = self.lines.fetch_add(1, Ordering::Relaxed) + 1;
+        let (queue, messages) = async_channel::bounded(QUEUE);
+        // A new connection means that the peer has given the earlier one up.
+        self.down(events, id);
+        match self.peers().get_mut(id) {
+            Some(peer) => {
+                peer.hello = hello;
+                peer.line = Some(Line { number, queue });
+            }
+            None => return,
+        }
+        events.link_up(member);
+        let read = self.read(events, id, number, reader, first);
+        let write = write(writer, &messages);
+        // The error only says that the connection is over.
+        let _ = read.or(write).await;
+        self.end(events, id, number);
     }
 
     async fn read<E: LinkEvents>(
-        self: Arc<Self>,
-        events: Arc<E>,
-        id: InstanceId,
+        &self,
+        events: &Arc<E>,
+        id: &InstanceId,
         number: u64,
         mut reader: FrameReader<TcpStream>,
         first: Vec<Body>,
-    ) {
+    ) -> io::Result<()> {
         let mut messages = first;
         loop {
-            if !self.is_current(&id, number) {
-                return;
+            if !self.is_current(id, number) {
+                return Ok(());
             }
             if !messages.is_empty() {
-                events.messages(&id, messages);
+                events.messages(id, messages);
             }
-            match reader.next().await {
-                Ok(next) => messages = next,
-                Err(_) => break,
-            }
-        }
-        if self.is_current(&id, number) {
-            self.down(&events, &id);
+            messages = reader.next().await?;
         }
     }
 
     fn is_current(&self, id: &InstanceId, number: u64) -> bool {
-        self.peers().get(id).is_some_and(|peer| peer.incoming == Some(number))
+        let peers = self.peers();
+        let line = peers.get(id).and_then(|peer| peer.line.as_ref());
+        line.is_some_and(|line| line.number == number)
     }
 
-    fn set_outgoing<E: LinkEvents>(
-        &self,
-        events: &Arc<E>,
-        id: &InstanceId,
-        queue: Sender<Vec<u8>>,
-    ) {
-        if let Some(peer) = self.peers().get_mut(id) {
-            peer.outgoing = Some(queue);
-        }
-        self.check_up(events, id);
-    }
-
-    fn set_incoming<E: LinkEvents>(
-        &self,
-        events: &Arc<E>,
-        id: &InstanceId,
-        hello: Hello,
-        number: u64,
-    ) {
-        // A second connection means that the peer gave the first one up.
-        if self.peers().get(id).is_some_and(|peer| peer.incoming.is_some()) {
+    fn end<E: LinkEvents>(&self, events: &Arc<E>, id: &InstanceId, number: u64) {
+        if self.is_current(id, number) {
             self.down(events, id);
         }
-        if let Some(peer) = self.peers().get_mut(id) {
-            peer.incoming = Some(number);
-            peer.hello = hello;
-        }
-        self.check_up(events, id);
     }
 
-    fn check_up<E: LinkEvents>(&self, events: &Arc<E>, id: &InstanceId) {
-        let member = {
-            let mut peers = self.peers();
-            let Some(peer) = peers.get_mut(id) else { return };
-            if peer.up || peer.outgoing.is_none() || peer.incoming.is_none() {
-                return;
-            }
-            peer.up = true;
-            member(&peer.hello)
-        };
-        if let Some(member) = member {
-            events.link_up(member);
+    /// Ends the link to a peer; it is opened again.
+    pub fn down<E: LinkEvents>(&self, events: &Arc<E>, id: &InstanceId) {
+        let line = self.peers().get_mut(id).and_then(|peer| peer.line.take());
+        if let Some(line) = line {
+            line.queue.close();
+            events.link_down(id);
         }
     }
+}
 
-    /// Closes the link to a peer; it is opened again.
-    pub fn down<E: LinkEvents>(&self, events: &Arc<E>, id: &InstanceId) {
-        let was_up = {
-            let mut peers = self.peers();
-            let Some(peer) = peers.get_mut(id) else { return };
-            if let Some(queue) = peer.outgoing.take() {
-                queue.close();
-            }
-            peer.incoming = None;
-            std::mem::take(&mut peer.up)
-        };
-        if was_up {
-            events.link_down(id);
+async fn write(mut stream: TcpStream, messages: &Receiver<Vec<u8>>) -> io::Result<()> {
+    loop {
+        let mut bytes = messages.recv().await.map_err(io::Error::other)?;
+        while let Ok(more) = messages.try_recv() {
+            bytes.extend_from_slice(&more);
         }
+        within(WRITE_TIMEOUT, stream.write_all(&bytes)).await?;
     }
 }
 
--- /dev/null
+++ b/crates/edge/tests/links.rs
@@ -0,0 +1,145 @@
+//! Guards against links that go up and down for ever after both sides gave them up, and against
+//! messages of an earlier link that arrive on a later one.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use cranberryhatch_edge::{Hello, LinkEvents, Links};
+use cranberryhatch_fleet::Member;
+use cranberryhatch_schema::fleet::{Withdraw, frame::Body};
+use cranberryhatch_types::InstanceId;
+use smol::{Executor, Timer, net::TcpListener};
+
+/// Ends a test that would never end; no verdict depends on the machine's speed.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One instance that counts what happens on its links.
+#[derive(Default)]
+struct Ends {
+    up: Mutex<Vec<InstanceId>>,
+    changes: AtomicU64,
+    received: Mutex<Vec<u64>>,
+}
+
+impl LinkEvents for Ends {
+    fn link_up(self: &Arc<Self>, peer: Member) {
+        self.changes.fetch_add(1, Ordering::SeqCst);
+        let mut up = self.up.lock().expect("up");
+        assert!(!up.contains(&peer.id), "up twice without a down");
+        up.push(peer.id);
+    }
+
+    fn link_down(self: &Arc<Self>, peer: &InstanceId) {
+        self.changes.fetch_add(1, Ordering::SeqCst);
+        self.up.lock().expect("up").retain(|known| known != peer);
+    }
+
+    fn messages(self: &Arc<Self>, _: &InstanceId, messages: Vec<Body>) {
+        for message in messages {
+            if let Body::Withdraw(Withdraw { job }) = message {
+                self.received.lock().expect("received").push(job.parse().expect("a number"));
+            }
+        }
+    }
+}
+
+struct End {
+    links: Arc<Links>,
+    ends: Arc<Ends>,
+}
+
+async fn instances(executor: &Arc<Executor<'static>>, count: usize) -> Vec<End> {
+    let mut all: Vec<End> = Vec::new();
+    for number in 0..count {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let hello = Hello {
+            instance: format!("e-{number}"),
+            incarnation: 1,
+            zone: "a".to_owned(),
+            addr: listener.local_addr().expect("an address").to_string(),
+            cores: 250,
+        };
+        let links = Arc::new(Links::new(hello, Arc::clone(executor)));
+        let ends = Arc::new(Ends::default());
+        let accept = Arc::clone(&links).accept(Arc::clone(&ends), listener);
+        executor.spawn(accept).detach();
+        // The later one knows the earlier ones, which learn of it when it introduces itself.
+        for earlier in &all {
+            links.learn(&ends, earlier.links.me().clone());
+        }
+        all.push(End { links, ends });
+    }
+    all
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+fn all_up(all: &[End]) -> bool {
+    all.iter().all(|end| end.ends.up.lock().expect("up").len() == all.len() - 1)
+}
+
+fn play(test: impl AsyncFnOnce(Arc<Executor<'static>>)) {
+    let executor = Arc::new(Executor::new());
+    smol::block_on(executor.run(test(Arc::clone(&executor))));
+}
+
+#[test]
+fn links_settle_after_both_sides_gave_them_up_at_any_moment() {
+    play(async |executor| {
+        let all = instances(&executor, 4).await;
+        until("all links up", || all_up(&all)).await;
+        let mut rng = fastrand::Rng::with_seed(7);
+        for _ in 0..200 {
+            let (one, other) = (rng.usize(0..4), rng.usize(0..4));
+            let id: InstanceId = format!("e-{other}").parse().expect("a name");
+            all[one].links.down(&all[one].ends, &id);
+            Timer::after(Duration::from_millis(rng.u64(0..12))).await;
+        }
+        until("all links up again", || all_up(&all)).await;
+        let changes =
+            || -> u64 { all.iter().map(|end| end.ends.changes.load(Ordering::SeqCst)).sum() };
+        // A link that is ended on one side is noticed on the other within milliseconds.
+        Timer::after(Duration::from_millis(500)).await;
+        until("all links up", || all_up(&all)).await;
+        let before = changes();
+        Timer::after(Duration::from_millis(1_000)).await;
+        assert_eq!(changes(), before, "links change without a cause");
+    });
+}
+
+#[test]
+fn messages_stay_in_order_over_links_that_end() {
+    play(async |executor| {
+        let all = instances(&executor, 2).await;
+        until("the link up", || all_up(&all)).await;
+        let to: InstanceId = "e-1".parse().expect("a name");
+        let from: InstanceId = "e-0".parse().expect("a name");
+        for number in 0..2_000_u64 {
+            let message = Body::Withdraw(Withdraw { job: number.to_string() });
+            all[0].links.send(&all[0].ends, &to, message);
+            if number % 100 == 99 {
+                let (end, peer) =
+                    if number % 200 == 99 { (&all[0], &to) } else { (&all[1], &from) };
+                end.links.down(&end.ends, peer);
+                until("the link up again", || all_up(&all)).await;
+            }
+            if number % 10 == 0 {
+                Timer::after(Duration::from_millis(1)).await;
+            }
+        }
+        let received = all[1].ends.received.lock().expect("received");
+        assert!(received.windows(2).all(|pair| pair[0] < pair[1]), "out of order: {received:?}");
+        assert!(received.len() > 1_000, "most arrive: {}", received.len());
+    });
+}
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -40,6 +40,8 @@
     steps: Vec<Vec<TaskState>>,
     started: Option<Time>,
     runs: u32,
+    // Runs of these that were at work or may have been.
+    at_work: u32,
     avoid: Vec<String>,
     closing: Option<Time>,
     // The same job, sent again while runs of the first are being stopped.
@@ -57,6 +59,7 @@
             steps,
             started: None,
             runs: 0,
+            at_work: 0,
             avoid: Vec::new(),
             closing: None,
             next: None,
@@ -179,7 +182,7 @@
                 rack: step.rack.clone(),
                 spread: step.spread,
                 avoid: active.avoid.clone(),
-                begun: active.started.is_some(),
+                begun: active.at_work > 0,
                 zone: self.zone.clone(),
                 stretch: job.policy.stretch,
                 slack_ms: to_u32(job.policy.slack.as_ms()),
@@ -248,6 +251,7 @@
         let start = start_message(&active.job, key, &state);
         active.started.get_or_insert(now);
         active.runs += 1;
+        active.at_work += 1;
         if let Some(start) = start {
             out.send(&owner, Message::Start(start));
         }
@@ -257,7 +261,7 @@
     /// Takes the scheduler's refusal of a job.
     pub fn refused(&mut self, refusal: &Refusal, now: Time, out: &mut Output) {
         let Some(active) = self.jobs.get_mut(&refusal.job) else { return };
-        if active.started.is_some() || active.closing.is_some() {
+        if active.at_work > 0 || active.closing.is_some() {
             // Tasks that wait again after a run ended are asked for anew.
             for state in active.steps.iter_mut().flatten() {
                 if state.phase == Phase::Asked {
@@ -291,6 +295,7 @@
             return;
         }
         let mut failed = false;
+        let mut never_started = false;
         state.phase = Phase::Ready;
         match how {
             How::Done => state.phase = Phase::Done,
@@ -298,9 +303,16 @@
                 state.failures += 1;
                 failed = state.failures >= attempts;
             }
-            How::Old => state.run += OLD_STEP,
+            How::Old => {
+                state.run += OLD_STEP;
+                never_started = true;
+            }
             How::Stalled => state.stalls += 1,
-            How::Unknown | How::Stopped | How::NotStarted | How::NoRoom => {}
+            How::NotStarted | How::NoRoom => never_started = true,
+            How::Unknown | How::Stopped => {}
+        }
+        if never_started {
+            active.at_work = active.at_work.saturating_sub(1);
         }
         if matches!(how, How::Failed | How::Stalled) && !active.avoid.iter().any(|w| w == worker) {
             active.avoid.push(worker.to_owned());
@@ -431,8 +443,9 @@
                 let said = found.ended.iter().find(|ended| {
                     ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
                 });
-                // The worker obeys the new owner only, so what is not there never starts.
-                ends.push((run, said.map_or(How::NotStarted, Ended::how)));
+                // The worker obeys the new owner only, so what is not there does not start any more; it
+                // may have run and ended, and the report of it may be lost.
+                ends.push((run, said.map_or(How::Stopped, Ended::how)));
             }
         }
         let claim = Claim { worker: found.worker.clone(), runs: claims };
@@ -448,7 +461,7 @@
         let mut gone = Vec::new();
         for (name, active) in self.jobs.iter() {
             if active.closing.is_none() && now >= active.job.limit {
-                over.push((name.clone(), active.started.is_some()));
+                over.push((name.clone(), active.at_work > 0));
             }
             for (key, state) in active.placed() {
                 let Phase::Placed(place) = &state.phase else { continue };
@@ -488,6 +501,20 @@
         Some(active.started.is_some())
     }
 
+    /// Owners of workers on which runs of these jobs may be at work, sorted.
+    #[must_use]
+    pub fn owners(&self) -> Vec<InstanceId> {
+        let states = self.jobs.iter().flat_map(|(_, active)| active.steps.iter().flatten());
+        let owners = states.filter_map(|state| match &state.phase {
+            Phase::Placed(placed) => Some(placed.owner.clone()),
+            _ => None,
+        });
+        let mut owners: Vec<InstanceId> = owners.collect();
+        owners.sort();
+        owners.dedup();
+        owners
+    }
+
     /// Number of jobs that are not ended.
     #[must_use]
     pub const fn len(&self) -> usize {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -347,9 +347,12 @@
         let me = self.members.me();
         let said = (me.draining, me.joined, self.settings.0);
         let all = std::mem::replace(&mut self.said, said) != said;
+        let (runs_at, runs_of) = (self.front.owners(), self.owner.fronts());
         for (id, heard) in self.heard.iter_mut() {
             let every = if self.owners.contains(&me.id)
                 || self.owners.contains(id)
+                || runs_at.binary_search(id).is_ok()
+                || runs_of.binary_search(id).is_ok()
                 || self.elected.as_ref().is_some_and(|elected| elected == id || *elected == me.id)
             {
                 BEAT_EVERY
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -216,8 +216,9 @@
         let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { return };
         let Some(held) = worker.held.iter_mut().find(|held| held.run == run) else {
             if worker.charge == Charge::Open {
-                // Starts come in order on a link, so this one was lost with an earlier link.
-                let ended = ended_message(&run, &stop.worker, How::NotStarted, Span::ZERO);
+                // Starts come in order on a link, so either this one or the report of its end was lost
+                // with an earlier link.
+                let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
                 out.send(front, Message::Ended(ended));
             }
             return;
@@ -676,6 +677,16 @@
         (open, self.workers.len())
     }
 
+    /// Fronts of the runs on all workers, sorted.
+    #[must_use]
+    pub fn fronts(&self) -> Vec<InstanceId> {
+        let held = self.workers.iter().flat_map(|(_, worker)| &worker.held);
+        let mut fronts: Vec<InstanceId> = held.map(|held| held.front.clone()).collect();
+        fronts.sort();
+        fronts.dedup();
+        fronts
+    }
+
     /// Number of runs on all workers.
     #[must_use]
     pub fn runs(&self) -> usize {
