fix(fleet): refused starts reach the scheduler that granted them; long tasks are not stopped for slow ones

An owner reports a refusal to its own scheduler, which was another one than the one that granted; that one granted the same room again at once. The front now tells its scheduler, before it asks again. What is left is now held against what a worker that is four times slow would leave.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,6 +1,9 @@
 //! The story of one job, from the logs of several instances.
 
-use std::path::PathBuf;
+use std::{
+    io::{StdoutLock, Write},
+    path::PathBuf,
+};
 
 use jiff::{SignedDuration, Timestamp};
 use serde::Deserialize;
@@ -69,8 +72,9 @@
     lines.sort_by_key(|line| line.timestamp);
     let times: Vec<Timestamp> =
         lines.iter().filter(|line| line.is_about(job)).map(|line| line.timestamp).collect();
+    let mut out = std::io::stdout().lock();
     let (Some(first), Some(last)) = (times.first(), times.last()) else {
-        println!("no line about {job}; routine lines are kept for one job in 16");
+        writeln!(out, "no line about {job}; routine lines are kept for one job in 16")?;
         return Ok(Exit::Local);
     };
     let (from, to) = (*first - CONTEXT, *last + CONTEXT);
@@ -79,26 +83,26 @@
         line.is_about(job) || (near && STATE.contains(&line.message.as_str()))
     });
     for line in story {
-        print(line, job, output);
+        print(&mut out, line, job, output)?;
     }
     for skew in skews(&lines, job) {
-        println!("{skew}");
+        writeln!(out, "{skew}")?;
     }
     Ok(Exit::Success)
 }
 
-fn print(line: &Line, job: &str, output: Output) {
+fn print(out: &mut StdoutLock<'_>, line: &Line, job: &str, output: Output) -> std::io::Result<()> {
     let Line { timestamp, message, kvs, instance } = line;
     match output {
         Output::Text => {
             let mark = if line.is_about(job) { '*' } else { ' ' };
-            println!("{mark} {timestamp} {instance:24} {message:18} {}", line.fields());
+            writeln!(out, "{mark} {timestamp} {instance:24} {message:18} {}", line.fields())
         }
         Output::Json => {
             let text = serde_json::json!({
                 "timestamp": timestamp, "instance": instance, "message": message, "kvs": kvs,
             });
-            println!("{text}");
+            writeln!(out, "{text}")
         }
     }
 }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -228,7 +228,8 @@
             });
             if !started {
                 let TaskKey { job, step, task } = key;
-                let unused = Unused { worker: place.worker, job, step, task };
+                let refused = false;
+                let unused = Unused { worker: place.worker, job, step, task, refused };
                 out.send(from, Message::Unused(unused));
             }
         }
@@ -314,6 +315,11 @@
         if never_started {
             active.at_work = active.at_work.saturating_sub(1);
         }
+        if let (How::NoRoom, Some(scheduler)) = (how, &self.scheduler) {
+            let TaskKey { job, step, task } = run.task.clone();
+            let unused = Unused { worker: worker.to_owned(), job, step, task, refused: true };
+            out.send(scheduler, Message::Unused(unused));
+        }
         if matches!(how, How::Failed | How::Stalled) && !active.avoid.iter().any(|w| w == worker) {
             active.avoid.push(worker.to_owned());
         }
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -7,9 +7,14 @@
 
 /// Slack in a forecast of progress, for the delay of reports.
 const STALL_SLACK: Span = Span::from_ms(50);
-/// A run is hopelessly slow when the time left is this many times the expected run time, in
-/// thousandths: starting again elsewhere is then faster even if half of the forecast is wrong.
-const STALL_RATIO: u64 = 1_500;
+/// Times the expected run time after which the progress of a run is judged, in thousandths.
+const JUDGED_AFTER: u64 = 1_500;
+/// Times the expected run time that may be left by then, in thousandths.
+///
+/// Run times of a kind spread by a factor of 1.5 either way, so one in a thousand tasks takes 3.4
+/// times as long by itself and has 1.9 times left; one on a worker that is four times slow or more
+/// has at least 2.5 times left, and one that stands still has no end.
+const LEFT_LIMIT: u64 = 2_500;
 
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,14 +106,14 @@
     pub fn is_stalled(&self, now: Time) -> bool {
         let Stage::AtWork { since } = self.stage else { return false };
         let ran = now.since(since).as_ms();
-        let expected = self.expected.as_ms().max(1);
-        let patience =
-            expected * STALL_RATIO / 1_000 * (1 + 2 * u64::from(self.stalls)) + STALL_SLACK.as_ms();
-        if ran < patience {
+        let patience = 1 + 2 * u64::from(self.stalls);
+        let expected = self.expected.as_ms().max(1) * patience;
+        let times = |factor: u64| expected * factor / 1_000 + STALL_SLACK.as_ms();
+        if ran < times(JUDGED_AFTER) {
             return false;
         }
         let percent = u64::from(self.percent);
         let left = (ran * (100 - percent.min(100))).checked_div(percent).unwrap_or(ran * 4);
-        left > patience
+        left > times(LEFT_LIMIT)
     }
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -159,7 +159,8 @@
             Body::Unused(unused) => {
                 if let Ok(worker) = unused.worker.parse::<WorkerId>() {
                     let (job, step, task) = (unused.job, unused.step, unused.task);
-                    self.scheduler.unused(&worker, &TaskKey { job, step, task });
+                    let task = TaskKey { job, step, task };
+                    self.scheduler.unused(&worker, &task, unused.refused, now);
                 }
             }
             Body::Rooms(rooms) => self.scheduler.rooms(from, rooms, &self.listing, now),
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -94,10 +94,13 @@
         self.since = None;
     }
 
-    /// Gives back a place that was not used.
-    pub fn unused(&mut self, worker: &WorkerId, task: &TaskKey) {
+    /// Gives back a place that was not used, or that the owner refused.
+    pub fn unused(&mut self, worker: &WorkerId, task: &TaskKey, refused: bool, now: Time) {
         if let Some(site) = self.sites.get_mut(worker) {
             site.release(task);
+            if refused {
+                site.learn(How::NoRoom, Span::ZERO, Span::ZERO, false, now);
+            }
             self.dirty = true;
         }
     }
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -13,8 +13,8 @@
 const PAUSE: Span = Span::from_ms(400);
 /// Doublings of the pause.
 const PAUSE_DOUBLINGS: u32 = 3;
-/// Pause after a start for which there was no room after all.
-const NO_ROOM_PAUSE: Span = Span::from_ms(30);
+/// Pause after a start that the owner or the worker refused; a new owner reports within 100 ms.
+const NO_ROOM_PAUSE: Span = Span::from_ms(100);
 /// Logarithm of the slowness from which a worker gets one task at a time.
 const SLOW: f64 = 0.7;
 /// Share of a new sample in the learnt slowness.
@@ -125,6 +125,8 @@
 
     /// Takes the owner's report of what runs; grants on their way to the owner stay.
     pub fn report(&mut self, held: Vec<(TaskKey, Need)>, now: Time) {
+        // The owner has said what room there is since the last refusal.
+        self.paused_until = if self.pauses == 0 { Time::ZERO } else { self.paused_until };
         let known = |task: &TaskKey| held.iter().any(|(other, _)| other == task);
         self.places.retain(|place| now.since(place.at) < UNUSED_AFTER && !known(&place.task));
         let old = now - UNUSED_AFTER;
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -142,6 +142,27 @@
     }
 }
 
+#[test]
+fn a_refused_start_is_reported_to_the_scheduler_before_the_task_is_asked_for_again() {
+    let mut out = Output::default();
+    let mut front = placed(&mut out);
+    let ended =
+        Ended { run: Some(run()), worker: "w".to_owned(), how: How::NoRoom.into(), took_ms: 0 };
+    front.ended(&ended, SENT, &mut out);
+    let sent: Vec<&str> = out
+        .commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Send { message: Message::Unused(unused), .. } if unused.refused => {
+                Some("refused")
+            }
+            Command::Send { message: Message::Ask(_), .. } => Some("ask"),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent, ["refused", "ask"], "otherwise the same room is granted again at once");
+}
+
 #[test]
 fn a_time_limit_ends_a_job_at_once_and_truthfully() {
     struct Case {
