--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -48,7 +48,7 @@
     #[error(transparent)]
     Parse(#[from] ParseError),
     /// No such key.
-    #[error("no setting {0}; see docs/operators.md for all")]
+    #[error("no setting {0}; see docs/OPERATIONS.md for all")]
     UnknownKey(String),
     /// The tree has faults.
     #[error("{}", faults(.0))]
