fix(entry): the receiver of peers ends although nng does not wake it

The stack shows the test in Receiver::drop, joining its thread, and that thread in nng_recvmsg: a receive that begins while the socket is closed is not always woken. Any stop of an entry instance could hang like that. Ruled out: the lock of the peers and the exchange of settings; the test had passed its assertions. Change: receives end after 250 ms and the thread looks at a flag. The hang itself was seen once.

--- a/crates/entry/src/peers/receiver.rs
+++ b/crates/entry/src/peers/receiver.rs
@@ -2,15 +2,19 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::JoinHandle,
+    time::Duration,
 };
 
 use cranberryhatch_schema::peer::{Envelope, envelope::Body};
 use cranberryhatch_types::{Holder, Incarnation, ShardId, Time};
 use nng::{
     Protocol, Socket,
-    options::{Options, RecvBufferSize, RecvMaxSize},
+    options::{Options, RecvBufferSize, RecvMaxSize, RecvTimeout},
 };
 use prost::Message as _;
 
@@ -26,10 +30,15 @@
 const MESSAGE_LIMIT: usize = 64 << 20;
 /// Messages that wait to be read.
 const RECEIVE_BUFFER: i32 = 1_024;
+/// Longest time that the thread waits for a message before it looks whether it is to end.
+///
+/// Closing a socket does not always wake a receive that begins at the same time.
+const RECEIVE_WAIT: Duration = Duration::from_millis(250);
 
 /// The listener for peers and its thread; dropping it joins the thread.
 pub struct Receiver {
     socket: Socket,
+    stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -62,11 +71,14 @@
         let socket = Socket::new(Protocol::Pull0)?;
         socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT)?;
         socket.set_opt::<RecvBufferSize>(RECEIVE_BUFFER)?;
+        socket.set_opt::<RecvTimeout>(Some(RECEIVE_WAIT))?;
         socket.listen(&format!("tcp://{addr}"))?;
         let own = socket.clone();
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
         let thread = std::thread::spawn(move || {
             // A closed socket ends the thread; other failures concern one message.
-            loop {
+            while !stopped.load(Ordering::Acquire) {
                 match own.recv() {
                     Ok(message) => route.take(&message),
                     Err(nng::Error::Closed) => return,
@@ -74,12 +86,13 @@
                 }
             }
         });
-        Ok(Self { socket, thread: Some(thread) })
+        Ok(Self { socket, stop, thread: Some(thread) })
     }
 }
 
 impl Drop for Receiver {
     fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
         self.socket.close();
         if let Some(thread) = self.thread.take() {
             // A panic of the thread was already printed by the panic hook.
