--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -108,6 +108,9 @@
     /// A link to a peer is up in both directions.
     pub fn link_up(&mut self, peer: Member, now: Time, out: &mut Output) {
         let id = peer.id.clone();
+        // The end of an earlier link may not have been noticed here, as after a pause; what this
+        // instance did for the peer then must end.
+        self.link_down(&id, now, out);
         self.heard.insert(id.clone(), Heard { at: now, limit: PEER_TIMEOUT, told: Time::ZERO });
         self.members.up(peer);
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
--- /dev/null
+++ b/crates/fleet/src/owner/orders.rs
@@ -0,0 +1,172 @@
+//! Orders of the fronts: starts and stops, and what workers answer to them.
+
+use cranberryhatch_schema::fleet::{How, Start, Stop};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+use super::{Owner, ended_message, push_stop, send_end};
+use crate::{
+    Command, Held, Output, RunKey, StartAnswer,
+    held::Stage,
+    note::DropCause,
+    output::Message,
+    worker::{Charge, STOP_TIME},
+};
+
+impl Owner {
+    /// Starts a run for a front.
+    pub fn start(&mut self, front: &InstanceId, start: Start, now: Time, out: &mut Output) {
+        let Some(held) = Held::new(front.clone(), &start, now) else { return };
+        let refuse = |owner: &Self, held: &Held, out: &mut Output| {
+            send_end(held, &start.worker, How::NoRoom, Span::ZERO, out);
+            owner.free(held, &start.worker, How::NoRoom, Span::ZERO, out);
+        };
+        let id = start.worker.parse::<WorkerId>().ok();
+        let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else {
+            refuse(self, &held, out);
+            return;
+        };
+        if worker.held.iter().any(|known| known.run == held.run) {
+            return;
+        }
+        let others = worker.held.iter().any(|known| known.run.task == held.run.task);
+        let room = worker.held.iter().fold(worker.listed.room, |room, h| room.without(&h.need));
+        let takes = worker.is_open()
+            && worker.token == start.token
+            && worker.listed.service == start.service;
+        let lease =
+            if takes && !others && held.need.fits(&room) { worker.lease(now) } else { None };
+        let Some(lease) = lease else {
+            refuse(self, &held, out);
+            return;
+        };
+        out.commands.push(Command::StartRun {
+            worker: Box::new(worker.listed.clone()),
+            token: worker.token,
+            run: held.run.clone(),
+            payload: start.payload,
+            lease,
+        });
+        worker.held.push(held);
+    }
+
+    /// Takes the answer to a start.
+    pub fn started(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        answer: StartAnswer,
+        clock: Option<u64>,
+        now: Time,
+        out: &mut Output,
+    ) {
+        if self.stray_answered(id, run, answer, out) {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(clock) = clock {
+            worker.set_clock(clock, now);
+        }
+        let Some(place) = worker.held.iter().position(|held| held.run == *run) else { return };
+        match answer {
+            StartAnswer::Started => {
+                let held = &mut worker.held[place];
+                held.stage = Stage::AtWork { since: now };
+                if held.stopping.is_some() {
+                    held.stopping = Some(now);
+                    push_stop(worker, run, out);
+                }
+            }
+            StartAnswer::Lost => {
+                let until = worker.lease_end;
+                let held = &mut worker.held[place];
+                held.stage = Stage::Doubtful { until };
+                held.stopping = Some(now);
+                push_stop(worker, run, out);
+            }
+            StartAnswer::Fenced => {
+                self.end(id, run, How::NoRoom, now, out);
+                self.fenced(id, now, out);
+            }
+            StartAnswer::OtherLife => self.drop_worker(id, DropCause::OtherLife, now, out),
+            StartAnswer::NoRoom => self.end(id, run, How::NoRoom, now, out),
+            StartAnswer::Old => self.end(id, run, How::Old, now, out),
+            StartAnswer::NotStarted | StartAnswer::Unsent => {
+                self.end(id, run, How::NotStarted, now, out);
+            }
+            StartAnswer::Invalid => self.end(id, run, How::Failed, now, out),
+        }
+    }
+
+    /// Stops a run for its front.
+    pub fn stop(&mut self, front: &InstanceId, stop: &Stop, now: Time, out: &mut Output) {
+        let Some(run) = stop.run.as_ref().map(RunKey::from) else { return };
+        let id = stop.worker.parse::<WorkerId>().ok();
+        let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { return };
+        let Some(held) = worker.held.iter_mut().find(|held| held.run == run) else {
+            if worker.charge == Charge::Open {
+                // Starts come in order on a link, so either this one or the report of its end was lost
+                // with an earlier link.
+                let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
+                out.send(front, Message::Ended(ended));
+            }
+            return;
+        };
+        if held.stopping.is_none() {
+            held.stopping = Some(now);
+            if held.stage != Stage::Starting {
+                push_stop(worker, &run, out);
+            }
+        }
+    }
+
+    /// Takes the answer to a stop.
+    pub fn stopped(&mut self, id: &WorkerId, run: &RunKey, accepted: bool, now: Time) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(held) = worker.held.iter_mut().find(|held| held.run == *run) else { return };
+        if let (true, Stage::Doubtful { until }) = (accepted, &mut held.stage) {
+            // The worker refuses the run from now on, and what it had started ends. A stop that is sent
+            // again must not put that off.
+            *until = (*until).min(now + STOP_TIME);
+        }
+    }
+
+    /// Stops the runs of a front that is out of reach.
+    pub fn front_lost(&mut self, front: &InstanceId, now: Time, out: &mut Output) {
+        for (_, worker) in self.workers.iter_mut() {
+            if let Charge::Claiming { waits_for, .. } = &mut worker.charge {
+                waits_for.retain(|other| other != front);
+            }
+            let mut stops = Vec::new();
+            for held in &mut worker.held {
+                if held.front == *front && held.stopping.is_none() {
+                    held.stopping = Some(now);
+                    if held.stage != Stage::Starting {
+                        stops.push(held.run.clone());
+                    }
+                }
+            }
+            for run in stops {
+                push_stop(worker, &run, out);
+            }
+        }
+    }
+
+    /// Whether the answer belongs to a start whose worker was given up meanwhile.
+    ///
+    /// If the worker refused it, nobody else reports that it never started.
+    pub(super) fn stray_answered(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        answer: StartAnswer,
+        out: &mut Output,
+    ) -> bool {
+        let same = |(worker, held): &(WorkerId, Held)| worker == id && held.run == *run;
+        let Some(place) = self.strays.iter().position(same) else { return false };
+        let (_, held) = self.strays.swap_remove(place);
+        if !matches!(answer, StartAnswer::Started | StartAnswer::Lost) {
+            send_end(&held, id.as_str(), How::NoRoom, Span::ZERO, out);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner/takeover.rs
@@ -0,0 +1,164 @@
+//! How a worker comes to this instance, and how it goes.
+
+use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+use super::{
+    CLAIM_WAIT, Owner, REFUSED_PAUSE, STRAY_LIMIT, ended_message, how, push_stop, send_end,
+};
+use crate::{
+    End, Held, Members, Need, Output, RunKey, Seen,
+    held::Stage,
+    note::{DropCause, Note},
+    output::Message,
+    worker::Charge,
+};
+
+impl Owner {
+    /// A worker obeys this instance from now on.
+    pub(super) fn opened(
+        &mut self,
+        id: &WorkerId,
+        seen: &Seen,
+        members: &Members,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.acked = seen.ended.iter().map(|end| end.number).max().unwrap_or(0);
+        let message = Takeover {
+            worker: id.to_string(),
+            running: seen.running.iter().map(|running| Run::from(&running.run)).collect(),
+            ended: seen.ended.iter().map(|end| found_end(id, end)).collect(),
+            token: worker.token,
+        };
+        let peers: Vec<InstanceId> = members.peers().iter().map(|peer| peer.id.clone()).collect();
+        let mut waits_for = peers.clone();
+        waits_for.push(self.me.clone());
+        for peer in &waits_for {
+            out.send(peer, Message::Takeover(message.clone()));
+        }
+        if seen.running.is_empty() {
+            worker.charge = Charge::Open;
+            let token = worker.token;
+            out.note(Note::WorkerOpened { worker: id.clone(), token, found: 0, kept: 0 });
+            self.changed.push(id.clone());
+            return;
+        }
+        let found = seen.running.len();
+        worker.charge = Charge::Claiming { until: now + CLAIM_WAIT, waits_for, found };
+        // Until its front claims it, a run counts as lost and is stopped in the end.
+        worker.held =
+            seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
+    }
+
+    /// Takes a front's claim of runs that were found on a worker.
+    pub fn claimed(&mut self, front: &InstanceId, claim: &Claim, now: Time, out: &mut Output) {
+        let Ok(id) = claim.worker.parse::<WorkerId>() else { return };
+        let Some(worker) = self.workers.get_mut(&id) else { return };
+        let Charge::Claiming { waits_for, .. } = &mut worker.charge else { return };
+        waits_for.retain(|other| other != front);
+        for start in &claim.runs {
+            let Some(mut claimed) = Held::new(front.clone(), start, now) else { continue };
+            if let Some(held) = worker.held.iter_mut().find(|held| held.run == claimed.run) {
+                claimed.stage = held.stage;
+                claimed.percent = held.percent;
+                claimed.adopted = true;
+                *held = claimed;
+            }
+        }
+        self.settle_claims(&id, now, out);
+    }
+
+    /// Stops what nobody claimed once all fronts have answered or had time to.
+    pub(super) fn settle_claims(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Charge::Claiming { until, waits_for, found } = &worker.charge else { return };
+        if !waits_for.is_empty() && now < *until {
+            return;
+        }
+        let found = *found;
+        let mut stops = Vec::new();
+        for held in &mut worker.held {
+            if held.kind.is_empty() {
+                held.stopping = Some(now);
+                stops.push(held.run.clone());
+            }
+        }
+        let kept = worker.held.len() - stops.len();
+        worker.charge = Charge::Open;
+        let token = worker.token;
+        for run in stops {
+            push_stop(worker, &run, out);
+        }
+        out.note(Note::WorkerOpened { worker: id.clone(), token, found, kept });
+        self.changed.push(id.clone());
+    }
+
+    /// Another instance owns a worker now; it reports what runs there.
+    pub(super) fn fenced(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if matches!(worker.charge, Charge::Opening { .. }) {
+            // The worker may know a token from a clock that is ahead of ours.
+            worker.refusals += 1;
+            worker.charge = Charge::Opening { at: now + REFUSED_PAUSE };
+            let refusals = worker.refusals;
+            let token = self.next_token(refusals);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.token = token;
+            }
+            return;
+        }
+        self.fenced.insert(id.clone(), now);
+        self.drop_worker(id, DropCause::Fenced, now, out);
+    }
+
+    pub(super) fn drop_worker(
+        &mut self,
+        id: &WorkerId,
+        cause: DropCause,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(worker) = self.workers.remove(id) else { return };
+        out.note(Note::WorkerDropped { worker: id.clone(), cause });
+        if cause == DropCause::OtherLife {
+            // The life that ran them is over.
+            for held in &worker.held {
+                send_end(held, id.as_str(), How::Stopped, Span::ZERO, out);
+            }
+        }
+        if cause == DropCause::Fenced {
+            let under_way = |held: &Held| held.stage == Stage::Starting;
+            let strays = worker.held.iter().filter(|held| under_way(held)).cloned();
+            self.strays.extend(strays.map(|held| (id.clone(), held)));
+            self.strays.retain(|(_, held)| now.since(held.sent) < STRAY_LIMIT);
+        } else if !matches!(worker.charge, Charge::Opening { .. }) {
+            // A worker that never obeyed this instance may be another's.
+            let room = Room { worker: id.to_string(), token: worker.token, ..Room::default() };
+            self.report_to_scheduler(vec![room], out);
+        }
+    }
+}
+
+/// A run that was found on a worker and whose front is not known yet.
+fn orphan(me: &InstanceId, run: &RunKey, now: Time) -> Held {
+    Held {
+        run: run.clone(),
+        front: me.clone(),
+        need: Need::default(),
+        kind: String::new(),
+        expected: Span::ZERO,
+        stalls: 0,
+        sent: now,
+        stage: Stage::AtWork { since: now },
+        stopping: None,
+        stalled: false,
+        percent: 0,
+        adopted: true,
+    }
+}
+
+fn found_end(worker: &WorkerId, end: &End) -> Ended {
+    ended_message(&end.run, worker.as_str(), how(end.how), Span::ZERO)
+}
