test(edge): the volume of log lines is bounded, and failures always have their line

Cause: the bound that OPERATIONS.md states had no test. Guards against lines that grow with a burst, one kind that takes the share of others, and failures that are left out like routine.

--- /dev/null
+++ b/crates/edge/tests/journal.rs
@@ -0,0 +1,59 @@
+//! Guards against log lines whose volume grows with the load.
+
+use cranberryhatch_edge::Journal;
+use cranberryhatch_fleet::{Note, Outcome, Refusal};
+use cranberryhatch_types::{Span, Time};
+
+/// Most lines of one name in a second; docs/OPERATIONS.md states it.
+const LIMIT: usize = 60;
+
+fn refused(number: u64) -> Note {
+    Note::Refused { job: format!("{number:016x}"), ahead: Span::from_ms(9) }
+}
+
+fn dropped(journal: &Journal, notes: impl Iterator<Item = Note>, now: Time) -> usize {
+    notes.filter(|note| journal.note(note, now)).count()
+}
+
+#[test]
+fn a_burst_of_one_kind_is_cut_and_counted_and_does_not_cut_other_kinds() {
+    let journal = Journal::default();
+    let now = Time::from_ms(10_000);
+    assert_eq!(dropped(&journal, (0..1_000).map(refused), now), 1_000 - LIMIT);
+    let other = Note::Paused { gap: Span::from_ms(900) };
+    assert!(!journal.note(&other, now), "another kind has its own share");
+    let later = now + Span::from_ms(1_000);
+    assert!(!journal.note(&refused(1), later), "the next second has its own share");
+}
+
+#[test]
+fn routine_lines_are_kept_for_few_jobs_and_failures_for_all() {
+    let answered = |number: u64, outcome: Outcome| Note::Answered {
+        job: format!("{number:016x}"),
+        kind: "k".to_owned(),
+        outcome,
+        took: Span::from_ms(9),
+        queued: None,
+        runs: 1,
+    };
+    // Ten jobs in each second, so that only what is routine can be left out.
+    let counted = |outcome: Outcome| {
+        let sink = Journal::default();
+        let mut seconds = 0..100_u64;
+        let lost = seconds.by_ref().map(|second| {
+            let now = Time::from_ms(10_000 + second * 1_000);
+            dropped(&sink, (0..10).map(|job| answered(second * 10 + job, outcome)), now)
+        });
+        lost.sum::<usize>()
+    };
+    let cause = Refusal::Overload;
+    assert_eq!(counted(Outcome::NotRun { cause, retry: Span::from_ms(100) }), 0);
+    let completed = (0..1_600).filter(|number| {
+        let Note::Answered { job, .. } = answered(*number, Outcome::Completed) else {
+            return false;
+        };
+        cranberryhatch_fleet::is_sampled(&job, 16)
+    });
+    let share = completed.count();
+    assert!((50..=200).contains(&share), "one job in 16 of 1,600, not {share}");
+}
