--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -103,4 +103,10 @@
     Cut,
     /// Open connections go silent for good; new ones are forwarded.
     Silent,
+    /// Loses what clients send; what servers send is forwarded. Connections that lost bytes stay
+    /// silent in that direction.
+    LoseRequests,
+    /// Loses what servers send; what clients send is forwarded. Connections that lost bytes stay
+    /// silent in that direction.
+    LoseAnswers,
 }
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -35,6 +35,8 @@
     /// Number of cuts; connections from before the last one are closed.
     cuts: u64,
     delay: Duration,
+    /// Direction in which bytes are lost.
+    lost: Option<Direction>,
     /// Connections of an earlier generation are silent.
     generation: u64,
     /// Closed when the mode changes.
@@ -42,6 +44,13 @@
     changed: Receiver<()>,
 }
 
+/// Direction of bytes on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    ToServer,
+    ToClient,
+}
+
 /// Cuts and silences that a connection has lived through.
 #[derive(Clone, Copy)]
 struct Age {
@@ -64,8 +73,15 @@
         target: SocketAddr,
     ) -> Self {
         let (change, changed) = async_channel::bounded(1);
-        let state =
-            State { cut: false, cuts: 0, delay: Duration::ZERO, generation: 0, change, changed };
+        let state = State {
+            cut: false,
+            cuts: 0,
+            delay: Duration::ZERO,
+            lost: None,
+            generation: 0,
+            change,
+            changed,
+        };
         let state = Arc::new(Mutex::new(state));
         let accepting =
             executor.spawn(accept(Arc::clone(executor), Arc::clone(&state), listen, target));
@@ -77,6 +93,11 @@
         with(&self.state, |state| {
             state.cut = mode == LinkMode::Cut;
             state.cuts += u64::from(state.cut);
+            state.lost = match mode {
+                LinkMode::LoseRequests => Some(Direction::ToServer),
+                LinkMode::LoseAnswers => Some(Direction::ToClient),
+                LinkMode::Pass | LinkMode::Cut | LinkMode::Silent => None,
+            };
             state.generation += u64::from(mode == LinkMode::Silent);
             state.change.close();
             (state.change, state.changed) = async_channel::bounded(1);
@@ -142,8 +163,8 @@
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
     let both = future::zip(
-        pump(&state, age, client.clone(), server.clone()),
-        pump(&state, age, server, client),
+        pump(&state, age, Direction::ToServer, client.clone(), server.clone()),
+        pump(&state, age, Direction::ToClient, server, client),
     );
     let ended = async {
         both.await;
@@ -161,8 +182,16 @@
     }
 }
 
-async fn pump(state: &Mutex<State>, age: Age, mut from: TcpStream, mut to: TcpStream) {
+async fn pump(
+    state: &Mutex<State>,
+    age: Age,
+    direction: Direction,
+    mut from: TcpStream,
+    mut to: TcpStream,
+) {
     let mut chunk = vec![0; CHUNK];
+    // A stream with a gap cannot go on.
+    let mut lossy = false;
     let copied: io::Result<()> = async {
         loop {
             let count = from.read(&mut chunk).await?;
@@ -171,11 +200,12 @@
                 Timer::after(delay).await;
             }
             // Looked at after the read, so that nothing sent after a switch passes by it.
-            let now = with(state, |state| state.age());
+            let (now, lost) = with(state, |state| (state.age(), state.lost));
+            lossy |= count > 0 && lost == Some(direction);
             if now.cuts > age.cuts {
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
-            if now.generation > age.generation {
+            if lossy || now.generation > age.generation {
                 if count == 0 {
                     Timer::after(LINGER).await;
                     return Ok(());
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -82,6 +82,8 @@
         Case { mode: LinkMode::Pass, old: true, new: true },
         Case { mode: LinkMode::Silent, old: false, new: true },
         Case { mode: LinkMode::Cut, old: false, new: false },
+        Case { mode: LinkMode::LoseRequests, old: false, new: false },
+        Case { mode: LinkMode::LoseAnswers, old: false, new: false },
     ];
     let runtime = Runtime::new(2);
     for case in cases {
@@ -94,14 +96,47 @@
         assert_eq!(exchange(&mut old, wait), case.old, "{} on the old connection", case.mode);
         if case.new {
             assert!(exchange(&mut connect(addr), LIMIT), "{} on a new connection", case.mode);
-        } else {
+        } else if case.mode == LinkMode::Cut {
             assert_refused(addr);
+        } else {
+            assert!(!exchange(&mut connect(addr), QUIET), "{} on a new connection", case.mode);
         }
         link.switch(LinkMode::Pass);
         assert!(exchange(&mut connect(addr), LIMIT), "{} after the end", case.mode);
     }
 }
 
+#[test]
+fn a_one_way_loss_keeps_the_other_way() {
+    // Guards against a loss of both directions, which looks like a cut to both sides.
+    struct Case {
+        mode: LinkMode,
+        arrives: bool,
+    }
+    let cases = [
+        Case { mode: LinkMode::LoseRequests, arrives: false },
+        Case { mode: LinkMode::LoseAnswers, arrives: true },
+    ];
+    for Case { mode, arrives } in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("valid");
+        let runtime = Runtime::new(2);
+        let addr = free_addr();
+        let link = Link::start(&runtime.executor(), addr, listener.local_addr().expect("valid"));
+        let mut client = connect(addr);
+        let (mut server, _) = listener.accept().expect("valid");
+        link.switch(mode);
+        client.write_all(b"x").expect("valid");
+        server.write_all(b"y").expect("valid");
+        let arrived = |stream: &mut TcpStream, wait| {
+            stream.set_read_timeout(Some(wait)).expect("valid");
+            stream.read_exact(&mut [0]).is_ok()
+        };
+        let wait = |arrives| if arrives { LIMIT } else { QUIET };
+        assert_eq!(arrived(&mut server, wait(arrives)), arrives, "{mode}: at the server");
+        assert_eq!(arrived(&mut client, wait(!arrives)), !arrives, "{mode}: at the client");
+    }
+}
+
 #[test]
 fn delay_holds_bytes() {
     let runtime = Runtime::new(2);
