fix(fleet): a new scheduler refuses hopeless jobs after 400 ms instead of a second

Owners report every 140 ms, and all 48 workers were open 250 ms after the election. Ruled out: the same time for a scheduler whose workers were all lost with their owners; takeovers need longer. Refused without a start instead of given up.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -12,9 +12,12 @@
 const SUSPECTS: usize = 1_000;
 /// Share by which the longest task of a step outlasts the expected one, in thousandths.
 const LONGEST: u64 = 1_150;
-/// Time in which owners report their workers after an election, or after all workers were lost with
-/// their owners; nothing is refused before its end.
-const ELECTION: Span = Span::from_ms(1_000);
+/// Time in which owners report their workers after an election; nothing is refused before its end.
+/// They report every 140 ms, and open their workers within 250 ms after all of them restarted.
+const REPORTS: Span = Span::from_ms(400);
+/// Time in which other instances take over the workers when all were lost with their owners: the
+/// time until a silent instance counts as gone, and a report.
+const TAKEOVERS: Span = Span::from_ms(1_000);
 
 /// Waiting tasks and the room of all workers whose owners report here.
 #[derive(Debug, Default)]
@@ -187,7 +190,7 @@
         self.dirty = false;
         self.backlog.age(now);
         self.grant(now, out);
-        if now.since(*self.since.get_or_insert(now)) >= ELECTION {
+        if now.since(*self.since.get_or_insert(now)) >= REPORTS {
             self.refuse(now, out);
         }
     }
@@ -243,7 +246,7 @@
             let cores = self.cores(&service);
             if cores > 0 {
                 self.room_known = now;
-            } else if now.since(self.room_known) < ELECTION {
+            } else if now.since(self.room_known) < TAKEOVERS {
                 continue;
             }
             for hopeless in refusing::hopeless(&self.backlog, &service, cores, now) {
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -3,8 +3,11 @@
 
 mod common;
 
-use common::waiting;
-use cranberryhatch_fleet::{Backlog, Waiting, hopeless};
+use common::{listed, need, waiting};
+use cranberryhatch_fleet::{
+    Backlog, Command, Listing, Message, Output, Scheduler, Waiting, hopeless,
+};
+use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
 use cranberryhatch_types::Time;
 
 struct Case {
@@ -75,3 +78,45 @@
         }
     }
 }
+
+/// Load: all instances have just restarted, and callers have sent five times what the workers can
+/// run within the callers' limit.
+#[test]
+fn a_new_scheduler_tells_callers_soon_that_they_cannot_be_served() {
+    // Guards against callers of an overload that are held for a second after an election and then
+    // refused, and against refusals before the owners have reported their workers.
+    let front = "e-1".parse().expect("a name");
+    let mut listing = Listing::default();
+    listing.replace(vec![listed("w-1", "a", 32_000)], Time::ZERO);
+    let mut scheduler = Scheduler::default();
+    let mut refused_after = |ms: u64| {
+        let now = Time::from_ms(ms);
+        let room = Room { worker: "w-1".into(), token: 1, held: vec![], open: true };
+        scheduler.rooms(&front, Rooms { rooms: vec![room] }, &listing, now);
+        if ms == 0 {
+            for job in 0..100 {
+                let ask = Ask {
+                    job: format!("{job:016x}"),
+                    tasks: vec![0, 1],
+                    service: "svc".into(),
+                    need: Some((&need(14_000)).into()),
+                    declared_ms: 100,
+                    left_ms: 2_000,
+                    stretch: 1_600,
+                    slack_ms: 60,
+                    ..Ask::default()
+                };
+                scheduler.ask(&front, ask, now);
+            }
+        }
+        let mut out = Output::default();
+        scheduler.run(now, true, &mut out);
+        let refusal = |command: &&Command| {
+            matches!(command, Command::Send { message: Message::Refusal(_), .. })
+        };
+        out.commands.iter().filter(refusal).count()
+    };
+    assert_eq!(refused_after(0), 0, "other owners may still report");
+    assert_eq!(refused_after(300), 0, "other owners may still report");
+    assert!(refused_after(500) >= 60, "half a second is enough to know the room");
+}
