--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, Job, Listed, Looked, Member, Node, Note, Outcome, Output, VecMap,
+    Command, Job, Listed, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
 };
 use cranberryhatch_schema::fleet::{Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -24,6 +24,9 @@
 /// Ticks between two measurements of gauges.
 const GAUGE_TICKS: u32 = 50;
 
+/// Characters of a rejected request's path in a log line; names of jobs have 16.
+const REQUEST_SHOWN: usize = 64;
+
 /// One instance: its decisions, and the I/O around them.
 pub struct Edge<P> {
     node: Mutex<Node>,
@@ -170,13 +173,17 @@
 
     fn note(&self, note: &Note, now: Time) {
         match note {
-            Note::Answered { outcome, took, queued, .. } => {
-                Meters::count(&self.meters.answers, outcome);
-                Meters::observe(&self.meters.answer_time, *took);
+            Note::Answered { kind, outcome, took, queued, .. } => {
+                match outcome {
+                    Outcome::NotRun { cause, .. } => Meters::count(&self.meters.answers, cause),
+                    _ => Meters::count(&self.meters.answers, outcome),
+                }
+                Meters::observe_kind(&self.meters.answer_time, kind, *took);
                 if let Some(queued) = queued {
-                    Meters::observe(&self.meters.queue_time, *queued);
+                    Meters::observe_kind(&self.meters.queue_time, kind, *queued);
                 }
             }
+            Note::Rejected { cause, .. } => Meters::count(&self.meters.answers, cause),
             Note::RunEnded { how, took, .. } => {
                 Meters::count(&self.meters.runs, &how.as_str_name());
                 Meters::observe(&self.meters.run_time, *took);
@@ -188,6 +195,12 @@
         }
     }
 
+    /// Notes that a request is rejected before it becomes a job.
+    pub fn reject(&self, request: &str, cause: Refusal) {
+        let request = request.chars().take(REQUEST_SHOWN).collect();
+        self.note(&Note::Rejected { request, cause }, self.clock.now());
+    }
+
     /// Runs a job to its end; a caller that goes away drops the future, which ends the job.
     pub async fn run_job(self: &Arc<Self>, job: Job) -> Outcome {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -1,10 +1,13 @@
 //! Log lines of decisions, bounded in volume and never blocking.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{
+    Mutex, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
 
 use cranberryhatch_fleet::{Note, Outcome, VecMap, is_sampled};
 use cranberryhatch_types::{Span, Time};
-use logforth::{append, layout};
+use logforth::{append, diagnostic, layout, record};
 
 /// Lines of one kind in a second; further ones are dropped and counted.
 const LINES_PER_SECOND: u32 = 60;
@@ -18,12 +21,46 @@
 /// Sends log lines to standard output through a bounded buffer.
 pub fn start_logs() {
     let stdout = append::Stdout::default().with_layout(layout::JsonLayout::default());
+    let stdout = Counted { append: stdout, lines: &WRITTEN };
     let buffered = append::asynchronous::AsyncBuilder::new("log")
         .buffered_lines_limit(Some(BUFFER))
         .overflow_drop_incoming()
         .append(stdout)
         .build();
-    logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(buffered)).apply();
+    let offered = Counted { append: buffered, lines: &OFFERED };
+    logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(offered)).apply();
+}
+
+/// Lines handed to the writer of standard output, and lines that it has written.
+#[must_use]
+pub fn log_lines() -> (u64, u64) {
+    (OFFERED.load(Ordering::Relaxed), WRITTEN.load(Ordering::Relaxed))
+}
+
+static OFFERED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
+
+/// Counts the lines that an appender takes.
+#[derive(Debug)]
+struct Counted<A> {
+    append: A,
+    lines: &'static AtomicU64,
+}
+
+impl<A: append::Append> append::Append for Counted<A> {
+    fn append(
+        &self,
+        record: &record::Record,
+        diagnostics: &[Box<dyn diagnostic::Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let result = self.append.append(record, diagnostics);
+        self.lines.fetch_add(1, Ordering::Relaxed);
+        result
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        self.append.flush()
+    }
 }
 
 #[derive(Default)]
@@ -106,6 +143,9 @@
                 "{name}"
             );
         }
+        Note::Rejected { request, cause } => {
+            log::info!(request, cause = cause.to_string(); "{name}");
+        }
         Note::CallerGone { job, age } => log::info!(job, age_ms = age.as_ms(); "{name}"),
         Note::Granted { job, tasks, slack } => {
             log::info!(job, tasks, slack_ms = slack.as_ms(); "{name}");
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -9,6 +9,8 @@
     registry::Registry,
 };
 
+use crate::log_lines;
+
 /// Upper bounds of the buckets of run times and waits, in seconds.
 const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 
@@ -19,21 +21,39 @@
     pub cause: String,
 }
 
+/// Label of a histogram that is split by kind of job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Kind {
+    /// Name of the kind in the settings.
+    pub kind: String,
+}
+
+/// Times by kind of job.
+pub type Times = Family<Kind, Histogram, fn() -> Histogram>;
+
+fn times() -> Histogram {
+    Histogram::new(BUCKETS)
+}
+
 /// All metrics of an instance.
 pub struct Meters {
     registry: Registry,
-    /// Answers to callers, by outcome.
+    /// Answers to callers, by outcome, those of jobs that have not run by cause.
     pub answers: Family<Cause, Counter>,
     /// Ends of runs on the workers of this instance, by how they ended.
     pub runs: Family<Cause, Counter>,
     /// Log lines that were dropped to bound their volume.
     pub dropped_lines: Counter,
+    /// Log lines handed to the writer of standard output.
+    pub offered_lines: Gauge<u64, AtomicU64>,
+    /// Log lines that were written; a lasting difference was lost, as nobody read them.
+    pub written_lines: Gauge<u64, AtomicU64>,
     /// Calls to the platform's store that failed, by list.
     pub store_failures: Family<Cause, Counter>,
     /// Time from a job's arrival to its answer.
-    pub answer_time: Histogram,
+    pub answer_time: Times,
     /// Time from a job's arrival to its first start.
-    pub queue_time: Histogram,
+    pub queue_time: Times,
     /// Run time of tasks.
     pub run_time: Histogram,
     /// Delay of the timer of this process, which shows a lack of processor time.
@@ -54,17 +74,18 @@
 
 impl Default for Meters {
     fn default() -> Self {
-        let histogram = || Histogram::new(BUCKETS);
         let mut meters = Self {
             registry: Registry::with_prefix("cranberryhatch"),
             answers: Family::default(),
             runs: Family::default(),
             dropped_lines: Counter::default(),
+            offered_lines: Gauge::default(),
+            written_lines: Gauge::default(),
             store_failures: Family::default(),
-            answer_time: histogram(),
-            queue_time: histogram(),
-            run_time: histogram(),
-            loop_lag: histogram(),
+            answer_time: Family::new_with_constructor(times),
+            queue_time: Family::new_with_constructor(times),
+            run_time: times(),
+            loop_lag: times(),
             jobs: Gauge::default(),
             held: Gauge::default(),
             workers: Gauge::default(),
@@ -83,6 +104,8 @@
         r.register("answers", "Answers to callers", self.answers.clone());
         r.register("runs", "Ends of runs", self.runs.clone());
         r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
+        r.register("offered_lines", "Log lines to be written", self.offered_lines.clone());
+        r.register("written_lines", "Log lines written", self.written_lines.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
         r.register("answer_seconds", "Arrival to answer", self.answer_time.clone());
         r.register("queue_seconds", "Arrival to first start", self.queue_time.clone());
@@ -101,6 +124,11 @@
         family.get_or_create(&Cause { cause: cause.to_string() }).inc();
     }
 
+    /// Adds to the histogram of a kind of job.
+    pub fn observe_kind(times: &Times, kind: &str, span: Span) {
+        Self::observe(&times.get_or_create(&Kind { kind: kind.to_owned() }), span);
+    }
+
     /// Adds to a histogram.
     pub fn observe(histogram: &Histogram, span: Span) {
         let ms = u32::try_from(span.as_ms()).unwrap_or(u32::MAX);
@@ -110,6 +138,9 @@
     /// All metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
+        let (offered, written) = log_lines();
+        self.offered_lines.set(offered);
+        self.written_lines.set(written);
         let mut text = String::new();
         // Formatting into a string cannot fail.
         let _ = encode(&mut text, &self.registry);
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, WorkerId};
 use strum::IntoStaticStr;
 
-use crate::{Outcome, RunKey};
+use crate::{Outcome, Refusal, RunKey};
 
 /// A decision with the inputs that led to it; the name of the variant is the name of the log line.
 #[derive(Clone, Debug, IntoStaticStr)]
@@ -36,6 +36,13 @@
         /// Runs that were started.
         runs: u32,
     },
+    /// A request was rejected before it became a job.
+    Rejected {
+        /// Name of the job, or path of a request that names none.
+        request: String,
+        /// Why.
+        cause: Refusal,
+    },
     /// The caller of a job went away.
     CallerGone {
         /// The job.
--- a/crates/fleet/src/outcome.rs
+++ b/crates/fleet/src/outcome.rs
@@ -36,4 +36,8 @@
     Stopping,
     /// Kind of job that is not served.
     Unsupported,
+    /// No settings name such a kind of job.
+    UnknownKind,
+    /// The request cannot be understood.
+    Invalid,
 }
