refactor: crates/platform is crates/store; the pool and the front are split by job

No change of behaviour; methods moved as they were. Tests of core, fleet and edge pass. Ruled out: renaming the types Platform and PlatformError, which belong to the interface of the old entry instance.

--- /dev/null
+++ b/crates/core/src/pool/loans.rs
@@ -0,0 +1,188 @@
+//! Slots that are lent and borrowed.
+
+use cranberryhatch_types::{Slots, Time};
+
+use super::{ON_ITS_WAY, Pool, WorkerNo, worker::Hot};
+use crate::{Endpoint, Need, loan::Loan};
+
+impl Pool {
+    /// Lends slots of workers again that were gained before all shards have said, since a point in
+    /// time, that they have borrowed nothing, and whose slots are all accounted for.
+    pub(crate) fn relax(&mut self, now: Time, since: Time) {
+        for no in self.all() {
+            let worker = &mut self.workers[no.index()];
+            let known = worker.gained + ON_ITS_WAY <= since && worker.seen >= worker.gained;
+            let whole = worker.view + worker.lent >= worker.endpoint.slots.get();
+            if worker.guard.is_some() && known && whole && worker.up {
+                worker.guard = None;
+                self.refresh(now, no);
+            }
+        }
+    }
+
+    /// Slots of loans that may be used or are.
+    pub(crate) fn borrowed(&self) -> u32 {
+        self.loans.iter().map(|loan| loan.slots.max(loan.used)).sum()
+    }
+
+    /// Slots of own workers that are idle, set aside ones included.
+    pub(crate) fn idle(&self, now: Time) -> u32 {
+        self.hot.iter().enumerate().map(|(place, _)| self.lendable_at(now, place)).sum()
+    }
+
+    pub(super) fn lendable_at(&self, now: Time, place: usize) -> u32 {
+        let (hot, worker) = (&self.hot[place], &self.workers[place]);
+        let lends = worker.guard.is_none() && !worker.health.ejected() && hot.pause <= now;
+        if lends { hot.own } else { 0 }
+    }
+
+    /// The own worker with the most slots that can be lent for a need, and their number.
+    pub(crate) fn lendable(&self, now: Time, need: &Need) -> Option<(WorkerNo, u32)> {
+        let fits = |(_, hot): &(usize, &Hot)| hot.own > 0 && hot.fits(need);
+        let fitting = self.hot.iter().enumerate().filter(fits);
+        let slots = fitting.map(|(place, hot)| (hot.class, self.lendable_at(now, place), place));
+        let (_, slots, place) = slots.filter(|(_, slots, _)| *slots > 0).max()?;
+        Some((WorkerNo(u32::try_from(place).unwrap_or(u32::MAX)), slots))
+    }
+
+    /// Sets a free slot of an own worker aside for other shards; tells whether there was one.
+    pub(crate) fn reserve(&mut self, now: Time, no: WorkerNo) -> bool {
+        let hot = &self.hot[no.index()];
+        let can = hot.own > hot.reserved && self.workers[no.index()].guard.is_none();
+        if can {
+            self.workers[no.index()].reserved += 1;
+            self.refresh(now, no);
+        }
+        can
+    }
+
+    /// Slots set aside for other shards.
+    pub(crate) fn reserved(&self) -> u32 {
+        self.hot.iter().map(|hot| hot.reserved).sum()
+    }
+
+    /// Gives up what is set aside for other shards.
+    pub(crate) fn unreserve(&mut self, now: Time) {
+        for no in self.all() {
+            if std::mem::take(&mut self.workers[no.index()].reserved) > 0 {
+                self.refresh(now, no);
+            }
+        }
+    }
+
+    /// Counts slots of an own worker as lent.
+    pub(crate) fn lend(&mut self, now: Time, no: WorkerNo, slots: u32) {
+        let worker = &mut self.workers[no.index()];
+        worker.lent += slots;
+        worker.reserved = worker.reserved.saturating_sub(slots);
+        let held = worker.used + worker.borrowed_used + worker.lent;
+        let within = held <= worker.endpoint.slots.get();
+        self.invariants.check(within, "slots lent and held exceed a worker's slots");
+        self.refresh(now, no);
+    }
+
+    /// Counts slots as not lent any more.
+    pub(crate) fn unlend(&mut self, now: Time, no: WorkerNo, slots: u32) {
+        let worker = &mut self.workers[no.index()];
+        self.invariants.check(worker.lent >= slots, "more slots come back than were lent");
+        worker.lent = worker.lent.saturating_sub(slots);
+        self.refresh(now, no);
+    }
+
+    /// Counts slots as not lent any more although the borrower did not return them. Its tasks may
+    /// still run, so the worker is used only as far as its endpoint says that slots are free.
+    pub(crate) fn lapse(&mut self, now: Time, no: WorkerNo, slots: u32) {
+        let worker = &mut self.workers[no.index()];
+        if worker.guard.is_none() && worker.owned {
+            worker.guard = Some(now);
+            worker.gained = now;
+        }
+        self.unlend(now, no, slots);
+    }
+
+    /// Whether loans on a worker may be renewed.
+    pub(crate) fn renewable(&self, no: WorkerNo) -> bool {
+        let worker = &self.workers[no.index()];
+        worker.owned && worker.usable() && !worker.health.ejected()
+    }
+
+    pub(super) fn loan_range(&self, no: WorkerNo) -> std::ops::Range<usize> {
+        let start = self.loans.partition_point(|loan| loan.worker < no);
+        let end = self.loans.partition_point(|loan| loan.worker <= no);
+        start..end
+    }
+
+    pub(super) fn loans_of(&self, no: WorkerNo) -> impl Iterator<Item = &Loan> {
+        self.loans[self.loan_range(no)].iter()
+    }
+
+    pub(super) fn loan_mut(&mut self, no: WorkerNo, key: u64) -> Option<&mut Loan> {
+        let place = self.loans.binary_search_by_key(&(no, key), |loan| (loan.worker, loan.key));
+        place.ok().map(|place| &mut self.loans[place])
+    }
+
+    /// Slots borrowed now.
+    pub(crate) fn loans(&self) -> &[Loan] {
+        &self.loans
+    }
+
+    /// Slots borrowed now, to be changed without their sorting or `used`; then [`Self::relend`].
+    pub(crate) fn loans_mut(&mut self) -> &mut [Loan] {
+        &mut self.loans
+    }
+
+    /// Takes note of a change of the loans on a worker.
+    pub(crate) fn relend(&mut self, now: Time, no: WorkerNo) {
+        self.next_end = self
+            .loans
+            .iter()
+            .map(|loan| loan.end)
+            .filter(|end| *end > now)
+            .min()
+            .unwrap_or(Time::NEVER);
+        self.refresh(now, no);
+    }
+
+    /// Takes a loan; `endpoint` describes the worker when it is not known.
+    pub(crate) fn borrow(
+        &mut self,
+        now: Time,
+        endpoint: &Endpoint,
+        make: impl FnOnce(WorkerNo, u64) -> Loan,
+    ) {
+        let no = self.find(&endpoint.worker).unwrap_or_else(|| {
+            let no = self.add(endpoint.clone());
+            self.workers[no.index()].up = true;
+            no
+        });
+        self.next_loan += 1;
+        let loan = make(no, self.next_loan);
+        let lent: u32 = self.loans_of(no).map(|loan| loan.slots).sum::<u32>() + loan.slots;
+        // Only heartbeats tell the slots of a worker, and other zones may send none.
+        let worker = &mut self.workers[no.index()];
+        let slots = worker.endpoint.slots.get();
+        if slots < lent && !worker.owned {
+            worker.limit.resize(slots, lent);
+            worker.endpoint.slots = Slots::new(lent);
+        }
+        let place = self.loans.partition_point(|l| (l.worker, l.key) < (no, loan.key));
+        self.loans.insert(place, loan);
+        self.relend(now, no);
+    }
+
+    // No task starts on a loan from its end on; one that is not in use is forgotten.
+    pub(super) fn end_loans(&mut self, now: Time) {
+        self.next_end = Time::NEVER;
+        for place in 0..self.loans.len() {
+            let loan = &mut self.loans[place];
+            if loan.end <= now {
+                loan.slots = 0;
+                let no = loan.worker;
+                self.refresh(now, no);
+            } else {
+                self.next_end = self.next_end.min(loan.end);
+            }
+        }
+        self.loans.retain(|loan| loan.end > now || loan.used > 0);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/placement.rs
@@ -0,0 +1,155 @@
+//! Use of slots: which worker gets a task, and what its end tells.
+
+use cranberryhatch_schema::PlacementPolicy;
+use cranberryhatch_types::Time;
+
+use super::{Pool, Signal, Slot, WorkerNo, worker::Hot};
+use crate::Need;
+
+impl Pool {
+    /// Takes a slot for a task with a need.
+    pub fn acquire(&mut self, now: Time, need: &Need) -> Option<Slot> {
+        if now >= self.next_end {
+            self.end_loans(now);
+        }
+        if self.free == 0 {
+            return None;
+        }
+        let place = match self.rules.policy {
+            PlacementPolicy::MostFree => self.most_free(now, need),
+            PlacementPolicy::Random => self.any(now, need),
+            PlacementPolicy::RoundRobin => self.next(now, need),
+            PlacementPolicy::TwoChoices => self.better_of_two(now, need),
+        }?;
+        Some(self.take(now, WorkerNo(u32::try_from(place).unwrap_or(u32::MAX))))
+    }
+
+    pub(super) fn most_free(&self, now: Time, need: &Need) -> Option<usize> {
+        let mut top = self.ranks.iter().copied().max().unwrap_or(0);
+        while top > 0 {
+            let same = self.ranks.iter().zip(&self.hot).enumerate();
+            let same = same.filter(|(_, (rank, hot))| **rank == top && hot.takes(now, need));
+            let order =
+                |(_, (_, hot)): &(usize, (&u32, &Hot))| (self.rack_used[hot.rack], hot.latency);
+            if let Some((place, _)) = same.min_by_key(order) {
+                return Some(place);
+            }
+            // Nothing of this rank takes the task.
+            top = self.ranks.iter().copied().filter(|rank| *rank < top).max().unwrap_or(0);
+        }
+        None
+    }
+
+    // Starts at a random place; workers after a run of full ones get more than their share, which
+    // is good enough for a baseline and needs one pass.
+    pub(super) fn any(&mut self, now: Time, need: &Need) -> Option<usize> {
+        let start = self.random.below(self.hot.len());
+        self.first_from(start, now, need)
+    }
+
+    pub(super) fn next(&mut self, now: Time, need: &Need) -> Option<usize> {
+        let place = self.first_from(self.cursor, now, need)?;
+        self.cursor = (place + 1) % self.hot.len();
+        Some(place)
+    }
+
+    pub(super) fn better_of_two(&mut self, now: Time, need: &Need) -> Option<usize> {
+        let one = self.any(now, need)?;
+        let other = self.any(now, need)?;
+        Some(if self.hot[other].free > self.hot[one].free { other } else { one })
+    }
+
+    pub(super) fn first_from(&self, start: usize, now: Time, need: &Need) -> Option<usize> {
+        let (before, after) = self.hot.split_at(start);
+        let takes = |hot: &Hot| hot.takes(now, need);
+        let found = after.iter().position(takes).map(|place| place + start);
+        found.or_else(|| before.iter().position(takes))
+    }
+
+    pub(super) fn take(&mut self, now: Time, no: WorkerNo) -> Slot {
+        let hot = &self.hot[no.index()];
+        let own = hot.own > hot.reserved;
+        self.rack_used[hot.rack] += 1;
+        let loan = if own { 0 } else { self.take_loan(now, no) };
+        let bound = self.rules.leave;
+        let worker = &mut self.workers[no.index()];
+        if own {
+            worker.used += 1;
+        } else {
+            worker.borrowed_used += 1;
+        }
+        let held = worker.used + worker.borrowed_used + worker.lent;
+        let within = !own || held <= worker.endpoint.slots.get();
+        self.invariants.check(within, "slots lent and held exceed a worker's slots");
+        let late = worker.leaving().is_some_and(|since| now.since(since) > bound);
+        self.invariants.check(!late, "a task is sent to a leaving endpoint after the bound");
+        self.refresh(now, no);
+        Slot { worker: no, loan, start: now }
+    }
+
+    pub(super) fn take_loan(&mut self, now: Time, no: WorkerNo) -> u64 {
+        let range = self.loan_range(no);
+        let loan = self.loans[range].iter_mut().find(|loan| loan.free(now) > 0);
+        self.invariants.check(loan.is_some(), "a borrowed slot was counted that is not there");
+        loan.map_or(0, |loan| {
+            loan.used += 1;
+            loan.key
+        })
+    }
+
+    /// Gives a slot back.
+    pub fn release(&mut self, now: Time, slot: Slot, signal: Signal) {
+        let no = slot.worker;
+        let rack = self.hot[no.index()].rack;
+        self.rack_used[rack] = self.rack_used[rack].saturating_sub(1);
+        let worker = &mut self.workers[no.index()];
+        if slot.loan == 0 {
+            worker.used = worker.used.saturating_sub(1);
+        } else {
+            worker.borrowed_used = worker.borrowed_used.saturating_sub(1);
+            if let Some(loan) = self.loan_mut(no, slot.loan) {
+                loan.used = loan.used.saturating_sub(1);
+            }
+        }
+        self.learn(now, slot, signal);
+        self.refresh(now, no);
+    }
+
+    pub(super) fn learn(&mut self, now: Time, slot: Slot, signal: Signal) {
+        let no = slot.worker;
+        let room = signal == Signal::Failed && self.may_eject(no);
+        let (limit, probe) = (self.rules.failures, self.rules.probe);
+        let worker = &mut self.workers[no.index()];
+        match signal {
+            Signal::Done => {
+                worker.health.done();
+                let slots = worker.endpoint.slots.get();
+                worker.limit.done(now, now.since(slot.start), self.typical, slots);
+            }
+            Signal::Failed => {
+                if worker.health.failed(now, limit, probe, room) {
+                    self.stopped.push(no);
+                }
+            }
+            Signal::Busy => worker.limit.busy(now),
+            Signal::Leaving => {
+                if worker.says.is_none() {
+                    worker.says = Some(now);
+                    self.stopped.push(no);
+                }
+            }
+            Signal::Unknown => {}
+        }
+    }
+
+    pub(super) fn may_eject(&self, no: WorkerNo) -> bool {
+        let zone = &self.workers[no.index()].endpoint.zone;
+        let same = self.workers.iter().filter(|w| w.up && w.endpoint.zone == *zone);
+        let (mut all, mut out) = (0, 0);
+        for worker in same {
+            all += 1;
+            out += u64::from(worker.health.ejected());
+        }
+        out < self.rules.share.of(all)
+    }
+}
--- a/crates/entry/src/api/admin.rs
+++ b/crates/entry/src/api/admin.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use cranberryhatch_core::{Answer, Dispatcher, Event};
 use cranberryhatch_http::{Problem, reply_json};
-use cranberryhatch_platform::{RowName, Scan};
+use cranberryhatch_store::{RowName, Scan};
 use cranberryhatch_types::{JobKey, Span};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use serde::Serialize;
@@ -93,7 +93,7 @@
             limit: usize::try_from(limit).unwrap_or(1),
         };
         let rows = self.store.scan(&scan).await.map_err(|error| unavailable(&error))?;
-        let entry = |row: &cranberryhatch_platform::ScannedRow| {
+        let entry = |row: &cranberryhatch_store::ScannedRow| {
             let mut value = row.row.value.clone();
             // The row is written in the same transaction as the tree, so it has the same version.
             value["to"] = row.row.version.into();
@@ -185,7 +185,7 @@
 }
 
 /// The problem when the platform does not answer a question.
-pub(super) fn unavailable(error: &cranberryhatch_platform::PlatformError) -> Problem {
+pub(super) fn unavailable(error: &cranberryhatch_store::PlatformError) -> Problem {
     Problem::new(StatusCode::SERVICE_UNAVAILABLE, "platform-unavailable", error.to_string())
         .retry_after_ms(super::RETRY_MS)
 }
--- a/crates/entry/src/api/settings_write.rs
+++ b/crates/entry/src/api/settings_write.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use cranberryhatch_http::{Problem, reply_json};
-use cranberryhatch_platform::{Expect, Op, Txn, TxnResult};
 use cranberryhatch_schema::peer::{SettingsOffer, envelope::Body};
 use cranberryhatch_settings::{Fault, FaultKind, Tree, TreeError};
+use cranberryhatch_store::{Expect, Op, Txn, TxnResult};
 use cranberryhatch_types::ShardId;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use serde::Serialize;
--- a/crates/entry/src/claims/writer.rs
+++ b/crates/entry/src/claims/writer.rs
@@ -10,7 +10,7 @@
 
 use async_channel::Receiver;
 use cranberryhatch_core::{ClaimOutcome, Event};
-use cranberryhatch_platform::{Conflict, Expect, Op, Txn, TxnResult};
+use cranberryhatch_store::{Conflict, Expect, Op, Txn, TxnResult};
 use cranberryhatch_types::{Holder, JobKey, Span, Time};
 use smol::{Timer, future::FutureExt};
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -12,8 +12,8 @@
 use async_channel::{Receiver, Sender};
 use cranberryhatch_core::{Dispatcher, Event, Identity};
 use cranberryhatch_http::{Client, Runtime, Server};
-use cranberryhatch_platform::Platform;
 use cranberryhatch_settings::ProcessConfig;
+use cranberryhatch_store::Platform;
 use cranberryhatch_types::{Holder, Incarnation, ShardId};
 use smol::{Task, Timer, net::TcpListener};
 
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -7,9 +7,7 @@
 
 use async_channel::Receiver;
 use cranberryhatch_core::{Event, HolderRow};
-use cranberryhatch_platform::{
-    Expect, Op, Platform, Row, RowName, Scan, ScannedRow, Txn, TxnResult,
-};
+use cranberryhatch_store::{Expect, Op, Platform, Row, RowName, Scan, ScannedRow, Txn, TxnResult};
 use cranberryhatch_types::{Holder, Incarnation, InstanceId, Time, ZoneId};
 use serde::{Deserialize, Serialize};
 use smol::{Timer, future::FutureExt};
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use cranberryhatch_core::Event;
-use cranberryhatch_platform::{
+use cranberryhatch_store::{
     Listed, Platform, PlatformError, Row, RowName, Scan, ScannedRow, Txn, TxnResult,
 };
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cranberryhatch_core::{Event, JobSpec};
-use cranberryhatch_platform::{Expect, Op, Scan, ScannedRow, Txn, TxnResult};
+use cranberryhatch_store::{Expect, Op, Scan, ScannedRow, Txn, TxnResult};
 use cranberryhatch_types::{Holder, JobKey};
 use serde::Deserialize;
 use smol::Timer;
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -9,7 +9,7 @@
 };
 
 use cranberryhatch_core::{Event, Listing};
-use cranberryhatch_platform::{Listed, Role, RowName, State};
+use cranberryhatch_store::{Listed, Role, RowName, State};
 use smol::Timer;
 
 use crate::{
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -17,9 +17,9 @@
 use clap::Parser;
 use cranberryhatch_entry::Instance;
 use cranberryhatch_http::{Client, Runtime, Server};
-use cranberryhatch_platform::{Expect, Listed, Op, Platform, Role, State, Txn};
 use cranberryhatch_settings::ProcessConfig;
 use cranberryhatch_standin::{EndpointArgs, EndpointStandin, PlatformArgs, PlatformStandin};
+use cranberryhatch_store::{Expect, Listed, Op, Platform, Role, State, Txn};
 use http::{Request, Response};
 use serde_json::{Value, json};
 use smol::Task;
@@ -257,7 +257,7 @@
     }
 
     /// The stored row of a table.
-    pub fn row(&self, table: &str, key: &str) -> Option<cranberryhatch_platform::Row> {
+    pub fn row(&self, table: &str, key: &str) -> Option<cranberryhatch_store::Row> {
         let read = self
             .runtime
             .block_on(async { self.platform().read(&[(table.to_owned(), key.to_owned())]).await });
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -49,7 +49,7 @@
     entry.stop();
     let row = site.row("claims", &format!("script/{key}")).expect("claim");
     assert_eq!(row.value["end"]["outcome"], "complete", "{}", row.value);
-    let scan = cranberryhatch_platform::Scan {
+    let scan = cranberryhatch_store::Scan {
         table: "holders".to_owned(),
         prefix: String::new(),
         after: String::new(),
--- a/crates/entry/tests/lives.rs
+++ b/crates/entry/tests/lives.rs
@@ -6,7 +6,7 @@
     clock::Clock,
     lease::{INCARNATIONS, LeaseRow, TABLE, next_incarnation},
 };
-use cranberryhatch_platform::{Expect, Op, Scan, ScannedRow, Txn};
+use cranberryhatch_store::{Expect, Op, Scan, ScannedRow, Txn};
 use cranberryhatch_types::Incarnation;
 use serde::Deserialize;
 
@@ -36,7 +36,7 @@
         let op = Op::new(TABLE, row.key, Expect::Version(row.row.version)).put(value);
         let txn = Txn { id: format!("take/{}", row.row.version), ops: vec![op] };
         let result = site.runtime.block_on(async { site.platform().txn(&txn).await });
-        matches!(result, Ok(cranberryhatch_platform::TxnResult::Written(_)))
+        matches!(result, Ok(cranberryhatch_store::TxnResult::Written(_)))
     });
     wait_until("a new life has begun", || {
         rows(&site).iter().any(|row| {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -3,10 +3,14 @@
 //! The front is the only one that starts runs of a job's tasks. It starts a further run of a task only
 //! when the earlier one certainly is no longer at work.
 
+mod active;
+mod takeover;
+
 use std::sync::Arc;
 
+use active::Active;
 use cranberryhatch_schema::fleet::{
-    Ask, Claim, Ended, Grant, How, Refusal, Start, Stop, Takeover, Unused, Withdraw,
+    Ask, Ended, Grant, How, Refusal, Start, Stop, Unused, Withdraw,
 };
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -31,79 +35,6 @@
 /// Longest time that one job is worked on after its caller is gone, to learn that its runs ended.
 const CLOSING_LIMIT: Span = Span::from_secs(10);
 
-/// One job.
-#[derive(Debug)]
-struct Active {
-    // The caller that waits; none once the job was answered or the caller went away.
-    ticket: Option<u64>,
-    job: Job,
-    steps: Vec<Vec<TaskState>>,
-    started: Option<Time>,
-    runs: u32,
-    // Runs of these that were at work or may have been.
-    at_work: u32,
-    avoid: Vec<String>,
-    closing: Option<Time>,
-    // The same job, sent again while runs of the first are being stopped.
-    next: Option<(u64, Job)>,
-}
-
-impl Active {
-    fn new(ticket: u64, job: Job) -> Self {
-        let steps =
-            job.steps.iter().map(|step| (0..step.tasks).map(|_| TaskState::default()).collect());
-        let steps = steps.collect();
-        Self {
-            ticket: Some(ticket),
-            job,
-            steps,
-            started: None,
-            runs: 0,
-            at_work: 0,
-            avoid: Vec::new(),
-            closing: None,
-            next: None,
-        }
-    }
-
-    fn task(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
-        let step = self.steps.get_mut(usize::try_from(key.step).ok()?)?;
-        step.get_mut(usize::try_from(key.task).ok()?)
-    }
-
-    fn step_done(&self, step: u32) -> bool {
-        let tasks = usize::try_from(step).ok().and_then(|step| self.steps.get(step));
-        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.phase == Phase::Done))
-    }
-
-    fn is_ready(&self, step: usize) -> bool {
-        self.job.steps[step].after.iter().all(|earlier| self.step_done(*earlier))
-    }
-
-    fn all_done(&self) -> bool {
-        self.steps.iter().flatten().all(|task| task.phase == Phase::Done)
-    }
-
-    /// Runs that may be at work.
-    fn placed(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
-        let name = &self.job.name;
-        self.steps
-            .iter()
-            .zip(0..)
-            .flat_map(move |(tasks, step)| {
-                tasks
-                    .iter()
-                    .zip(0..)
-                    .map(move |(state, task)| (TaskKey { job: name.clone(), step, task }, state))
-            })
-            .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
-    }
-
-    fn is_quiet(&self) -> bool {
-        self.placed().next().is_none()
-    }
-}
-
 /// All jobs of the callers of this instance.
 #[derive(Debug)]
 pub struct Front {
@@ -405,62 +336,6 @@
         known
     }
 
-    /// Marks the runs of an owner that is out of reach.
-    pub fn owner_lost(&mut self, owner: &InstanceId, heard: Time, out: &mut Output) {
-        for (name, active) in self.jobs.iter_mut() {
-            for (tasks, step) in active.steps.iter_mut().zip(0..) {
-                for (state, task) in tasks.iter_mut().zip(0..) {
-                    if state.lose(owner, heard) {
-                        let key = TaskKey { job: name.clone(), step, task };
-                        let run = RunKey { task: key, run: state.run };
-                        out.note(Note::RunLost { run, owner: owner.clone() });
-                    }
-                }
-            }
-        }
-    }
-
-    /// Takes what a new owner found on a worker, and claims the runs that are still wanted.
-    pub fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
-        let running: Vec<RunKey> = found.running.iter().map(RunKey::from).collect();
-        let mut ends = Vec::new();
-        let mut claims = Vec::new();
-        for (_, active) in self.jobs.iter_mut() {
-            let wanted = active.closing.is_none();
-            let job = active.job.clone();
-            let keys: Vec<TaskKey> = active.placed().map(|(key, _)| key).collect();
-            for key in keys {
-                let Some(state) = active.task(&key) else { continue };
-                let Phase::Placed(place) = &mut state.phase else { continue };
-                // The report of an earlier owner may come later than that of the present one.
-                if place.worker.as_str() != found.worker || place.token >= found.token {
-                    continue;
-                }
-                let run = RunKey { task: key.clone(), run: state.run };
-                if running.contains(&run) {
-                    place.owner = from.clone();
-                    place.token = found.token;
-                    place.lost = None;
-                    if wanted {
-                        claims.extend(start_message(&job, &key, state));
-                    }
-                    continue;
-                }
-                let said = found.ended.iter().find(|ended| {
-                    ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
-                });
-                // The worker obeys the new owner only, so what is not there does not start any more; it
-                // may have run and ended, and the report of it may be lost.
-                ends.push((run, said.map_or(How::Stopped, Ended::how)));
-            }
-        }
-        let claim = Claim { worker: found.worker.clone(), runs: claims };
-        out.send(from, Message::Claim(claim));
-        for (run, how) in ends {
-            self.end(&run, &found.worker, how, now, out);
-        }
-    }
-
     /// Ends jobs whose time limit passed, and runs that were lost with their owner.
     pub fn tick(&mut self, now: Time, out: &mut Output) {
         let mut over = Vec::new();
--- /dev/null
+++ b/crates/fleet/src/front/active.rs
@@ -0,0 +1,81 @@
+//! State of one job of a front.
+
+use cranberryhatch_types::Time;
+
+use crate::{
+    Job, TaskKey,
+    task_state::{Phase, TaskState},
+};
+
+/// One job.
+#[derive(Debug)]
+pub(super) struct Active {
+    // The caller that waits; none once the job was answered or the caller went away.
+    pub(super) ticket: Option<u64>,
+    pub(super) job: Job,
+    pub(super) steps: Vec<Vec<TaskState>>,
+    pub(super) started: Option<Time>,
+    pub(super) runs: u32,
+    // Runs of these that were at work or may have been.
+    pub(super) at_work: u32,
+    pub(super) avoid: Vec<String>,
+    pub(super) closing: Option<Time>,
+    // The same job, sent again while runs of the first are being stopped.
+    pub(super) next: Option<(u64, Job)>,
+}
+
+impl Active {
+    pub(super) fn new(ticket: u64, job: Job) -> Self {
+        let steps =
+            job.steps.iter().map(|step| (0..step.tasks).map(|_| TaskState::default()).collect());
+        let steps = steps.collect();
+        Self {
+            ticket: Some(ticket),
+            job,
+            steps,
+            started: None,
+            runs: 0,
+            at_work: 0,
+            avoid: Vec::new(),
+            closing: None,
+            next: None,
+        }
+    }
+
+    pub(super) fn task(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
+        let step = self.steps.get_mut(usize::try_from(key.step).ok()?)?;
+        step.get_mut(usize::try_from(key.task).ok()?)
+    }
+
+    pub(super) fn step_done(&self, step: u32) -> bool {
+        let tasks = usize::try_from(step).ok().and_then(|step| self.steps.get(step));
+        tasks.is_some_and(|tasks| tasks.iter().all(|task| task.phase == Phase::Done))
+    }
+
+    pub(super) fn is_ready(&self, step: usize) -> bool {
+        self.job.steps[step].after.iter().all(|earlier| self.step_done(*earlier))
+    }
+
+    pub(super) fn all_done(&self) -> bool {
+        self.steps.iter().flatten().all(|task| task.phase == Phase::Done)
+    }
+
+    /// Runs that may be at work.
+    pub(super) fn placed(&self) -> impl Iterator<Item = (TaskKey, &TaskState)> {
+        let name = &self.job.name;
+        self.steps
+            .iter()
+            .zip(0..)
+            .flat_map(move |(tasks, step)| {
+                tasks
+                    .iter()
+                    .zip(0..)
+                    .map(move |(state, task)| (TaskKey { job: name.clone(), step, task }, state))
+            })
+            .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
+    }
+
+    pub(super) fn is_quiet(&self) -> bool {
+        self.placed().next().is_none()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/front/takeover.rs
@@ -0,0 +1,65 @@
+//! Runs whose owner was lost or replaced.
+
+use cranberryhatch_schema::fleet::{Claim, Ended, How, Takeover};
+use cranberryhatch_types::{InstanceId, Time};
+
+use super::{Front, start_message};
+use crate::{Output, RunKey, TaskKey, note::Note, output::Message, task_state::Phase};
+
+impl Front {
+    /// Marks the runs of an owner that is out of reach.
+    pub fn owner_lost(&mut self, owner: &InstanceId, heard: Time, out: &mut Output) {
+        for (name, active) in self.jobs.iter_mut() {
+            for (tasks, step) in active.steps.iter_mut().zip(0..) {
+                for (state, task) in tasks.iter_mut().zip(0..) {
+                    if state.lose(owner, heard) {
+                        let key = TaskKey { job: name.clone(), step, task };
+                        let run = RunKey { task: key, run: state.run };
+                        out.note(Note::RunLost { run, owner: owner.clone() });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes what a new owner found on a worker, and claims the runs that are still wanted.
+    pub fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
+        let running: Vec<RunKey> = found.running.iter().map(RunKey::from).collect();
+        let mut ends = Vec::new();
+        let mut claims = Vec::new();
+        for (_, active) in self.jobs.iter_mut() {
+            let wanted = active.closing.is_none();
+            let job = active.job.clone();
+            let keys: Vec<TaskKey> = active.placed().map(|(key, _)| key).collect();
+            for key in keys {
+                let Some(state) = active.task(&key) else { continue };
+                let Phase::Placed(place) = &mut state.phase else { continue };
+                // The report of an earlier owner may come later than that of the present one.
+                if place.worker.as_str() != found.worker || place.token >= found.token {
+                    continue;
+                }
+                let run = RunKey { task: key.clone(), run: state.run };
+                if running.contains(&run) {
+                    place.owner = from.clone();
+                    place.token = found.token;
+                    place.lost = None;
+                    if wanted {
+                        claims.extend(start_message(&job, &key, state));
+                    }
+                    continue;
+                }
+                let said = found.ended.iter().find(|ended| {
+                    ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
+                });
+                // The worker obeys the new owner only, so what is not there does not start any more; it
+                // may have run and ended, and the report of it may be lost.
+                ends.push((run, said.map_or(How::Stopped, Ended::how)));
+            }
+        }
+        let claim = Claim { worker: found.worker.clone(), runs: claims };
+        out.send(from, Message::Claim(claim));
+        for (run, how) in ends {
+            self.end(&run, &found.worker, how, now, out);
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,7 +4,7 @@
 //! Each keeps an append-only record of what it saw, which the proofs read.
 //!
 //! ```
-//! use cranberryhatch_platform::{Expect, Op, Txn, TxnResult};
+//! use cranberryhatch_store::{Expect, Op, Txn, TxnResult};
 //! use cranberryhatch_standin::Table;
 //!
 //! let mut table = Table::default();
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use clap::Parser;
 use cranberryhatch_http::{Problem, Runtime, Server, reply_json};
-use cranberryhatch_platform::{Listed, Row, RowName, Scan, Txn, TxnResult};
+use cranberryhatch_store::{Listed, Row, RowName, Scan, Txn, TxnResult};
 use http::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
--- a/crates/standin/src/table.rs
+++ b/crates/standin/src/table.rs
@@ -1,8 +1,6 @@
 //! Transactional table in memory.
 
-use cranberryhatch_platform::{
-    Conflict, Expect, Op, Row, RowName, Scan, ScannedRow, Txn, TxnResult,
-};
+use cranberryhatch_store::{Conflict, Expect, Op, Row, RowName, Scan, ScannedRow, Txn, TxnResult};
 
 /// Rows sorted by table and key.
 #[derive(Debug, Default)]
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,7 +3,7 @@
 //! All bodies are JSON; a failed call tells whether a write may have taken effect.
 //!
 //! ```
-//! use cranberryhatch_platform::{Expect, Op};
+//! use cranberryhatch_store::{Expect, Op};
 //!
 //! let op = Op::new("claims", "script/1-a", Expect::Absent).put(serde_json::json!({"n": 1}));
 //! let text = serde_json::to_string(&op).expect("JSON");
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result, ensure};
 use bytes::Bytes;
 use cranberryhatch_http::{Client, Runtime};
-use cranberryhatch_platform::{Expect, Listed, Op, Platform, Role, State, Txn};
+use cranberryhatch_store::{Expect, Listed, Op, Platform, Role, State, Txn};
 use http::Request;
 use serde_json::json;
 
--- a/xtask/src/soak/injector.rs
+++ b/xtask/src/soak/injector.rs
@@ -7,12 +7,12 @@
 };
 
 use anyhow::Result;
-use cranberryhatch_platform::{Listed, State};
 use cranberryhatch_standin::{
     EndpointFault, LinkMode, PlatformFault,
     check::{Journal, Note},
     unix_ms,
 };
+use cranberryhatch_store::{Listed, State};
 use serde_json::json;
 
 use crate::{
