--- /dev/null
+++ b/crates/edge/tests/meters.rs
@@ -0,0 +1,27 @@
+//! Guards against metrics that a collector cannot read, or that mix what an operator must tell apart.
+
+use cranberryhatch_edge::Meters;
+use cranberryhatch_fleet::Refusal;
+use cranberryhatch_types::Span;
+
+#[test]
+fn times_are_split_by_kind_and_answers_by_cause() {
+    let meters = Meters::default();
+    Meters::observe_kind(&meters.queue_time, "thumbnail", Span::from_ms(30));
+    Meters::observe_kind(&meters.queue_time, "render", Span::from_ms(700));
+    Meters::count(&meters.answers, &Refusal::Overload);
+    Meters::count(&meters.answers, &Refusal::UnknownKind);
+    let text = meters.text();
+    let lines = [
+        "cranberryhatch_queue_seconds_bucket{le=\"0.05\",kind=\"thumbnail\"} 1",
+        "cranberryhatch_queue_seconds_bucket{le=\"0.05\",kind=\"render\"} 0",
+        "cranberryhatch_queue_seconds_count{kind=\"render\"} 1",
+        "cranberryhatch_answers_total{cause=\"overload\"} 1",
+        "cranberryhatch_answers_total{cause=\"unknown-kind\"} 1",
+        "cranberryhatch_offered_lines 0",
+        "cranberryhatch_written_lines 0",
+    ];
+    for line in lines {
+        assert!(text.lines().any(|found| found == line), "no line {line} in\n{text}");
+    }
+}
