fix(fleet): a stopping instance refuses new jobs 2.5 s after the request to stop

The balancer sends no callers by then. Ruled out: to refuse by the time that a job may take; jobs with long limits would be refused while the balancer still sends. Such a job is answered at once with 503, not run, Retry-After 0, since other instances take it; test in fleet/tests/front.rs. An entry instance is ready only once its first read of the list has ended; the chores wait no more for it.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -66,6 +66,8 @@
     pub metrics: Arc<Metrics>,
     /// Whether the instance takes new work.
     pub ready: Arc<AtomicBool>,
+    /// Whether the first read of the list of instances has ended; before, no endpoint is known.
+    pub listed: Arc<AtomicBool>,
     /// Number of the next key to be handed out.
     pub next: AtomicU64,
 }
@@ -195,7 +197,8 @@
     }
 
     fn readiness(&self) -> Result<Response<Bytes>, Problem> {
-        if self.ready.load(Ordering::Relaxed) && self.settings.current().is_some() {
+        let works = self.ready.load(Ordering::Relaxed) && self.listed.load(Ordering::Relaxed);
+        if works && self.settings.current().is_some() {
             return Ok(reply_json(StatusCode::OK, "ready"));
         }
         let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -98,6 +98,7 @@
     tasks: Arc<Tasks>,
     instances: Arc<AtomicU64>,
     ready: Arc<AtomicBool>,
+    listed: Arc<AtomicBool>,
 }
 
 impl Instance {
@@ -161,6 +162,7 @@
             tasks: Arc::new(Tasks::new(runtime.executor())),
             instances: Arc::new(AtomicU64::new(1)),
             ready: Arc::new(AtomicBool::new(true)),
+            listed: Arc::new(AtomicBool::new(false)),
             holder,
         };
         cell.get_or_init(|| parts.effects(drained_sender, superseded_sender));
@@ -358,6 +360,7 @@
             peers: Arc::clone(&self.peers),
             metrics: Arc::clone(&self.metrics),
             ready: Arc::clone(&self.ready),
+            listed: Arc::clone(&self.listed),
             next: AtomicU64::new(0),
         }
     }
@@ -377,6 +380,7 @@
                 Arc::clone(&self.peers),
                 Arc::clone(&self.shards),
                 Arc::clone(&self.instances),
+                Arc::clone(&self.listed),
             )),
             runtime.spawn(heartbeats::beat(
                 Arc::clone(&self.tasks),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -52,7 +52,7 @@
 pub use listing::{Listed, Listing};
 pub use members::{Member, Members, Owners, text_hash};
 pub use need::Need;
-pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
+pub use node::{BEAT_EVERY, LAST_CALLERS, Node, PEER_TIMEOUT};
 pub use note::{DropCause, Note};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,8 +5,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Listed, Listing, Looked, Member, Members, Output, Owner, Owners, RunKey,
-    Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
+    Command, Front, Job, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
+    Refusal, RunKey, Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -29,6 +29,12 @@
 /// Time after which a peer with older settings gets them from here; it usually has them by then.
 const SETTINGS_GRACE: Span = Span::from_ms(250);
 
+/// Time after a stop request in which the balancer may still send new callers: it checks once a
+/// second and acts after two misses.
+///
+/// Later jobs are refused: callers with open connections would keep the instance busy until it ends.
+pub const LAST_CALLERS: Span = Span::from_ms(2_500);
+
 /// Last sign of life of a peer, and how long it may be silent.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -59,6 +65,7 @@
     assigned_at: Time,
     doubt_until: Time,
     ticked: Time,
+    drained_at: Option<Time>,
 }
 
 impl Node {
@@ -83,11 +90,18 @@
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             ticked: now,
+            drained_at: None,
         }
     }
 
-    /// Takes a caller's job.
+    /// Takes a caller's job, unless this instance is about to end.
     pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
+        if self.drained_at.is_some_and(|at| now.since(at) >= LAST_CALLERS) {
+            let cause = Refusal::Stopping;
+            out.note(Note::Rejected { request: job.name, cause });
+            // Other instances take the job at once.
+            return out.answer(ticket, Outcome::NotRun { cause, retry: Span::ZERO });
+        }
         self.front.submit(ticket, job, now, out);
         self.settle(now, false, out);
     }
@@ -312,6 +326,7 @@
     /// This instance is stopping: it takes no duties any more.
     pub fn drain(&mut self, now: Time, out: &mut Output) {
         self.members.me_mut().draining = true;
+        self.drained_at.get_or_insert(now);
         self.send_beats(now, out);
         self.duties(now, out);
         self.settle(now, false, out);
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 
 use common::need;
-use cranberryhatch_fleet::{Command, Front, Job, Message, Outcome, Output, Policy, RUN_GONE, Step};
+use cranberryhatch_fleet::{
+    Command, Front, Job, LAST_CALLERS, Member, Message, Node, Outcome, Output, Policy, RUN_GONE,
+    Refusal, Step,
+};
 use cranberryhatch_schema::fleet::{Ended, Grant, How, Place, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -192,3 +195,38 @@
         assert_eq!(is_not_run, not_run, "{name}");
     }
 }
+
+#[test]
+fn a_stopping_instance_takes_no_jobs_that_it_may_not_finish() {
+    // Guards against a caller with an open connection whose job is taken shortly before the process
+    // ends, and that gets no answer.
+    let me = Member {
+        id: id("e-1"),
+        incarnation: 1,
+        zone: "a".parse().expect("a zone"),
+        cores: 250,
+        draining: false,
+        joined: false,
+        version: 0,
+    };
+    let mut node = Node::new(me, SENT);
+    let mut answers = |ticket: u64, after: Span| {
+        let mut out = Output::default();
+        let job = Job { name: format!("{ticket}"), ..job(20_000) };
+        node.submit(ticket, job, SENT + after, &mut out);
+        let answer = out.commands.into_iter().find_map(|command| match command {
+            Command::Answer { outcome, .. } => Some(outcome),
+            _ => None,
+        });
+        node.drain(SENT, &mut Output::default());
+        answer
+    };
+    let (cause, retry) = (Refusal::Stopping, Span::ZERO);
+    assert_eq!(answers(1, Span::ZERO), None, "before the request to stop");
+    assert_eq!(
+        answers(2, Span::from_ms(LAST_CALLERS.as_ms() - 1)),
+        None,
+        "the balancer may send it"
+    );
+    assert_eq!(answers(3, LAST_CALLERS), Some(Outcome::NotRun { cause, retry }));
+}
--- a/xtask/src/fleet.rs
+++ b/xtask/src/fleet.rs
@@ -18,8 +18,6 @@
 
 use crate::{Folder, Process};
 
-/// Time after readiness until every instance has read the list of instances.
-const SETTLE: Duration = Duration::from_secs(2);
 /// Time allowed for all processes to get ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
 /// Ports for processes. The system takes ports of outgoing connections from above this range,
@@ -239,9 +237,6 @@
             let ready = || self.is_ready(entry.process.addr);
             wait_until(&format!("{} is ready", entry.process.name), ready)?;
         }
-        // An instance may be ready before it has read the list, and refuses starts on loans of workers
-        // whose address it does not know yet; the list is read each second.
-        std::thread::sleep(SETTLE);
         Ok(())
     }
 
