feat(edge): a stop tells which jobs it took, refused and cut off

No decision changes: callers are cut off 0.1 s before the end of the grace period as before, which the node now knows as the second time of `drained`. Ruled out: more fields of `admitted`, which is sampled, and which a job sent again does not leave; a line from the platform's process per job, which does not know the job's limit.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -184,6 +184,9 @@
                 }
             }
             Note::Rejected { cause, .. } => Meters::count(&self.meters.answers, cause),
+            Note::AdmittedStopping { .. } => {
+                self.meters.admitted_stopping.inc();
+            }
             Note::RunEnded { how, took, .. } => {
                 Meters::count(&self.meters.runs, &how.as_str_name());
                 Meters::observe(&self.meters.run_time, *took);
@@ -198,7 +201,7 @@
     /// Notes that a request is rejected before it becomes a job.
     pub fn reject(&self, request: &str, cause: Refusal) {
         let request = request.chars().take(REQUEST_SHOWN).collect();
-        self.note(&Note::Rejected { request, cause }, self.clock.now());
+        self.note(&Note::Rejected { request, cause, stopping: None }, self.clock.now());
     }
 
     /// Runs a job to its end; a caller that goes away drops the future, which ends the job.
@@ -248,9 +251,14 @@
         self.node().front().len()
     }
 
-    /// Stops taking duties.
-    pub fn drain(self: &Arc<Self>) {
-        self.decide(Node::drain);
+    /// Stops taking duties; callers without an answer are cut off at `cut_at`.
+    pub fn drain(self: &Arc<Self>, cut_at: Time) {
+        self.decide(|node, now, out| node.drain(cut_at, now, out));
+    }
+
+    /// Notes that callers who still wait are cut off; their number.
+    pub fn cut_off(self: &Arc<Self>) -> usize {
+        self.decide(|node, now, out| node.front().cut_off(now, out))
     }
 
     /// Takes settings that were read from the platform.
@@ -289,6 +297,8 @@
         self.meters.jobs.set(as_u64(node.front().len()));
         self.meters.held.set(as_u64(node.owner().runs()));
         self.meters.workers.set(as_u64(node.owner().counts().0));
+        let stopping = node.stopping(self.clock.now());
+        self.meters.stopping_ms.set(stopping.map_or(0, |stopping| stopping.since.as_ms()));
         self.meters.peers.set(as_u64(node.members().peers().len()));
         let read = Time::from_ms(self.list_read.load(Ordering::Relaxed));
         self.meters.list_age_ms.set(self.clock.now().since(read).as_ms());
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -143,9 +143,21 @@
                 "{name}"
             );
         }
-        Note::Rejected { request, cause } => {
+        Note::Rejected { request, cause, stopping: Some(stopping) } => {
+            let (stopping_ms, cut_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
+            log::info!(request, cause = cause.to_string(), stopping_ms, cut_ms; "{name}");
+        }
+        Note::Rejected { request, cause, stopping: None } => {
             log::info!(request, cause = cause.to_string(); "{name}");
         }
+        Note::AdmittedStopping { job, left, stopping } => {
+            let (stopping_ms, cut_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
+            log::info!(job, left_ms = left.as_ms(), stopping_ms, cut_ms; "{name}");
+        }
+        Note::CutOff { job, kind, age, left, waiting, running } => {
+            let (age_ms, left_ms) = (age.as_ms(), left.as_ms());
+            log::warn!(job, kind, age_ms, left_ms, waiting, running; "{name}");
+        }
         Note::CallerGone { job, age } => log::info!(job, age_ms = age.as_ms(); "{name}"),
         Note::Granted { job, tasks, slack } => {
             log::info!(job, tasks, slack_ms = slack.as_ms(); "{name}");
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -64,6 +64,10 @@
     pub held: Gauge<u64, AtomicU64>,
     /// Workers of this instance that take starts.
     pub workers: Gauge<u64, AtomicU64>,
+    /// Time since the request to stop; 0 without one.
+    pub stopping_ms: Gauge<u64, AtomicU64>,
+    /// Jobs taken after the request to stop.
+    pub admitted_stopping: Counter,
     /// Peers whose links are up.
     pub peers: Gauge<u64, AtomicU64>,
     /// Version of the settings in force.
@@ -89,6 +93,8 @@
             jobs: Gauge::default(),
             held: Gauge::default(),
             workers: Gauge::default(),
+            stopping_ms: Gauge::default(),
+            admitted_stopping: Counter::default(),
             peers: Gauge::default(),
             version: Gauge::default(),
             list_age_ms: Gauge::default(),
@@ -114,6 +120,12 @@
         r.register("jobs", "Jobs of callers", self.jobs.clone());
         r.register("held_runs", "Runs on own workers", self.held.clone());
         r.register("open_workers", "Own workers that take starts", self.workers.clone());
+        r.register("stopping_ms", "Time since the request to stop", self.stopping_ms.clone());
+        r.register(
+            "admitted_stopping",
+            "Jobs taken after the request to stop",
+            self.admitted_stopping.clone(),
+        );
         r.register("peers", "Peers in reach", self.peers.clone());
         r.register("settings_version", "Settings in force", self.version.clone());
         r.register("worker_list_age_ms", "Age of the list of workers", self.list_age_ms.clone());
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -367,6 +367,24 @@
         }
     }
 
+    /// Notes that callers who still wait are cut off; their number.
+    pub fn cut_off(&self, now: Time, out: &mut Output) -> usize {
+        let before = out.commands.len();
+        for (name, active) in self.jobs.iter() {
+            let next = active.next.as_ref().map(|(_, job)| job);
+            let Some(job) = active.ticket.map(|_| &active.job).or(next) else { continue };
+            out.note(Note::CutOff {
+                job: name.clone(),
+                kind: job.policy.kind.clone(),
+                age: now.since(job.born),
+                left: job.limit.since(now),
+                waiting: active.waiting(),
+                running: active.placed().count(),
+            });
+        }
+        out.commands.len() - before
+    }
+
     /// Jobs of a kind of which no task has started.
     #[must_use]
     pub fn pending(&self, kind: &str) -> usize {
--- a/crates/fleet/src/front/active.rs
+++ b/crates/fleet/src/front/active.rs
@@ -75,6 +75,12 @@
             .filter(|(_, state)| matches!(state.phase, Phase::Placed(_)))
     }
 
+    /// Tasks that wait for room or for earlier steps.
+    pub(super) fn waiting(&self) -> usize {
+        let waits = |task: &&TaskState| matches!(task.phase, Phase::Ready | Phase::Asked);
+        self.steps.iter().flatten().filter(waits).count()
+    }
+
     pub(super) fn is_quiet(&self) -> bool {
         self.placed().next().is_none()
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Command, Front, Job, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
-    Refusal, RunKey, Scheduler, StartAnswer, TaskKey, VecMap, note::Note,
+    Refusal, RunKey, Scheduler, StartAnswer, Stopping, TaskKey, VecMap, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -65,7 +65,8 @@
     assigned_at: Time,
     doubt_until: Time,
     ticked: Time,
-    drained_at: Option<Time>,
+    // When the stop was requested, and when callers without an answer are cut off.
+    drained: Option<(Time, Time)>,
 }
 
 impl Node {
@@ -90,18 +91,23 @@
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             ticked: now,
-            drained_at: None,
+            drained: None,
         }
     }
 
     /// Takes a caller's job, unless this instance is about to end.
     pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
-        if self.drained_at.is_some_and(|at| now.since(at) >= LAST_CALLERS) {
+        let stopping = self.stopping(now);
+        if stopping.is_some_and(|stopping| stopping.since >= LAST_CALLERS) {
             let cause = Refusal::Stopping;
-            out.note(Note::Rejected { request: job.name, cause });
+            out.note(Note::Rejected { request: job.name, cause, stopping });
             // Other instances take the job at once.
             return out.answer(ticket, Outcome::NotRun { cause, retry: Span::ZERO });
         }
+        if let Some(stopping) = stopping {
+            let left = job.limit.since(now);
+            out.note(Note::AdmittedStopping { job: job.name.clone(), left, stopping });
+        }
         self.front.submit(ticket, job, now, out);
         self.settle(now, false, out);
     }
@@ -323,10 +329,11 @@
         self.owner.stopped(worker, run, accepted, now);
     }
 
-    /// This instance is stopping: it takes no duties any more.
-    pub fn drain(&mut self, now: Time, out: &mut Output) {
+    /// This instance is stopping: it takes no duties any more, and cuts off callers without an
+    /// answer at `cut_at`.
+    pub fn drain(&mut self, cut_at: Time, now: Time, out: &mut Output) {
         self.members.me_mut().draining = true;
-        self.drained_at.get_or_insert(now);
+        self.drained.get_or_insert((now, cut_at));
         self.send_beats(now, out);
         self.duties(now, out);
         self.settle(now, false, out);
@@ -414,6 +421,13 @@
         self.members.me().draining
     }
 
+    /// How far the stop has come; none without a request to stop.
+    #[must_use]
+    pub fn stopping(&self, now: Time) -> Option<Stopping> {
+        let (at, cut_at) = self.drained?;
+        Some(Stopping { since: now.since(at), left: cut_at.since(now) })
+    }
+
     /// Version of the settings in force; 0 for none.
     #[must_use]
     pub const fn version(&self) -> u64 {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -42,6 +42,32 @@
         request: String,
         /// Why.
         cause: Refusal,
+        /// How far the stop has come, if that is the cause.
+        stopping: Option<Stopping>,
+    },
+    /// A job was taken after the request to stop.
+    AdmittedStopping {
+        /// The job.
+        job: String,
+        /// Time until its limit.
+        left: Span,
+        /// How far the stop has come.
+        stopping: Stopping,
+    },
+    /// A job gets no answer because the process ends.
+    CutOff {
+        /// The job.
+        job: String,
+        /// Kind of job.
+        kind: String,
+        /// Time since it arrived.
+        age: Span,
+        /// Time until its limit.
+        left: Span,
+        /// Tasks that wait for room or for earlier steps.
+        waiting: usize,
+        /// Runs that may be at work.
+        running: usize,
     },
     /// The caller of a job went away.
     CallerGone {
@@ -159,6 +185,15 @@
     },
 }
 
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stopping {
+    /// Time since the request to stop.
+    pub since: Span,
+    /// Time until callers without an answer are cut off.
+    pub left: Span,
+}
+
 /// Why a worker was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -218,7 +218,7 @@
             Command::Answer { outcome, .. } => Some(outcome),
             _ => None,
         });
-        node.drain(SENT, &mut Output::default());
+        node.drain(SENT + Span::from_ms(5_900), SENT, &mut Output::default());
         answer
     };
     let (cause, retry) = (Refusal::Stopping, Span::ZERO);
