feat(fleet): a job that expires without a start says what it waited for

`answered cause=time-limit outcome=not-run queued_ms=-1 runs=0` is the same for an instance without a scheduler, a silent scheduler and one that neither grants nor refuses. Added: `expired`, before that line: the scheduler, time since it was last heard and since it was asked for room, tasks that wait, and the wait that it expected if it refused further tasks of the job. The front keeps when the job was asked for; the node tells it with each tick when the scheduler was last heard. Ruled out: a question to the scheduler what stands ahead, as its answer would change what is sent; more fields of `answered`, which every job has. Evidence: two tests in fleet/tests/front.rs.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -126,6 +126,11 @@
     format!("{}.{}.{}#{}", run.task.job, run.task.step, run.task.task, run.run)
 }
 
+/// Milliseconds, or -1 for none.
+fn ms_or_none(span: Option<Span>) -> i64 {
+    span.map_or(-1, |span| i64::try_from(span.as_ms()).unwrap_or(-1))
+}
+
 fn write(name: &'static str, note: &Note) {
     match note {
         Note::Admitted { job, kind, tasks, left } => {
@@ -136,7 +141,7 @@
                 Outcome::NotRun { cause, .. } => cause.to_string(),
                 _ => String::new(),
             };
-            let queued_ms = queued.map_or(-1, |span| i64::try_from(span.as_ms()).unwrap_or(-1));
+            let queued_ms = ms_or_none(*queued);
             log::info!(
                 job, kind, outcome = outcome.to_string(), cause, took_ms = took.as_ms(), queued_ms,
                 runs;
@@ -158,6 +163,12 @@
             let (age_ms, left_ms) = (age.as_ms(), left.as_ms());
             log::warn!(job, kind, age_ms, left_ms, waiting, running; "{name}");
         }
+        Note::Expired { job, scheduler, heard, asked, waiting, ahead } => {
+            let scheduler = scheduler.as_ref().map_or("none", |id| id.as_str());
+            let (heard_ms, asked_ms) = (ms_or_none(*heard), ms_or_none(*asked));
+            let ahead_ms = ms_or_none(*ahead);
+            log::info!(job, scheduler, heard_ms, asked_ms, waiting, ahead_ms; "{name}");
+        }
         Note::CallerGone { job, age } => log::info!(job, age_ms = age.as_ms(); "{name}"),
         Note::Granted { job, tasks, slack } => {
             log::info!(job, tasks, slack_ms = slack.as_ms(); "{name}");
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -42,13 +42,15 @@
     zone: String,
     jobs: VecMap<String, Active>,
     scheduler: Option<InstanceId>,
+    // When the scheduler was last heard.
+    heard: Option<Time>,
 }
 
 impl Front {
     /// No jobs yet.
     #[must_use]
     pub fn new(me: InstanceId, zone: String) -> Self {
-        Self { me, zone, jobs: VecMap::default(), scheduler: None }
+        Self { me, zone, jobs: VecMap::default(), scheduler: None, heard: None }
     }
 
     /// Takes a job; the same job sent again takes the place of its lost caller.
@@ -118,6 +120,7 @@
                 stretch: job.policy.stretch,
                 slack_ms: to_u32(job.policy.slack.as_ms()),
             };
+            active.asked = Some(now);
             out.send(scheduler, Message::Ask(ask));
         }
     }
@@ -128,6 +131,7 @@
         let names: Vec<String> = self.jobs.iter().map(|(name, _)| name.clone()).collect();
         for name in names {
             if let Some(active) = self.jobs.get_mut(&name) {
+                (active.asked, active.ahead) = (None, None);
                 for state in active.steps.iter_mut().flatten() {
                     if state.phase == Phase::Asked {
                         state.phase = Phase::Ready;
@@ -138,6 +142,11 @@
         }
     }
 
+    /// Learns when the scheduler was last heard; none if it is this instance or out of reach.
+    pub const fn hear(&mut self, heard: Option<Time>) {
+        self.heard = heard;
+    }
+
     /// Starts runs where room was granted.
     pub fn granted(
         &mut self,
@@ -193,6 +202,8 @@
     /// Takes the scheduler's refusal of a job.
     pub fn refused(&mut self, refusal: &Refusal, now: Time, out: &mut Output) {
         let Some(active) = self.jobs.get_mut(&refusal.job) else { return };
+        let ahead = Span::from_ms(refusal.ahead_ms.into());
+        active.ahead = Some(ahead);
         if active.at_work > 0 || active.closing.is_some() {
             // Tasks that wait again after a run ended are asked for anew.
             for state in active.steps.iter_mut().flatten() {
@@ -203,10 +214,7 @@
             self.ask(&refusal.job, now, out);
             return;
         }
-        out.note(Note::Refused {
-            job: refusal.job.clone(),
-            ahead: Span::from_ms(refusal.ahead_ms.into()),
-        });
+        out.note(Note::Refused { job: refusal.job.clone(), ahead });
         let retry = Span::from_ms(refusal.retry_ms.into());
         let outcome = Outcome::NotRun { cause: RefusalCause::Overload, retry };
         self.close(&refusal.job, Some(outcome), now, out);
@@ -361,12 +369,27 @@
             let outcome = if begun {
                 Outcome::GivenUp
             } else {
+                self.note_expired(&name, now, out);
                 Outcome::NotRun { cause: RefusalCause::TimeLimit, retry: RETRY }
             };
             self.close(&name, Some(outcome), now, out);
         }
     }
 
+    fn note_expired(&self, name: &str, now: Time, out: &mut Output) {
+        let Some(active) = self.jobs.get(name).filter(|active| active.closing.is_none()) else {
+            return;
+        };
+        out.note(Note::Expired {
+            job: name.to_owned(),
+            scheduler: self.scheduler.clone(),
+            heard: self.heard.map(|at| now.since(at)),
+            asked: active.asked.map(|at| now.since(at)),
+            waiting: active.waiting(),
+            ahead: active.ahead,
+        });
+    }
+
     /// Notes that callers who still wait are cut off; their number.
     pub fn cut_off(&self, now: Time, out: &mut Output) -> usize {
         let before = out.commands.len();
--- a/crates/fleet/src/front/active.rs
+++ b/crates/fleet/src/front/active.rs
@@ -1,6 +1,6 @@
 //! State of one job of a front.
 
-use cranberryhatch_types::Time;
+use cranberryhatch_types::{Span, Time};
 
 use crate::{
     Job, TaskKey,
@@ -20,6 +20,9 @@
     pub(super) at_work: u32,
     pub(super) avoid: Vec<String>,
     pub(super) closing: Option<Time>,
+    // When the present scheduler was last asked, and the wait that it last expected.
+    pub(super) asked: Option<Time>,
+    pub(super) ahead: Option<Span>,
     // The same job, sent again while runs of the first are being stopped.
     pub(super) next: Option<(u64, Job)>,
 }
@@ -38,6 +41,8 @@
             at_work: 0,
             avoid: Vec::new(),
             closing: None,
+            asked: None,
+            ahead: None,
             next: None,
         }
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -353,6 +353,8 @@
         if now.since(self.assigned_at) >= ASSIGN_EVERY {
             self.assign(wall_ms, now);
         }
+        let scheduler = self.elected.as_ref().and_then(|elected| self.heard.get(elected));
+        self.front.hear(scheduler.map(|scheduler| scheduler.at));
         self.front.tick(now, out);
         self.owner.tick(&self.listing, &self.owners, wall_ms, now, out);
         self.settle(now, true, out);
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -7,7 +7,7 @@
 use crate::{Outcome, Refusal, RunKey};
 
 /// A decision with the inputs that led to it; the name of the variant is the name of the log line.
-#[derive(Clone, Debug, IntoStaticStr)]
+#[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Note {
     /// A job was admitted.
@@ -36,6 +36,21 @@
         /// Runs that were started.
         runs: u32,
     },
+    /// The time limit of a job passed before any of its tasks was at work.
+    Expired {
+        /// The job.
+        job: String,
+        /// The instance that grants room; none if no instance takes duties.
+        scheduler: Option<InstanceId>,
+        /// Time since that instance was last heard.
+        heard: Option<Span>,
+        /// Time since that instance was asked for room; none if it was not.
+        asked: Option<Span>,
+        /// Tasks that wait for room or for earlier steps.
+        waiting: usize,
+        /// Wait that it expected when it last refused more tasks of the job.
+        ahead: Option<Span>,
+    },
     /// A request was rejected before it became a job.
     Rejected {
         /// Name of the job, or path of a request that names none.
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -6,10 +6,12 @@
 
 use common::need;
 use cranberryhatch_fleet::{
-    Command, Front, Job, LAST_CALLERS, Member, Message, Node, Outcome, Output, Policy, RUN_GONE,
-    Refusal, Step,
+    Command, Front, Job, LAST_CALLERS, Member, Message, Node, Note, Outcome, Output, Policy,
+    RUN_GONE, Refusal, Step,
+};
+use cranberryhatch_schema::fleet::{
+    Beat, Ended, Grant, How, Place, Refusal as Refused, Run, Takeover,
 };
-use cranberryhatch_schema::fleet::{Ended, Grant, How, Place, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 const SENT: Time = Time::from_ms(10_000);
@@ -62,6 +64,25 @@
     out.commands.iter().filter(is_ask).count()
 }
 
+fn member(name: &str, joined: bool) -> Member {
+    Member {
+        id: id(name),
+        incarnation: 1,
+        zone: "a".parse().expect("a zone"),
+        cores: 250,
+        draining: false,
+        joined,
+        version: 0,
+    }
+}
+
+fn expired(out: Output) -> Option<Note> {
+    out.commands.into_iter().find_map(|command| match command {
+        Command::Note(note @ Note::Expired { .. }) => Some(note),
+        _ => None,
+    })
+}
+
 fn run() -> Run {
     Run { job: "j".to_owned(), step: 0, task: 0, run: 1 }
 }
@@ -200,16 +221,7 @@
 fn a_stopping_instance_takes_no_jobs_that_it_may_not_finish() {
     // Guards against a caller with an open connection whose job is taken shortly before the process
     // ends, and that gets no answer.
-    let me = Member {
-        id: id("e-1"),
-        incarnation: 1,
-        zone: "a".parse().expect("a zone"),
-        cores: 250,
-        draining: false,
-        joined: false,
-        version: 0,
-    };
-    let mut node = Node::new(me, SENT);
+    let mut node = Node::new(member("e-1", false), SENT);
     let mut answers = |ticket: u64, after: Span| {
         let mut out = Output::default();
         let job = Job { name: format!("{ticket}"), ..job(20_000) };
@@ -230,3 +242,75 @@
     );
     assert_eq!(answers(3, LAST_CALLERS), Some(Outcome::NotRun { cause, retry }));
 }
+
+#[test]
+fn a_job_that_expires_without_a_start_says_what_it_waited_for() {
+    struct Case {
+        name: &'static str,
+        follows: Vec<(Option<&'static str>, u64)>,
+        refused: bool,
+        expected: (Option<&'static str>, Option<u64>, Option<u64>),
+    }
+    let case = |name, follows, expected| Case { name, follows, refused: false, expected };
+    let cases = [
+        case("nobody grants room", vec![], (None, None, None)),
+        case("asked at once", vec![(Some("s"), 0)], (Some("s"), Some(500), None)),
+        case("asked late", vec![(Some("s"), 400)], (Some("s"), Some(100), None)),
+        case("asked another", vec![(Some("s"), 0), (Some("t"), 300)], (Some("t"), Some(200), None)),
+        case("asked one that is gone", vec![(Some("s"), 0), (None, 300)], (None, None, None)),
+        Case {
+            refused: true,
+            ..case("refused", vec![(Some("s"), 0)], (Some("s"), Some(100), Some(70)))
+        },
+    ];
+    for Case { name, follows, refused, expected: (scheduler, asked, ahead) } in cases {
+        let mut out = Output::default();
+        let mut front = Front::new(id("me"), "a".to_owned());
+        front.submit(1, job(500), SENT, &mut out);
+        for (scheduler, after) in follows {
+            front.follow(scheduler.map(id), SENT + Span::from_ms(after), &mut out);
+        }
+        if refused {
+            let at = SENT + Span::from_ms(400);
+            grant(&mut front, 7, at, &mut out);
+            let refusal = Refused { job: "j".to_owned(), retry_ms: 100, ahead_ms: 70 };
+            front.refused(&refusal, at, &mut out);
+            let how = How::NotStarted.into();
+            let ended = Ended { run: Some(run()), worker: "w".to_owned(), how, took_ms: 0 };
+            front.ended(&ended, at, &mut out);
+        }
+        front.tick(SENT + Span::from_ms(500), &mut out);
+        let expected = Note::Expired {
+            job: "j".to_owned(),
+            scheduler: scheduler.map(id),
+            heard: None,
+            asked: asked.map(Span::from_ms),
+            waiting: 1,
+            ahead: ahead.map(Span::from_ms),
+        };
+        assert_eq!(expired(out), Some(expected), "{name}");
+    }
+}
+
+#[test]
+fn a_job_that_expires_without_a_start_says_how_long_its_scheduler_is_silent() {
+    let peer = id("p");
+    let mut node = Node::new(member("e-1", false), SENT);
+    let mut out = Output::default();
+    node.link_up(member("p", true), SENT, &mut out);
+    node.submit(1, job(500), SENT, &mut out);
+    let beat = Beat { version: 0, draining: false, joined: true, next_ms: 140 };
+    node.message(&peer, Message::Beat(beat), SENT + Span::from_ms(200), &mut out);
+    for after in (20..=500).step_by(20) {
+        node.tick(0, SENT + Span::from_ms(after), &mut out);
+    }
+    let expected = Note::Expired {
+        job: "j".to_owned(),
+        scheduler: Some(peer),
+        heard: Some(Span::from_ms(300)),
+        asked: Some(Span::from_ms(500)),
+        waiting: 1,
+        ahead: None,
+    };
+    assert_eq!(expired(out), Some(expected));
+}
