fix(cli): explain finds requests that became no job

Ruled out: a field `job` of `rejected`; most of these requests name no job. Evidence: `a_request_that_became_no_job_is_found_by_its_name_or_path` fails without the change.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -47,11 +47,14 @@
 }
 
 impl Line {
-    /// Whether it is about a job, or about a run of one of its tasks.
+    /// Whether it is about a job, about a run of one of its tasks or about a request for it.
     fn is_about(&self, job: &str) -> bool {
         let text = |key: &str| self.kvs.get(key).and_then(Value::as_str);
         let of_run = |run: &str| run.split('.').next() == Some(job);
-        text("job") == Some(job) || text("run").is_some_and(of_run)
+        let of_request = |request: &str| request.rsplit('/').next() == Some(job);
+        text("job") == Some(job)
+            || text("run").is_some_and(of_run)
+            || text("request").is_some_and(of_request)
     }
 
     fn fields(&self) -> String {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -64,6 +64,17 @@
     assert!(story.contains("the clock of e-1 is at least 2000 ms ahead of that of e-2"), "{story}");
 }
 
+#[test]
+fn a_request_that_became_no_job_is_found_by_its_name_or_path() {
+    let front = vec![
+        line("01.000", "rejected", r#""request":"a1","cause":"stopping""#),
+        line("02.000", "rejected", r#""request":"/jobs/a1","cause":"no-settings""#),
+        line("03.000", "rejected", r#""request":"/jobs/b2","cause":"no-settings""#),
+    ];
+    let story = explain("rejected", &[("e-1", front)]);
+    assert_eq!(story.lines().filter(|line| line.starts_with('*')).count(), 2, "{story}");
+}
+
 #[test]
 fn a_job_without_lines_is_said_so() {
     let story = explain("none", &[("e-1", vec![line("01.000", "admitted", r#""job":"b2""#)])]);
