fix(fleet): a stopping instance answers every job before its grace period ends

A job with a time limit beyond the grace period, or any job where the grace period is not much longer than 2.5 s, was cut off 0.1 s before the end. Change: the stop is a decision of the fleet (stop.rs) and no longer a loop in the adapter. It has the grace period: jobs are taken for 2.5 s or half of the time that is left, if their declared run time fits; 0.5 s before the end each job that is left is answered, 503 if nothing of it ran, else 504. The process ends before that when no job is left and nothing runs on its workers. Why it works: every admitted job has a ticket until it is answered, and the end answers all tickets before the connections are closed. Ruled out: refusing by the caller's limit, which would refuse jobs that the balancer still sends; closing idle connections early, which loses requests that are on their way. The reserve is the sum of the limits for the notice of the signal, the answers and the log.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -251,14 +251,20 @@
         self.node().front().len()
     }
 
-    /// Stops taking duties; callers without an answer are cut off at `cut_at`.
-    pub fn drain(self: &Arc<Self>, cut_at: Time) {
-        self.decide(|node, now, out| node.drain(cut_at, now, out));
+    /// Stops taking duties, and jobs soon after; all are answered within the grace period.
+    pub fn drain(self: &Arc<Self>, grace: Span) {
+        let takes = self.decide(|node, now, out| {
+            node.drain(grace, now, out);
+            node.stop().map_or(Span::ZERO, |stop| stop.takes_for())
+        });
+        let (grace_ms, takes_ms) = (grace.as_ms(), takes.as_ms());
+        log::info!(jobs = self.jobs(), grace_ms, takes_ms; "stopping");
     }
 
-    /// Notes that callers who still wait are cut off; their number.
-    pub fn cut_off(self: &Arc<Self>) -> usize {
-        self.decide(|node, now, out| node.front().cut_off(now, out))
+    /// Whether the process may end after a request to stop.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.node().is_stopped(self.clock.now())
     }
 
     /// Takes settings that were read from the platform.
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -149,19 +149,15 @@
             );
         }
         Note::Rejected { request, cause, stopping: Some(stopping) } => {
-            let (stopping_ms, cut_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
-            log::info!(request, cause = cause.to_string(), stopping_ms, cut_ms; "{name}");
+            let (stopping_ms, ends_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
+            log::info!(request, cause = cause.to_string(), stopping_ms, ends_ms; "{name}");
         }
         Note::Rejected { request, cause, stopping: None } => {
             log::info!(request, cause = cause.to_string(); "{name}");
         }
         Note::AdmittedStopping { job, left, stopping } => {
-            let (stopping_ms, cut_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
-            log::info!(job, left_ms = left.as_ms(), stopping_ms, cut_ms; "{name}");
-        }
-        Note::CutOff { job, kind, age, left, waiting, running } => {
-            let (age_ms, left_ms) = (age.as_ms(), left.as_ms());
-            log::warn!(job, kind, age_ms, left_ms, waiting, running; "{name}");
+            let (stopping_ms, ends_ms) = (stopping.since.as_ms(), stopping.left.as_ms());
+            log::info!(job, left_ms = left.as_ms(), stopping_ms, ends_ms; "{name}");
         }
         Note::Expired { job, scheduler, heard, asked, waiting, ahead } => {
             let scheduler = scheduler.as_ref().map_or("none", |id| id.as_str());
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -390,22 +390,22 @@
         });
     }
 
-    /// Notes that callers who still wait are cut off; their number.
-    pub fn cut_off(&self, now: Time, out: &mut Output) -> usize {
-        let before = out.commands.len();
-        for (name, active) in self.jobs.iter() {
-            let next = active.next.as_ref().map(|(_, job)| job);
-            let Some(job) = active.ticket.map(|_| &active.job).or(next) else { continue };
-            out.note(Note::CutOff {
-                job: name.clone(),
-                kind: job.policy.kind.clone(),
-                age: now.since(job.born),
-                left: job.limit.since(now),
-                waiting: active.waiting(),
-                running: active.placed().count(),
-            });
+    /// Answers every job that is left, because this instance ends.
+    pub fn end_all(&mut self, now: Time, out: &mut Output) {
+        let names: Vec<String> = self.jobs.iter().map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let Some(active) = self.jobs.get_mut(&name) else { continue };
+            // Runs of the job that it follows may have been at work.
+            if let Some((ticket, _)) = active.next.take() {
+                out.answer(ticket, Outcome::GivenUp);
+            }
+            let outcome = if active.at_work > 0 {
+                Outcome::GivenUp
+            } else {
+                Outcome::NotRun { cause: RefusalCause::Stopping, retry: Span::ZERO }
+            };
+            self.close(&name, Some(outcome), now, out);
         }
-        out.commands.len() - before
     }
 
     /// Jobs of a kind of which no task has started.
--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -60,3 +60,17 @@
     /// When the caller stops waiting.
     pub limit: Time,
 }
+
+impl Job {
+    /// Shortest time in which it can run, as far as the caller's declared run times hold.
+    #[must_use]
+    pub fn shortest(&self) -> Span {
+        let mut ends: Vec<Span> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let end_of = |earlier: &u32| ends.get(usize::try_from(*earlier).ok()?).copied();
+            let begin = step.after.iter().filter_map(end_of).max().unwrap_or(Span::ZERO);
+            ends.push(begin + step.declared);
+        }
+        ends.into_iter().max().unwrap_or(Span::ZERO)
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -41,6 +41,7 @@
 mod run_times;
 mod scheduler;
 mod site;
+mod stop;
 mod task_state;
 mod vec_map;
 mod worker;
@@ -52,8 +53,8 @@
 pub use listing::{Listed, Listing};
 pub use members::{Member, Members, Owners, text_hash};
 pub use need::Need;
-pub use node::{BEAT_EVERY, LAST_CALLERS, Node, PEER_TIMEOUT};
-pub use note::{DropCause, Note, Stopping};
+pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
+pub use note::{DropCause, Note};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
@@ -65,6 +66,7 @@
 pub use run_times::RunTimes;
 pub use scheduler::Scheduler;
 pub use site::Site;
+pub use stop::{LAST_CALLERS, Stop, Stopping};
 pub use task_state::{Phase, Placed, TaskState};
 pub use vec_map::VecMap;
 pub use worker::{Charge, LEASE, Worker};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Command, Front, Job, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
-    Refusal, RunKey, Scheduler, StartAnswer, Stopping, TaskKey, VecMap, note::Note,
+    Refusal, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -29,12 +29,6 @@
 /// Time after which a peer with older settings gets them from here; it usually has them by then.
 const SETTINGS_GRACE: Span = Span::from_ms(250);
 
-/// Time after a stop request in which the balancer may still send new callers: it checks once a
-/// second and acts after two misses.
-///
-/// Later jobs are refused: callers with open connections would keep the instance busy until it ends.
-pub const LAST_CALLERS: Span = Span::from_ms(2_500);
-
 /// Last sign of life of a peer, and how long it may be silent.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
@@ -65,8 +59,9 @@
     assigned_at: Time,
     doubt_until: Time,
     ticked: Time,
-    // When the stop was requested, and when callers without an answer are cut off.
-    drained: Option<(Time, Time)>,
+    stop: Option<Stop>,
+    // Whether the stop is over and all callers have their answers.
+    stopped: bool,
 }
 
 impl Node {
@@ -91,14 +86,15 @@
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             ticked: now,
-            drained: None,
+            stop: None,
+            stopped: false,
         }
     }
 
     /// Takes a caller's job, unless this instance is about to end.
     pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
         let stopping = self.stopping(now);
-        if stopping.is_some_and(|stopping| stopping.since >= LAST_CALLERS) {
+        if self.stop.is_some_and(|stop| !stop.takes(&job, now)) {
             let cause = Refusal::Stopping;
             out.note(Note::Rejected { request: job.name, cause, stopping });
             // Other instances take the job at once.
@@ -329,11 +325,11 @@
         self.owner.stopped(worker, run, accepted, now);
     }
 
-    /// This instance is stopping: it takes no duties any more, and cuts off callers without an
-    /// answer at `cut_at`.
-    pub fn drain(&mut self, cut_at: Time, now: Time, out: &mut Output) {
+    /// This instance is asked to stop and has a grace period: it takes no duties any more, and answers
+    /// the jobs that are left before the end.
+    pub fn drain(&mut self, grace: Span, now: Time, out: &mut Output) {
         self.members.me_mut().draining = true;
-        self.drained.get_or_insert((now, cut_at));
+        self.stop.get_or_insert_with(|| Stop::new(grace, now));
         self.send_beats(now, out);
         self.duties(now, out);
         self.settle(now, false, out);
@@ -356,6 +352,10 @@
         let scheduler = self.elected.as_ref().and_then(|elected| self.heard.get(elected));
         self.front.hear(scheduler.map(|scheduler| scheduler.at));
         self.front.tick(now, out);
+        if self.stop.is_some_and(|stop| stop.is_over(now)) {
+            self.front.end_all(now, out);
+            self.stopped = true;
+        }
         self.owner.tick(&self.listing, &self.owners, wall_ms, now, out);
         self.settle(now, true, out);
     }
@@ -423,11 +423,24 @@
         self.members.me().draining
     }
 
+    /// The request to stop, if there was one.
+    #[must_use]
+    pub const fn stop(&self) -> Option<Stop> {
+        self.stop
+    }
+
     /// How far the stop has come; none without a request to stop.
     #[must_use]
     pub fn stopping(&self, now: Time) -> Option<Stopping> {
-        let (at, cut_at) = self.drained?;
-        Some(Stopping { since: now.since(at), left: cut_at.since(now) })
+        self.stop.map(|stop| stop.progress(now))
+    }
+
+    /// Whether the process may end: nothing is left to do for callers and other instances, or there is
+    /// no time left for it.
+    #[must_use]
+    pub fn is_stopped(&self, now: Time) -> bool {
+        let idle = self.front.is_empty() && self.owner.runs() == 0;
+        self.stopped || idle && self.stop.is_some_and(|stop| !stop.expects_callers(now))
     }
 
     /// Version of the settings in force; 0 for none.
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, WorkerId};
 use strum::IntoStaticStr;
 
-use crate::{Outcome, Refusal, RunKey};
+use crate::{Outcome, Refusal, RunKey, Stopping};
 
 /// A decision with the inputs that led to it; the name of the variant is the name of the log line.
 #[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -69,21 +69,6 @@
         /// How far the stop has come.
         stopping: Stopping,
     },
-    /// A job gets no answer because the process ends.
-    CutOff {
-        /// The job.
-        job: String,
-        /// Kind of job.
-        kind: String,
-        /// Time since it arrived.
-        age: Span,
-        /// Time until its limit.
-        left: Span,
-        /// Tasks that wait for room or for earlier steps.
-        waiting: usize,
-        /// Runs that may be at work.
-        running: usize,
-    },
     /// The caller of a job went away.
     CallerGone {
         /// The job.
@@ -200,15 +185,6 @@
     },
 }
 
-/// How far a stop has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Stopping {
-    /// Time since the request to stop.
-    pub since: Span,
-    /// Time until callers without an answer are cut off.
-    pub left: Span,
-}
-
 /// Why a worker was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- /dev/null
+++ b/crates/fleet/src/stop.rs
@@ -0,0 +1,74 @@
+//! A planned stop: until when jobs are taken, and when the last ones get their answer.
+//!
+//! The platform kills a process at the end of its grace period, and callers keep their connections until
+//! then. So a job that is left before that end is answered then, whatever its own time limit is.
+
+use cranberryhatch_types::{Span, Time};
+
+use crate::Job;
+
+/// Time after a request to stop in which the balancer may still send new callers: it checks once a
+/// second and acts after two misses.
+///
+/// Later jobs are refused: callers with open connections would keep the instance busy until it ends.
+pub const LAST_CALLERS: Span = Span::from_ms(2_500);
+/// Time before the end of the grace period at which the jobs that are left are answered: a signal is
+/// noticed after 50 ms, answers and the last log lines have 200 ms each.
+const RESERVE: Span = Span::from_ms(500);
+
+/// A request to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    asked: Time,
+    taken_until: Time,
+    ends: Time,
+}
+
+impl Stop {
+    /// A request that comes now, with the time until the process is killed.
+    #[must_use]
+    pub fn new(grace: Span, now: Time) -> Self {
+        let ends = (now + grace) - RESERVE.min(grace / 2);
+        // The other half is left for the jobs that were taken last.
+        Self { asked: now, taken_until: now + LAST_CALLERS.min(ends.since(now) / 2), ends }
+    }
+
+    /// Whether a job is taken: its caller was sent here, and its declared run time fits.
+    #[must_use]
+    pub fn takes(&self, job: &Job, now: Time) -> bool {
+        now < self.taken_until && now + job.shortest() <= self.ends
+    }
+
+    /// Whether callers that were sent here before the balancer noticed the stop may still come.
+    #[must_use]
+    pub fn expects_callers(&self, now: Time) -> bool {
+        now < self.taken_until
+    }
+
+    /// Whether the jobs that are left must be answered.
+    #[must_use]
+    pub fn is_over(&self, now: Time) -> bool {
+        now >= self.ends
+    }
+
+    /// Time in which jobs are taken.
+    #[must_use]
+    pub fn takes_for(&self) -> Span {
+        self.taken_until.since(self.asked)
+    }
+
+    /// How far it has come.
+    #[must_use]
+    pub fn progress(&self, now: Time) -> Stopping {
+        Stopping { since: now.since(self.asked), left: self.ends.since(now) }
+    }
+}
+
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stopping {
+    /// Time since the request to stop.
+    pub since: Span,
+    /// Time until the jobs that are left are answered.
+    pub left: Span,
+}
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -15,6 +15,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 const SENT: Time = Time::from_ms(10_000);
+/// Time from a request to stop until the process is killed.
+const GRACE: Span = Span::from_secs(6);
 
 fn id(name: &str) -> InstanceId {
     name.parse().expect("a name")
@@ -230,7 +232,7 @@
             Command::Answer { outcome, .. } => Some(outcome),
             _ => None,
         });
-        node.drain(SENT + Span::from_ms(5_900), SENT, &mut Output::default());
+        node.drain(GRACE, SENT, &mut Output::default());
         answer
     };
     let (cause, retry) = (Refusal::Stopping, Span::ZERO);
--- /dev/null
+++ b/crates/fleet/tests/stopping.rs
@@ -0,0 +1,154 @@
+//! Guards against callers that get no answer because their instance ends.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::need;
+use cranberryhatch_fleet::{
+    Command, Job, LAST_CALLERS, Member, Message, Node, Outcome, Output, Policy, Refusal, Step, Stop,
+};
+use cranberryhatch_schema::fleet::{Beat, Grant, Place};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+const ASKED: Time = Time::from_ms(10_000);
+const TICK: u64 = 20;
+/// Time in which answers are written and the log is flushed, by the process.
+const WRITING: u64 = 400;
+
+fn id(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+fn member(name: &str, cores: u32) -> Member {
+    let (id, zone) = (id(name), "a".parse().expect("a zone"));
+    Member { id, incarnation: 1, zone, cores, draining: false, joined: true, version: 0 }
+}
+
+fn job(name: &str, declared: &[(u64, Vec<u32>)], limit: Span) -> Job {
+    let policy = Policy {
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1_600,
+        slack: Span::from_ms(60),
+        timeout: Span::from_ms(1_500),
+    };
+    let step = |(ms, after): &(u64, Vec<u32>)| Step {
+        tasks: 1,
+        need: need(14_000),
+        declared: Span::from_ms(*ms),
+        after: after.clone(),
+        ..Step::default()
+    };
+    Job {
+        name: name.to_owned(),
+        policy: Arc::new(policy),
+        payload: "x".into(),
+        steps: declared.iter().map(step).collect(),
+        born: ASKED,
+        limit: ASKED + limit,
+    }
+}
+
+fn answers(out: Output) -> Vec<(u64, Outcome)> {
+    let answer = |command| match command {
+        Command::Answer { ticket, outcome } => Some((ticket, outcome)),
+        _ => None,
+    };
+    out.commands.into_iter().filter_map(answer).collect()
+}
+
+#[test]
+fn every_job_is_answered_before_the_end_of_any_grace_period() {
+    let refused = Outcome::NotRun { cause: Refusal::Stopping, retry: Span::ZERO };
+    for grace in [300, 1_000, 2_000, 6_000, 30_000] {
+        let mut node = Node::new(member("e-1", 250), ASKED);
+        let mut out = Output::default();
+        node.link_up(member("s", 500), ASKED, &mut out);
+        let minute = Span::from_secs(60);
+        node.submit(1, job("begun", &[(100, vec![])], minute), ASKED, &mut out);
+        node.submit(2, job("waits", &[(100, vec![])], minute), ASKED, &mut out);
+        let (worker, owner) = ("w".to_owned(), "s".to_owned());
+        let place = Place { task: 0, worker, owner, run_ms: 100, token: 7 };
+        let grant = Grant { job: "begun".to_owned(), step: 0, places: vec![place] };
+        node.message(&id("s"), Message::Grant(grant), ASKED, &mut out);
+        node.drain(Span::from_ms(grace), ASKED, &mut out);
+        assert_eq!(answers(out), [], "{grace}: answered too soon");
+        let mut found = Vec::new();
+        let mut at = ASKED;
+        while !node.is_stopped(at) {
+            assert!(at.since(ASKED).as_ms() < grace, "{grace}: killed");
+            at = at + Span::from_ms(TICK);
+            let mut out = Output::default();
+            // The scheduler and owner stays in reach.
+            node.message(&id("s"), Message::Beat(Beat::default()), at, &mut out);
+            node.tick(0, at, &mut out);
+            found.extend(answers(out));
+        }
+        found.sort_by_key(|(ticket, _)| *ticket);
+        assert_eq!(found, [(1, Outcome::GivenUp), (2, refused)], "{grace}");
+        let left = grace - at.since(ASKED).as_ms();
+        assert!(left + TICK >= WRITING.min(grace / 2), "{grace}: {left} ms to write answers");
+    }
+}
+
+#[test]
+fn a_stopping_instance_takes_what_it_can_finish() {
+    struct Case {
+        name: &'static str,
+        grace: u64,
+        after: u64,
+        steps: Vec<(u64, Vec<u32>)>,
+        taken: bool,
+    }
+    let short = || vec![(100, vec![])];
+    let last = LAST_CALLERS.as_ms();
+    let cases = [
+        Case { name: "at once", grace: 6_000, after: 0, steps: short(), taken: true },
+        Case {
+            name: "sent by the balancer",
+            grace: 6_000,
+            after: last - 1,
+            steps: short(),
+            taken: true,
+        },
+        Case {
+            name: "from an open connection",
+            grace: 6_000,
+            after: last,
+            steps: short(),
+            taken: false,
+        },
+        Case { name: "long", grace: 6_000, after: 0, steps: vec![(5_400, vec![])], taken: true },
+        Case {
+            name: "longer than the time left",
+            grace: 6_000,
+            after: 0,
+            steps: vec![(5_600, vec![])],
+            taken: false,
+        },
+        Case {
+            name: "steps one after the other",
+            grace: 6_000,
+            after: 1_000,
+            steps: vec![(2_000, vec![]), (1_000, vec![]), (3_000, vec![0, 1])],
+            taken: false,
+        },
+        Case {
+            name: "steps side by side",
+            grace: 6_000,
+            after: 1_000,
+            steps: vec![(2_000, vec![]), (3_000, vec![]), (1_000, vec![0])],
+            taken: true,
+        },
+        Case { name: "short grace period", grace: 1_000, after: 249, steps: short(), taken: true },
+        Case { name: "half of it is left", grace: 1_000, after: 250, steps: short(), taken: false },
+    ];
+    for Case { name, grace, after, steps, taken } in cases {
+        let stop = Stop::new(Span::from_ms(grace), ASKED);
+        let job = job("j", &steps, Span::from_secs(60));
+        assert_eq!(stop.takes(&job, ASKED + Span::from_ms(after)), taken, "{name}");
+    }
+}
