test(fleet): the model reads what waits after a pause, in the order of each link

The model dropped them, because the link's end by the other side closed both directions at once, and it handled all that waited in one moment.

--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -27,6 +27,8 @@
 const WALL: u64 = 1_800_000_000_000;
 /// Time after which a caller whose connection broke sends its job again.
 const RESEND: u64 = 1_300;
+/// Longest time between two events that an instance handles after a pause.
+const RESUME_STEP: u64 = 4;
 /// Time that a worker may hold a look open.
 const LOOK_STEP: u64 = 10;
 /// Time after which a request to a worker counts as lost.
@@ -105,7 +107,7 @@
     Revive {
         node: usize,
     },
-    Thaw {
+    Resume {
         node: usize,
     },
     Heal {
@@ -125,6 +127,15 @@
     until: u64,
 }
 
+/// The peer on whose link an event comes.
+const fn link_of(what: &Happening) -> Option<usize> {
+    match what {
+        Happening::Deliver { from, .. } => Some(*from),
+        Happening::LinkDown { peer, .. } => Some(*peer),
+        _ => None,
+    }
+}
+
 struct Event {
     at: u64,
     order: u64,
@@ -154,6 +165,8 @@
     pub life: u64,
     pub frozen: bool,
     pub zone: usize,
+    /// How far its time of day is ahead, in milliseconds.
+    pub ahead: u64,
     member: Member,
     waiting: VecDeque<Happening>,
 }
@@ -203,6 +216,8 @@
     /// Broken promises.
     pub faults: Vec<String>,
     sessions: Vec<Vec<u64>>,
+    // The link that each instance takes for up, whose messages it reads.
+    read_from: Vec<Vec<u64>>,
     // When the last message of each link arrives.
     arrivals: Vec<Vec<u64>>,
     next_session: u64,
@@ -249,6 +264,7 @@
             life: 0,
             frozen: false,
             zone: index % zones,
+            ahead: 0,
             member: Member {
                 id: format!("e-{index}").parse().expect("an id"),
                 incarnation: 1,
@@ -273,6 +289,7 @@
             verbose: std::env::var_os("FUZZ_VERBOSE").is_some(),
             faults: Vec::new(),
             sessions: vec![vec![0; instances]; instances],
+            read_from: vec![vec![0; instances]; instances],
             arrivals: vec![vec![0; instances]; instances],
             next_session: 1,
             events: BinaryHeap::new(),
@@ -330,22 +347,37 @@
 
     fn happen(&mut self, what: Happening) {
         if let Some(node) = self.held_up(&what) {
-            self.instances[node].waiting.push_back(what);
+            if self.arrives(&what) {
+                self.instances[node].waiting.push_back(what);
+            }
             return;
         }
+        if self.arrives(&what) {
+            self.handle(what);
+        }
+    }
+
+    /// Whether an event comes to its instance; messages on links that are cut or over do not.
+    fn arrives(&self, what: &Happening) -> bool {
+        let Happening::Deliver { from, to, session, .. } = what else { return true };
+        let (from, to, session) = (*from, *to, *session);
+        let open = self.sessions[from][to] == session && self.sessions[to][from] == session;
+        open && self.linked(from, to)
+    }
+
+    fn handle(&mut self, what: Happening) {
         match what {
             Happening::Tick { node, life } => {
                 if self.instances[node].life != life {
                     return;
                 }
                 self.at(self.now + TICK, Happening::Tick { node, life });
-                let wall = WALL + self.now;
+                let wall = self.wall(node);
                 self.decide(node, |n, now, out| n.tick(wall, now, out));
             }
             Happening::Deliver { from, to, session, message } => {
-                // A process that was killed without a word takes nothing on its old links.
-                let open = self.sessions[from][to] == session && self.sessions[to][from] == session;
-                if open && self.linked(from, to) {
+                // A process reads what has arrived until it notices the end of the link.
+                if self.read_from[to][from] == session {
                     let id = self.id(from);
                     self.decide(to, |n, now, out| {
                         n.message(&id, *message, now, out);
@@ -386,7 +418,7 @@
             Happening::Submit { request } => self.submit(request),
             Happening::Leave { request, attempt } => self.leave(request, attempt),
             Happening::Revive { node } => self.revive(node),
-            Happening::Thaw { node } => self.thaw(node),
+            Happening::Resume { node } => self.resume(node),
             Happening::Heal { worker } => self.cut_workers.retain(|cut| *cut != worker),
             Happening::HealZone { zone } => self.cut_zones.retain(|cut| *cut != zone),
         }
@@ -459,6 +491,7 @@
             }
             Command::Unlink { peer } => {
                 let peer = self.index(&peer);
+                self.read_from[node][peer] = 0;
                 self.break_link(node, peer, Some(node));
             }
             Command::Look { worker, token, patience, acked, lease, wait, .. } => {
@@ -589,7 +622,14 @@
         let step = &request.job.steps[run.task.step as usize];
         let (need, fails) = (step.need, request.fails);
         let length = step.declared.as_ms() * self.rng.u64(500..2_000) / 1_000;
-        let work = AtWork { run: run.clone(), need, since: now, until: now + length.max(5), fails };
+        let work = AtWork {
+            run: run.clone(),
+            need,
+            since: now,
+            until: now + length.max(5),
+            fails,
+            stopped: None,
+        };
         let Some(fake) = self.reach(worker) else {
             if answered {
                 let (worker, answer, clock) = (worker.clone(), StartAnswer::Lost, None);
@@ -620,7 +660,7 @@
         instance.waiting.clear();
         instance.node = Some(Node::new(instance.member.clone(), now));
         let life = instance.life;
-        let wall = WALL + self.now;
+        let wall = self.wall(node);
         self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
         self.at(self.now + 1, Happening::Tick { node, life });
         for peer in 0..self.instances.len() {
@@ -630,15 +670,18 @@
         }
     }
 
+    fn wall(&self, node: usize) -> u64 {
+        WALL + self.now + self.instances[node].ahead
+    }
+
     fn listed(&self) -> Vec<Listed> {
         self.workers.iter().map(|worker| worker.listed.clone()).collect()
     }
 
     /// Tells all instances of the workers as they are.
     pub fn relist(&mut self) {
-        let wall = WALL + self.now;
         for node in 0..self.instances.len() {
-            let listed = self.listed();
+            let (listed, wall) = (self.listed(), self.wall(node));
             self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
         }
     }
@@ -665,6 +708,8 @@
         self.next_session += 1;
         self.sessions[a][b] = session;
         self.sessions[b][a] = session;
+        self.read_from[a][b] = session;
+        self.read_from[b][a] = session;
         let (for_a, for_b) = (self.instances[b].member.clone(), self.instances[a].member.clone());
         self.decide(a, |n, now, out| n.link_up(for_a, now, out));
         self.decide(b, |n, now, out| n.link_up(for_b, now, out));
@@ -691,6 +736,7 @@
         if self.sessions[node][peer] > session {
             return;
         }
+        self.read_from[node][peer] = 0;
         let id = self.id(peer);
         self.decide(node, |n, now, out| n.link_down(&id, now, out));
     }
@@ -703,6 +749,7 @@
         self.instances[node].node = None;
         self.instances[node].life += 1;
         self.instances[node].waiting.clear();
+        self.read_from[node].fill(0);
         for peer in 0..self.instances.len() {
             if peer != node && !silent {
                 self.break_link(node, peer, Some(node));
@@ -737,20 +784,26 @@
     pub fn freeze(&mut self, node: usize, span: u64) {
         if self.instances[node].node.is_some() && !self.instances[node].frozen {
             self.instances[node].frozen = true;
-            self.at(self.now + span, Happening::Thaw { node });
+            self.at(self.now + span, Happening::Resume { node });
         }
     }
 
-    fn thaw(&mut self, node: usize) {
-        self.instances[node].frozen = false;
-        let mut waiting = std::mem::take(&mut self.instances[node].waiting);
-        // After a pause timers and sockets are handled in any order.
-        while !waiting.is_empty() {
-            let place = if self.rng.bool() { 0 } else { self.rng.usize(0..waiting.len()) };
-            if let Some(what) = waiting.remove(place) {
-                self.happen(what);
-            }
+    // After a pause timers and sockets are handled in any order, each link from its oldest message to
+    // its end, and one after the other on a small share of a core.
+    fn resume(&mut self, node: usize) {
+        let count = self.instances[node].waiting.len();
+        if count == 0 || self.instances[node].node.is_none() {
+            self.instances[node].frozen = false;
+            return;
         }
+        let drawn = if self.rng.bool() { 0 } else { self.rng.usize(0..count) };
+        let waiting = &mut self.instances[node].waiting;
+        let link = link_of(&waiting[drawn]);
+        let oldest = waiting.iter().position(|what| link.is_some() && link_of(what) == link);
+        let what = waiting.remove(oldest.unwrap_or(drawn));
+        what.into_iter().for_each(|what| self.handle(what));
+        let pause = self.rng.u64(0..RESUME_STEP);
+        self.at(self.now + pause, Happening::Resume { node });
     }
 
     /// Cuts a zone off from the other zones.
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -7,6 +7,9 @@
 /// Longest lease that a worker grants, in milliseconds of its clock.
 const LEASE_MAX: u64 = 1_000;
 
+/// Time that a stop takes, in milliseconds: the platform's bound.
+const STOP_TIME: u64 = 50;
+
 /// A run at work.
 #[derive(Clone, Debug)]
 pub struct AtWork {
@@ -15,6 +18,8 @@
     pub since: u64,
     pub until: u64,
     pub fails: bool,
+    /// When a stop that was accepted ends it.
+    pub stopped: Option<u64>,
 }
 
 /// One life of a worker; times are those of the world unless stated otherwise.
@@ -64,7 +69,7 @@
             if !self.hangs && run.until <= now {
                 let how = if run.fails { RunEnd::Failed } else { RunEnd::Done };
                 self.end(run.run, how);
-            } else if lapsed {
+            } else if lapsed || run.stopped.is_some_and(|at| at <= now) {
                 self.end(run.run, RunEnd::Stopped);
             } else {
                 self.runs.push(run);
@@ -146,10 +151,9 @@
         if !self.obeys(token) {
             return false;
         }
-        match self.runs.iter().position(|at_work| at_work.run == *run) {
-            Some(place) => {
-                let at_work = self.runs.remove(place);
-                self.end(at_work.run, RunEnd::Stopped);
+        match self.runs.iter_mut().find(|at_work| at_work.run == *run) {
+            Some(at_work) => {
+                at_work.stopped.get_or_insert(now + STOP_TIME);
             }
             None => self.bury(run),
         }
