fix(fleet): a lease ends before its front may give the run up, however long the order waited

Cause: a front gives a run up 1.5 s after it last heard from the owner. An owner that stood still finds starts in its receive buffer that are as old as its pause and gave each a full lease of 950 ms from the moment in which it read it. The bound in docs/platform.md did not hold either: 600 ms until a lost front is noticed and 950 ms of lease are more than 1,500 ms, and a lease was extended while a stop of a run was not confirmed. Change: signs of life carry the sender's clock and the latest one read from the receiver; a start carries the latter too. An owner thus knows, by its own clock alone, which of its signs each front had read, and ends every lease on a worker 1.3 s after the oldest of them. A start that would get less than 300 ms is refused and leaves start-outdated. Runs that nobody claimed, that the front stopped or whose front is lost prove nothing any more, so no lease is extended over them. A grant that is read after the job's time limit starts nothing. Why it works: a front cannot have named a sign that it read later than it gave the owner up, and 1.3 s are less than its 1.5 s; callers that lost their front send the job again after 1.3 s. The bound is the same for slow links, slow instances and pauses. Ruled out: the worker (the start does not say how old it is), a check of the gap between ticks (messages may be read before the tick), clocks of two machines compared.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -184,6 +184,12 @@
                 "{name}"
             );
         }
+        Note::StartOutdated { run, worker, age } => {
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), age_ms = age.as_ms();
+                "{name}"
+            );
+        }
         Note::RunLost { run, owner } => {
             log::warn!(run = run_text(run), owner = owner.as_str(); "{name}");
         }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -147,24 +147,26 @@
         self.heard = heard;
     }
 
-    /// Starts runs where room was granted.
+    /// Starts runs where room was granted; `sign` is the latest sign of life that was read from an
+    /// instance, none if it is out of reach.
     pub fn granted(
         &mut self,
         from: &InstanceId,
         grant: Grant,
-        reaches: impl Fn(&InstanceId) -> bool,
+        sign: impl Fn(&InstanceId) -> Option<Time>,
         now: Time,
         out: &mut Output,
     ) {
         for place in grant.places {
             let key = TaskKey { job: grant.job.clone(), step: grant.step, task: place.task };
-            let owner = place.owner.parse::<InstanceId>().ok().filter(&reaches);
+            let owner = place.owner.parse::<InstanceId>().ok();
+            let owner = owner.and_then(|owner| sign(&owner).map(|sign| (owner, sign)));
             let worker = place.worker.parse::<WorkerId>().ok();
-            let started = owner.zip(worker).is_some_and(|(owner, worker)| {
+            let started = owner.zip(worker).is_some_and(|((owner, seen), worker)| {
                 let expected = Span::from_ms(place.run_ms.into());
                 let token = place.token;
                 let placed = Placed { owner, token, worker, expected, since: now, lost: None };
-                self.start(&key, placed, now, out)
+                self.start(&key, placed, seen, now, out)
             });
             if !started {
                 let TaskKey { job, step, task } = key;
@@ -177,9 +179,17 @@
     }
 
     /// Whether the task was waiting and its run was ordered.
-    fn start(&mut self, key: &TaskKey, placed: Placed, now: Time, out: &mut Output) -> bool {
+    fn start(
+        &mut self,
+        key: &TaskKey,
+        placed: Placed,
+        seen: Time,
+        now: Time,
+        out: &mut Output,
+    ) -> bool {
         let Some(active) = self.jobs.get_mut(&key.job) else { return false };
-        if active.closing.is_some() {
+        // A grant that is read after a pause may come too late.
+        if active.closing.is_some() || now >= active.job.limit {
             return false;
         }
         let Some(state) = active.task(key) else { return false };
@@ -189,7 +199,7 @@
         let owner = placed.owner.clone();
         state.place(placed);
         let state = state.clone();
-        let start = start_message(&active.job, key, &state);
+        let start = start_message(&active.job, key, &state, seen);
         active.started.get_or_insert(now);
         active.runs += 1;
         active.at_work += 1;
@@ -456,7 +466,7 @@
     }
 }
 
-fn start_message(job: &Job, key: &TaskKey, state: &TaskState) -> Option<Start> {
+fn start_message(job: &Job, key: &TaskKey, state: &TaskState, seen: Time) -> Option<Start> {
     let Phase::Placed(place) = &state.phase else { return None };
     let step = job.steps.get(usize::try_from(key.step).ok()?)?;
     let policy: &Arc<Policy> = &job.policy;
@@ -471,6 +481,7 @@
         kind: policy.kind.clone(),
         stalls: state.stalls,
         token: place.token,
+        seen_ms: seen.as_ms(),
     })
 }
 
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -22,8 +22,16 @@
         }
     }
 
-    /// Takes what a new owner found on a worker, and claims the runs that are still wanted.
-    pub fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
+    /// Takes what a new owner found on a worker, and claims the runs that are still wanted; `seen` is
+    /// the latest sign of life that was read from that owner.
+    pub fn takeover(
+        &mut self,
+        from: &InstanceId,
+        found: &Takeover,
+        seen: Time,
+        now: Time,
+        out: &mut Output,
+    ) {
         let running: Vec<RunKey> = found.running.iter().map(RunKey::from).collect();
         let mut ends = Vec::new();
         let mut claims = Vec::new();
@@ -44,7 +52,7 @@
                     place.token = found.token;
                     place.lost = None;
                     if wanted {
-                        claims.extend(start_message(&job, &key, state));
+                        claims.extend(start_message(&job, &key, state, seen));
                     }
                     continue;
                 }
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -51,6 +51,10 @@
     pub stalls: u32,
     /// When the start was sent.
     pub sent: Time,
+    /// Latest sign of life of this owner that the front has read while it wanted the run.
+    pub seen: Time,
+    /// Whether the front wants the run, as far as is known.
+    pub wanted: bool,
     /// What is known of it.
     pub stage: Stage,
     /// Whether it is to be stopped, and when the stop was last sent.
@@ -76,6 +80,9 @@
             expected: Span::from_ms(start.run_ms.into()),
             stalls: start.stalls,
             sent: now,
+            // The front cannot have read what this owner has not sent yet.
+            seen: Time::from_ms(start.seen_ms).min(now),
+            wanted: true,
             stage: Stage::Starting,
             stopping: None,
             stalled: false,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -36,6 +36,8 @@
     limit: Span,
     // When this instance last sent a sign of life to it.
     told: Time,
+    // Latest sign of life that was read from it, by its own clock.
+    sign: Time,
 }
 
 /// Decisions of one instance: callers' jobs, its workers, and room if it schedules.
@@ -127,7 +129,10 @@
         // The end of an earlier link may not have been noticed here, as after a pause; what this
         // instance did for the peer then must end.
         self.link_down(&id, now, out);
-        self.heard.insert(id.clone(), Heard { at: now, limit: PEER_TIMEOUT, told: Time::ZERO });
+        self.heard.insert(
+            id.clone(),
+            Heard { at: now, limit: PEER_TIMEOUT, told: Time::ZERO, sign: Time::ZERO },
+        );
         self.members.up(peer);
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
         self.send_beats(now, out);
@@ -185,14 +190,17 @@
             Body::Rooms(rooms) => self.scheduler.rooms(from, rooms, &self.listing, now),
             Body::Freed(freed) => self.scheduler.freed(&freed, now),
             Body::Grant(grant) => {
-                let members = &self.members;
-                self.front.granted(from, grant, |id| members.reaches(id), now, out);
+                let (me, heard) = (&self.members.me().id, &self.heard);
+                let sign = |id: &InstanceId| sign_of(me, heard, id, now);
+                self.front.granted(from, grant, sign, now, out);
             }
             Body::Refusal(refusal) => self.front.refused(&refusal, now, out),
             Body::Ended(ended) => self.front.ended(&ended, now, out),
             Body::Takeover(found) => {
                 self.owner.learn_token(found.token);
-                self.front.takeover(from, &found, now, out);
+                let me = &self.members.me().id;
+                let seen = sign_of(me, &self.heard, from, now).unwrap_or(Time::ZERO);
+                self.front.takeover(from, &found, seen, now, out);
             }
             Body::Start(start) => self.owner.start(from, start, now, out),
             Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
@@ -235,7 +243,9 @@
         if let Some(heard) = self.heard.get_mut(from) {
             let limit = u64::from(beat.next_ms) * BEATS_MISSED;
             heard.limit = Span::from_ms(limit).max(PEER_TIMEOUT);
+            heard.sign = Time::from_ms(beat.sent_ms);
         }
+        self.owner.seen_by(from, Time::from_ms(beat.seen_ms), now);
         let Some(peer) = self.members.peer_mut(from) else { return };
         let changed = peer.draining != beat.draining || peer.joined != beat.joined;
         peer.draining = beat.draining;
@@ -393,7 +403,9 @@
             heard.told = now;
             let (draining, joined, version) = said;
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
-            out.send(id, Body::Beat(Beat { version, draining, joined, next_ms }));
+            let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
+            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms };
+            out.send(id, Body::Beat(beat));
         }
     }
 
@@ -473,3 +485,13 @@
         self.is_scheduler().then(|| self.scheduler.load(now))
     }
 }
+
+/// Latest sign of life that was read from an instance, by its own clock; none if it is out of reach.
+fn sign_of(
+    me: &InstanceId,
+    heard: &VecMap<InstanceId, Heard>,
+    id: &InstanceId,
+    now: Time,
+) -> Option<Time> {
+    if me == id { Some(now) } else { heard.get(id).map(|heard| heard.sign) }
+}
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -116,6 +116,15 @@
         /// Progress in percent.
         percent: u32,
     },
+    /// A start was refused because its lease could outlast the time after which its front gives it up.
+    StartOutdated {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Age of the latest sign of life of this instance that the front had read.
+        age: Span,
+    },
     /// A run is no longer known to end, because its owner was lost.
     RunLost {
         /// The run.
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -7,21 +7,22 @@
 use crate::{
     Command, Held, Output, RunKey, StartAnswer,
     held::Stage,
-    note::DropCause,
+    note::{DropCause, Note},
     output::Message,
-    worker::{Charge, STOP_TIME},
+    worker::{Charge, START_LEASE, STOP_TIME},
 };
 
 impl Owner {
     /// Starts a run for a front.
     pub fn start(&mut self, front: &InstanceId, start: Start, now: Time, out: &mut Output) {
         let Some(held) = Held::new(front.clone(), &start, now) else { return };
+        self.seen_by(front, held.seen, now);
         let refuse = |owner: &Self, held: &Held, out: &mut Output| {
             send_end(held, &start.worker, How::NoRoom, Span::ZERO, out);
             owner.free(held, &start.worker, How::NoRoom, Span::ZERO, out);
         };
         let id = start.worker.parse::<WorkerId>().ok();
-        let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else {
+        let Some(worker) = id.as_ref().and_then(|id| self.workers.get_mut(id)) else {
             refuse(self, &held, out);
             return;
         };
@@ -33,9 +34,15 @@
         let takes = worker.is_open()
             && worker.token == start.token
             && worker.listed.service == start.service;
-        let lease =
-            if takes && !others && held.need.fits(&room) { worker.lease(now) } else { None };
-        let Some(lease) = lease else {
+        if !takes || others || !held.need.fits(&room) {
+            refuse(self, &held, out);
+            return;
+        }
+        worker.held.push(held.clone());
+        let Some(lease) = worker.lease(START_LEASE, now) else {
+            worker.held.pop();
+            let (id, age) = (worker.listed.id.clone(), now.since(held.seen));
+            out.note(Note::StartOutdated { run: held.run.clone(), worker: id, age });
             refuse(self, &held, out);
             return;
         };
@@ -47,7 +54,15 @@
             payload: start.payload,
             lease,
         });
-        worker.held.push(held);
+    }
+
+    /// Learns that a front has read a sign of life that this owner sent at `at`.
+    pub fn seen_by(&mut self, front: &InstanceId, at: Time, now: Time) {
+        for (_, worker) in self.workers.iter_mut() {
+            for held in worker.held.iter_mut().filter(|held| held.wanted && held.front == *front) {
+                held.seen = held.seen.max(at.min(now));
+            }
+        }
     }
 
     /// Takes the answer to a start.
@@ -113,6 +128,7 @@
             }
             return;
         };
+        held.wanted = false;
         if held.stopping.is_none() {
             held.stopping = Some(now);
             if held.stage != Stage::Starting {
@@ -145,8 +161,9 @@
                 waits_for.retain(|other| other != front);
             }
             let mut stops = Vec::new();
-            for held in &mut worker.held {
-                if held.front == *front && held.stopping.is_none() {
+            for held in worker.held.iter_mut().filter(|held| held.front == *front) {
+                held.wanted = false;
+                if held.stopping.is_none() {
                     held.stopping = Some(now);
                     if held.stage != Stage::Starting {
                         stops.push(held.run.clone());
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -151,6 +151,8 @@
         expected: Span::ZERO,
         stalls: 0,
         sent: now,
+        seen: Time::ZERO,
+        wanted: false,
         stage: Stage::AtWork { since: now },
         stopping: None,
         stalled: false,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -2,16 +2,13 @@
 
 use cranberryhatch_types::{InstanceId, Span, Time};
 
-use crate::{Held, Listed, held::Stage, output::Lease};
+use crate::{
+    Held, Listed,
+    held::Stage,
+    output::Lease,
+    run_life::{LEASE_SLACK, lease_length},
+};
 
-/// Lease of runs on a worker.
-///
-/// The platform shortens longer leases to 1 s; below 800 ms a new owner would come too late to keep
-/// the runs of one that lost power.
-pub const LEASE: Span = Span::from_ms(950);
-/// Time that covers a worker's clock that is slow by 2 % (the platform's bound) and the way of the
-/// answers.
-const LEASE_SLACK: Span = Span::from_ms(70);
 /// Time that a stop takes on a worker, with some slack; the platform's bound is 50 ms.
 pub const STOP_TIME: Span = Span::from_ms(80);
 
@@ -22,6 +19,10 @@
 /// The same for a worker that has not answered a look lately: ends are not seen while an answer is
 /// awaited that does not come. The mean run time is 60 ms to 900 ms.
 const LOSSY_LOOK_WAIT: Span = Span::from_ms(60);
+/// Shortest lease of a start: the wait of the look that extends it, and its way.
+pub const START_LEASE: Span = Span::from_ms(300);
+/// Shortest lease that a look extends; any is of use.
+pub const LOOK_LEASE: Span = Span::from_ms(1);
 /// Time for the answer to an order; a round trip takes 2 ms, and an instance with a small share of a
 /// core reads it some ten milliseconds later.
 const PATIENCE: Span = Span::from_ms(200);
@@ -144,12 +145,17 @@
         self.lost_at.is_some_and(|at| at >= start)
     }
 
-    /// A lease from now on, and a note of when it ends at the latest.
-    pub fn lease(&mut self, now: Time) -> Option<Lease> {
+    /// A lease of at least `shortest` from now on for all that runs, and a note of when it ends at the
+    /// latest; none if a front may give its run up before.
+    pub fn lease(&mut self, shortest: Span, now: Time) -> Option<Lease> {
         let (clock, at) = self.clock?;
+        let length = lease_length(self.held.iter().map(|held| held.seen).min(), now);
+        if length < shortest {
+            return None;
+        }
         // The answer was under way for a while, so the worker's clock is ahead of this.
-        let until = clock + now.since(at).as_ms() + LEASE.as_ms();
-        self.lease_end = self.lease_end.max(now + LEASE + LEASE_SLACK);
+        let until = clock + now.since(at).as_ms() + length.as_ms();
+        self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
         Some(Lease { until })
     }
 }
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -57,7 +57,7 @@
     let (worker, owner) = ("w".to_owned(), "o".to_owned());
     let place = Place { task: 0, worker, owner, run_ms: 100, token };
     let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
-    front.granted(&id("s"), grant, |_| true, now, out);
+    front.granted(&id("s"), grant, |_| Some(now), now, out);
 }
 
 fn asks(out: &Output) -> usize {
@@ -131,7 +131,7 @@
         let mut front = placed(&mut out);
         let running = if running { vec![run()] } else { Vec::new() };
         let found = Takeover { worker: "w".to_owned(), running, ended: Vec::new(), token };
-        front.takeover(&id("p"), &found, SENT, &mut out);
+        front.takeover(&id("p"), &found, SENT, SENT, &mut out);
         assert_eq!(asks(&out), expected, "{name}");
     }
 }
@@ -301,7 +301,7 @@
     let mut out = Output::default();
     node.link_up(member("p", true), SENT, &mut out);
     node.submit(1, job(500), SENT, &mut out);
-    let beat = Beat { version: 0, draining: false, joined: true, next_ms: 140 };
+    let beat = Beat { joined: true, next_ms: 140, ..Beat::default() };
     node.message(&peer, Message::Beat(beat), SENT + Span::from_ms(200), &mut out);
     for after in (20..=500).step_by(20) {
         node.tick(0, SENT + Span::from_ms(after), &mut out);
--- /dev/null
+++ b/crates/fleet/tests/run_life.rs
@@ -0,0 +1,42 @@
+//! Guards against leases that outlast the time after which a front starts a run again.
+
+use cranberryhatch_fleet::{LEASE, RUN_GONE, RUN_LIFE, lease_length};
+use cranberryhatch_types::{Span, Time};
+
+/// Time after which a caller that lost its instance sends its job to another: the platform's bound.
+const RESEND: Span = Span::from_ms(1_300);
+/// How much slower than ours a worker's clock may be, in percent: the platform's bound.
+const SLOW_CLOCK: u64 = 2;
+const NOW: Time = Time::from_ms(100_000);
+
+#[test]
+fn no_run_is_at_work_when_its_front_or_its_caller_starts_it_again() {
+    assert!(RUN_LIFE <= RUN_GONE && RUN_LIFE <= RESEND);
+    for age in 0..=2 * RUN_GONE.as_ms() {
+        let length = lease_length(Some(NOW - Span::from_ms(age)), NOW).as_ms();
+        let longest = length + length * SLOW_CLOCK / 100;
+        assert!(length == 0 || age + longest <= RUN_LIFE.as_ms(), "sign of life {age} ms ago");
+    }
+}
+
+#[test]
+fn leases_are_as_long_as_the_signs_of_life_allow() {
+    struct Case {
+        name: &'static str,
+        age: Option<u64>,
+        length: u64,
+    }
+    let full = LEASE.as_ms();
+    let cases = [
+        Case { name: "nothing runs", age: None, length: full },
+        Case { name: "a sign just read", age: Some(0), length: full },
+        Case { name: "as old as two signs on slow links", age: Some(280), length: full },
+        Case { name: "the front was silent", age: Some(600), length: 630 },
+        Case { name: "the owner was paused", age: Some(1_500), length: 0 },
+        Case { name: "no sign was read", age: Some(100_000), length: 0 },
+    ];
+    for Case { name, age, length } in cases {
+        let seen = age.map(|age| NOW - Span::from_ms(age));
+        assert_eq!(lease_length(seen, NOW).as_ms(), length, "{name}");
+    }
+}
