fix(fleet): the end of a run that a former owner infers does not count

Callers saw: nothing yet; the model found two runs of one task at a time (fuzz seed 6642). Cause: an owner stood still for 2.5 s. Meanwhile two others took its worker over in turn and the run went on under the second. After the pause the former owner's look got no answer, the lease that it had given was over, and it reported the run as stopped; the front, which knew the present owner, believed it and started the task again. The new test in front.rs fails without the check, at its first case. Change: a front takes from an owner that is not the run's present one only what the worker said: success or failure. Why it works: the present owner holds the run and reports its end; a run that it does not hold was ended by its takeover. Ruled out: a check at the former owner, which cannot know of the takeover while its worker does not answer.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -230,9 +230,16 @@
         self.close(&refusal.job, Some(outcome), now, out);
     }
 
-    /// Takes the end of a run.
-    pub fn ended(&mut self, ended: &Ended, now: Time, out: &mut Output) {
+    /// Takes the end of a run from an owner.
+    pub fn ended(&mut self, from: &InstanceId, ended: &Ended, now: Time, out: &mut Output) {
         let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
+        let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
+        let Some(state) = active.task(&run.task) else { return };
+        // A former owner may take a run for ended whose lease the present one has extended.
+        let inferred = !matches!(ended.how(), How::Done | How::Failed);
+        if inferred && matches!(&state.phase, Phase::Placed(place) if place.owner != *from) {
+            return;
+        }
         self.end(&run, &ended.worker, ended.how(), now, out);
     }
 
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -195,7 +195,7 @@
                 self.front.granted(from, grant, sign, now, out);
             }
             Body::Refusal(refusal) => self.front.refused(&refusal, now, out),
-            Body::Ended(ended) => self.front.ended(&ended, now, out),
+            Body::Ended(ended) => self.front.ended(from, &ended, now, out),
             Body::Takeover(found) => {
                 self.owner.learn_token(found.token);
                 let me = &self.members.me().id;
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -136,6 +136,36 @@
     }
 }
 
+#[test]
+fn an_end_that_a_former_owner_infers_starts_no_second_run() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        how: How,
+        asks: usize,
+        answered: bool,
+    }
+    let case = |name, from, how| Case { name, from, how, asks: 0, answered: false };
+    let cases = [
+        case("the former owner's lease has ended", "o", How::Stopped),
+        case("the former owner's start was refused", "o", How::NoRoom),
+        Case { asks: 1, ..case("the present owner saw its end", "p", How::Stopped) },
+        Case { answered: true, ..case("the worker told the former owner", "o", How::Done) },
+    ];
+    for Case { name, from, how, asks: expected, answered } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        let running = vec![run()];
+        let found = Takeover { worker: "w".to_owned(), running, ended: Vec::new(), token: 8 };
+        front.takeover(&id("p"), &found, SENT, SENT, &mut out);
+        let ended = Ended { run: Some(run()), worker: "w".to_owned(), how: how.into(), took_ms: 9 };
+        front.ended(&id(from), &ended, SENT, &mut out);
+        assert_eq!(asks(&out), expected, "{name}");
+        let is_answer = |command: &Command| matches!(command, Command::Answer { .. });
+        assert_eq!(out.commands.iter().any(is_answer), answered, "{name}");
+    }
+}
+
 #[test]
 fn ends_decide_about_the_job() {
     struct Case {
@@ -157,7 +187,7 @@
             let run = Run { run: number, ..run() };
             let ended =
                 Ended { run: Some(run), worker: "w".to_owned(), how: how.into(), took_ms: 9 };
-            front.ended(&ended, SENT, &mut out);
+            front.ended(&id("o"), &ended, SENT, &mut out);
             grant(&mut front, 7, SENT, &mut out);
         }
         let found = out.commands.iter().find_map(|command| match command {
@@ -174,7 +204,7 @@
     let mut front = placed(&mut out);
     let ended =
         Ended { run: Some(run()), worker: "w".to_owned(), how: How::NoRoom.into(), took_ms: 0 };
-    front.ended(&ended, SENT, &mut out);
+    front.ended(&id("o"), &ended, SENT, &mut out);
     let sent: Vec<&str> = out
         .commands
         .iter()
@@ -279,7 +309,7 @@
             front.refused(&refusal, at, &mut out);
             let how = How::NotStarted.into();
             let ended = Ended { run: Some(run()), worker: "w".to_owned(), how, took_ms: 0 };
-            front.ended(&ended, at, &mut out);
+            front.ended(&id("o"), &ended, at, &mut out);
         }
         front.tick(SENT + Span::from_ms(500), &mut out);
         let expected = Note::Expired {
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -1,5 +1,5 @@
 //! Guards against tasks that run twice at a time, untrue answers and callers that are not answered,
-//! under random kills, power losses, pauses, cuts, lost answers and late orders.
+//! under random kills, power losses, pauses, clocks that jump, cuts, lost answers and late orders.
 
 mod world;
 
@@ -51,6 +51,12 @@
             13..17 => world.cut_worker(worker, rng.u64(200..5_000)),
             17..19 if zones > 1 => world.cut_zone(rng.usize(0..zones), rng.u64(200..5_000)),
             19..20 => (0..instances).for_each(|node| world.kill(node, rng.bool(), 1_000)),
+            // Around the silence that ends links, leases and the time after which runs are given up.
+            22..25 => {
+                let span = rng.u64(500..3_000);
+                (0..instances).filter(|_| rng.bool()).for_each(|node| world.freeze(node, span));
+            }
+            25..27 => world.instances[node].ahead = *rng.choice(&[0, 2_000]).expect("some"),
             20..22 => world.workers[worker].hangs = !world.workers[worker].hangs,
             _ => {}
         }
@@ -119,7 +125,7 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 2] = [
+const REGRESSIONS: [Regression; 3] = [
     Regression {
         seed: 1435,
         cause: "each stop that was sent again put the end of a doubtful run off, for ever",
@@ -128,6 +134,10 @@
         seed: 404,
         cause: "a lost run counted as gone from the owner's last sign of life before its order",
     },
+    Regression {
+        seed: 6642,
+        cause: "a former owner reported a run as ended that a later owner held",
+    },
 ];
 
 #[test]
