fix(fleet): the next sign of life comes when the last one said

Callers saw: tasks that were lost in planned restarts and started again 1.5 s later; links went down for no reason. Cause: a sign of life says when the next one comes, and the receiver gives the link up after four such times, at least 600 ms. An instance that was asked to stop sent one that said 140 ms, worked its owners out anew with the next tick, needed signs to some peers only every 700 ms then, and was given up at 600 ms. Change: the time that was said last holds for the next sign; only after that one the longer time does. Ruled out: a longer limit at the receiver, which would find dead owners later.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -34,8 +34,9 @@
 struct Heard {
     at: Time,
     limit: Span,
-    // When this instance last sent a sign of life to it.
+    // When this instance last sent a sign of life to it, and when it said that the next one comes.
     told: Time,
+    next: Span,
     // Latest sign of life that was read from it, by its own clock.
     sign: Time,
 }
@@ -131,7 +132,13 @@
         self.link_down(&id, now, out);
         self.heard.insert(
             id.clone(),
-            Heard { at: now, limit: PEER_TIMEOUT, told: Time::ZERO, sign: Time::ZERO },
+            Heard {
+                at: now,
+                limit: PEER_TIMEOUT,
+                told: Time::ZERO,
+                next: Span::ZERO,
+                sign: Time::ZERO,
+            },
         );
         self.members.up(peer);
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
@@ -397,10 +404,11 @@
             } else {
                 SLOW_BEAT_EVERY
             };
-            if !all && now.since(heard.told) < every {
+            if !all && now.since(heard.told) < every.min(heard.next) {
                 continue;
             }
             heard.told = now;
+            heard.next = every;
             let (draining, joined, version) = said;
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
