fix(fleet): instances that stop grant room and own workers as long as nobody else does

Callers saw: 503 at their time limit for jobs that were sent to the last instances in reach, which had been asked to stop. Cause: an instance that stops takes no duties. If all that reach each other stop, as a zone that is cut off or a deployment that is taken down, nobody grants room, and the jobs that they still take wait for nothing. Change: members that stop are left out only if there are others. Ruled out: refusing jobs at once in that case; the instances can serve them.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -126,8 +126,11 @@
         Owners { owners }
     }
 
+    /// Members that take duties; those that are stopping only if there are no others.
     fn on_duty(&self) -> impl Iterator<Item = &Member> {
-        self.peers.iter().chain([&self.me]).filter(|member| member.takes_duties())
+        let all = || self.peers.iter().chain([&self.me]);
+        let stays = all().any(Member::takes_duties);
+        all().filter(move |member| member.joined && !(stays && member.draining))
     }
 
     fn find(&self, id: &InstanceId) -> Result<usize, usize> {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -806,6 +806,11 @@
         self.at(self.now + pause, Happening::Resume { node });
     }
 
+    /// Asks an instance to stop; it goes on until the world ends it.
+    pub fn drain(&mut self, node: usize, grace: u64) {
+        self.decide(node, |n, now, out| n.drain(Span::from_ms(grace), now, out));
+    }
+
     /// Cuts a zone off from the other zones.
     pub fn cut_zone(&mut self, zone: usize, span: u64) {
         if !self.cut_zones.contains(&zone) {
