fix(fleet): start-outdated names the sign of life that held the lease back

Cause: the line gave the age of the refused start's own sign. Change: the age is that of the oldest sign for the runs on the worker. Ruled out: refusing less; such a worker takes starts again once the runs of the lost front have ended.

--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -122,7 +122,8 @@
         run: RunKey,
         /// The worker.
         worker: WorkerId,
-        /// Age of the latest sign of life of this instance that the front had read.
+        /// Age of the oldest sign of life of this instance that a front of a run on the worker last
+        /// read; the time since the machine started for a run that nobody claimed.
         age: Span,
     },
     /// A run is no longer known to end, because its owner was lost.
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -40,8 +40,9 @@
         }
         worker.held.push(held.clone());
         let Some(lease) = worker.lease(START_LEASE, now) else {
+            let oldest = worker.held.iter().map(|held| held.seen).min().unwrap_or(now);
             worker.held.pop();
-            let (id, age) = (worker.listed.id.clone(), now.since(held.seen));
+            let (id, age) = (worker.listed.id.clone(), now.since(oldest));
             out.note(Note::StartOutdated { run: held.run.clone(), worker: id, age });
             refuse(self, &held, out);
             return;
