feat(fleet): starts that an owner refuses have a line, a counter and a cause; silence of workers

An owner refused starts for six reasons and said NO_ROOM to the front for all of them; only one of them left a line. Change: start-refused with its cause in place of start-outdated, refused_starts_total by cause, worker_silence_ms (a lease is extended when a worker is asked, so its age is the worker's silence).

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -184,6 +184,7 @@
                 }
             }
             Note::Rejected { cause, .. } => Meters::count(&self.meters.answers, cause),
+            Note::StartRefused { cause, .. } => Meters::count(&self.meters.refused_starts, cause),
             Note::AdmittedStopping { .. } => {
                 self.meters.admitted_stopping.inc();
             }
@@ -303,11 +304,13 @@
         self.meters.jobs.set(as_u64(node.front().len()));
         self.meters.held.set(as_u64(node.owner().runs()));
         self.meters.workers.set(as_u64(node.owner().counts().0));
-        let stopping = node.stopping(self.clock.now());
+        let now = self.clock.now();
+        self.meters.worker_silence_ms.set(node.owner().silence(now).as_ms());
+        let stopping = node.stopping(now);
         self.meters.stopping_ms.set(stopping.map_or(0, |stopping| stopping.since.as_ms()));
         self.meters.peers.set(as_u64(node.members().peers().len()));
         let read = Time::from_ms(self.list_read.load(Ordering::Relaxed));
-        self.meters.list_age_ms.set(self.clock.now().since(read).as_ms());
+        self.meters.list_age_ms.set(now.since(read).as_ms());
     }
 }
 
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -184,9 +184,10 @@
                 "{name}"
             );
         }
-        Note::StartOutdated { run, worker, age } => {
+        Note::StartRefused { run, worker, cause, age } => {
             log::warn!(
-                run = run_text(run), worker = worker.as_str(), age_ms = age.as_ms();
+                run = run_text(run), worker = worker.as_str(), cause = cause.to_string(),
+                age_ms = age.as_ms();
                 "{name}"
             );
         }
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -42,6 +42,8 @@
     pub answers: Family<Cause, Counter>,
     /// Ends of runs on the workers of this instance, by how they ended.
     pub runs: Family<Cause, Counter>,
+    /// Starts that this instance refused as an owner, by cause.
+    pub refused_starts: Family<Cause, Counter>,
     /// Log lines that were dropped to bound their volume.
     pub dropped_lines: Counter,
     /// Log lines handed to the writer of standard output.
@@ -64,6 +66,8 @@
     pub held: Gauge<u64, AtomicU64>,
     /// Workers of this instance that take starts.
     pub workers: Gauge<u64, AtomicU64>,
+    /// Longest time since an own worker last answered.
+    pub worker_silence_ms: Gauge<u64, AtomicU64>,
     /// Time since the request to stop; 0 without one.
     pub stopping_ms: Gauge<u64, AtomicU64>,
     /// Jobs taken after the request to stop.
@@ -82,6 +86,7 @@
             registry: Registry::with_prefix("cranberryhatch"),
             answers: Family::default(),
             runs: Family::default(),
+            refused_starts: Family::default(),
             dropped_lines: Counter::default(),
             offered_lines: Gauge::default(),
             written_lines: Gauge::default(),
@@ -93,6 +98,7 @@
             jobs: Gauge::default(),
             held: Gauge::default(),
             workers: Gauge::default(),
+            worker_silence_ms: Gauge::default(),
             stopping_ms: Gauge::default(),
             admitted_stopping: Counter::default(),
             peers: Gauge::default(),
@@ -108,6 +114,7 @@
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("answers", "Answers to callers", self.answers.clone());
+        r.register("refused_starts", "Starts refused by an owner", self.refused_starts.clone());
         r.register("runs", "Ends of runs", self.runs.clone());
         r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
         r.register("offered_lines", "Log lines to be written", self.offered_lines.clone());
@@ -120,6 +127,11 @@
         r.register("jobs", "Jobs of callers", self.jobs.clone());
         r.register("held_runs", "Runs on own workers", self.held.clone());
         r.register("open_workers", "Own workers that take starts", self.workers.clone());
+        r.register(
+            "worker_silence_ms",
+            "Longest time since an own worker last answered",
+            self.worker_silence_ms.clone(),
+        );
         r.register("stopping_ms", "Time since the request to stop", self.stopping_ms.clone());
         r.register(
             "admitted_stopping",
--- a/crates/edge/tests/meters.rs
+++ b/crates/edge/tests/meters.rs
@@ -1,7 +1,7 @@
 //! Guards against metrics that a collector cannot read, or that mix what an operator must tell apart.
 
 use cranberryhatch_edge::Meters;
-use cranberryhatch_fleet::Refusal;
+use cranberryhatch_fleet::{Refusal, StartRefusal};
 use cranberryhatch_types::Span;
 
 #[test]
@@ -11,8 +11,11 @@
     Meters::observe_kind(&meters.queue_time, "render", Span::from_ms(700));
     Meters::count(&meters.answers, &Refusal::Overload);
     Meters::count(&meters.answers, &Refusal::UnknownKind);
+    Meters::count(&meters.refused_starts, &StartRefusal::Outdated);
     let text = meters.text();
     let lines = [
+        "cranberryhatch_refused_starts_total{cause=\"outdated\"} 1",
+        "cranberryhatch_worker_silence_ms 0",
         "cranberryhatch_queue_seconds_bucket{le=\"0.05\",kind=\"thumbnail\"} 1",
         "cranberryhatch_queue_seconds_bucket{le=\"0.05\",kind=\"render\"} 0",
         "cranberryhatch_queue_seconds_count{kind=\"render\"} 1",
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -55,7 +55,7 @@
 pub use members::{Member, Members, Owners, text_hash};
 pub use need::Need;
 pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
-pub use note::{DropCause, Note};
+pub use note::{DropCause, Note, StartRefusal};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -116,12 +116,14 @@
         /// Progress in percent.
         percent: u32,
     },
-    /// A start was refused because its lease could outlast the time after which its front gives it up.
-    StartOutdated {
+    /// This owner refused a start before the worker was asked.
+    StartRefused {
         /// The run.
         run: RunKey,
         /// The worker.
         worker: WorkerId,
+        /// Why.
+        cause: StartRefusal,
         /// Age of the oldest sign of life of this instance that a front of a run on the worker last
         /// read; the time since the machine started for a run that nobody claimed.
         age: Span,
@@ -195,6 +197,24 @@
     },
 }
 
+/// Why an owner refused a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StartRefusal {
+    /// The worker is not this instance's, or is leaving, silent or not opened yet.
+    Closed,
+    /// The room was granted under another fencing token.
+    Token,
+    /// The worker runs tasks of another service.
+    Service,
+    /// Another run of the task is on the worker.
+    OtherRun,
+    /// The worker's room is taken.
+    NoRoom,
+    /// The lease that it needs could outlast the time after which a front gives a run on the worker up.
+    Outdated,
+}
+
 /// Why a worker was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -14,6 +14,7 @@
     members::{Owners, text_hash},
     note::Note,
     output::Message,
+    worker::Charge,
 };
 
 /// Time between two looks at a worker that does not answer; a round trip takes 2 ms.
@@ -162,6 +163,13 @@
         }
     }
 
+    /// Longest time since an open worker last answered, which is when its lease was last extended.
+    #[must_use]
+    pub fn silence(&self, now: Time) -> Span {
+        let open = self.workers.iter().filter(|(_, worker)| worker.charge == Charge::Open);
+        open.map(|(_, worker)| now.since(worker.answered)).max().unwrap_or(Span::ZERO)
+    }
+
     /// Number of workers that are open, and of all that this instance has.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -8,7 +8,7 @@
     Command, LookAnswer, Looked, Members, Output, Seen,
     held::Stage,
     note::{DropCause, Note},
-    worker::{Charge, LOOK_LEASE},
+    worker::Charge,
 };
 
 impl Owner {
@@ -148,7 +148,7 @@
             // A worker whose last look got no answer must be able to let the lease end.
             let leases = busy && !worker.dark && !matches!(worker.charge, Charge::Opening { .. });
             let wait = if leases { worker.look_wait(now) } else { Span::ZERO };
-            let lease = if leases { worker.lease(LOOK_LEASE, now) } else { None };
+            let lease = if leases { worker.lease(now) } else { None };
             worker.looking = Some(now);
             worker.looked = now;
             out.commands.push(Command::Look {
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -7,9 +7,9 @@
 use crate::{
     Command, Held, Output, RunKey, StartAnswer,
     held::Stage,
-    note::{DropCause, Note},
-    output::Message,
-    worker::{Charge, START_LEASE, STOP_TIME},
+    note::{DropCause, Note, StartRefusal},
+    output::{Lease, Message},
+    worker::{Charge, STOP_TIME, Worker},
 };
 
 impl Owner {
@@ -17,35 +17,16 @@
     pub fn start(&mut self, front: &InstanceId, start: Start, now: Time, out: &mut Output) {
         let Some(held) = Held::new(front.clone(), &start, now) else { return };
         self.seen_by(front, held.seen, now);
-        let refuse = |owner: &Self, held: &Held, out: &mut Output| {
-            send_end(held, &start.worker, How::NoRoom, Span::ZERO, out);
-            owner.free(held, &start.worker, How::NoRoom, Span::ZERO, out);
+        let Ok(id) = start.worker.parse::<WorkerId>() else {
+            return send_end(&held, &start.worker, How::NotStarted, Span::ZERO, out);
         };
-        let id = start.worker.parse::<WorkerId>().ok();
-        let Some(worker) = id.as_ref().and_then(|id| self.workers.get_mut(id)) else {
-            refuse(self, &held, out);
-            return;
-        };
-        if worker.held.iter().any(|known| known.run == held.run) {
-            return;
-        }
-        let others = worker.held.iter().any(|known| known.run.task == held.run.task);
-        let room = worker.held.iter().fold(worker.listed.room, |room, h| room.without(&h.need));
-        let takes = worker.is_open()
-            && worker.token == start.token
-            && worker.listed.service == start.service;
-        if !takes || others || !held.need.fits(&room) {
-            refuse(self, &held, out);
+        let known = self.workers.get(&id).map(|worker| worker.held.as_slice()).unwrap_or_default();
+        if known.iter().any(|known| known.run == held.run) {
             return;
         }
-        worker.held.push(held.clone());
-        let Some(lease) = worker.lease(START_LEASE, now) else {
-            let oldest = worker.held.iter().map(|held| held.seen).min().unwrap_or(now);
-            worker.held.pop();
-            let (id, age) = (worker.listed.id.clone(), now.since(oldest));
-            out.note(Note::StartOutdated { run: held.run.clone(), worker: id, age });
-            refuse(self, &held, out);
-            return;
+        let (lease, worker) = match self.place(&id, &held, &start, now) {
+            Ok(placed) => placed,
+            Err(cause) => return self.refuse(&id, &held, cause, now, out),
         };
         out.commands.push(Command::StartRun {
             worker: Box::new(worker.listed.clone()),
@@ -55,6 +36,52 @@
             payload: start.payload,
             lease,
         });
+        worker.held.push(held);
+    }
+
+    /// A lease for a run on a worker, if there is room for it.
+    fn place(
+        &mut self,
+        id: &WorkerId,
+        held: &Held,
+        start: &Start,
+        now: Time,
+    ) -> Result<(Lease, &mut Worker), StartRefusal> {
+        let worker = self.workers.get_mut(id).ok_or(StartRefusal::Closed)?;
+        let room = worker.held.iter().fold(worker.listed.room, |room, h| room.without(&h.need));
+        if !worker.is_open() {
+            return Err(StartRefusal::Closed);
+        }
+        if worker.token != start.token {
+            return Err(StartRefusal::Token);
+        }
+        if worker.listed.service != start.service {
+            return Err(StartRefusal::Service);
+        }
+        if worker.held.iter().any(|known| known.run.task == held.run.task) {
+            return Err(StartRefusal::OtherRun);
+        }
+        if !held.need.fits(&room) {
+            return Err(StartRefusal::NoRoom);
+        }
+        let lease = worker.lease_with(held, now).ok_or(StartRefusal::Outdated)?;
+        Ok((lease, worker))
+    }
+
+    fn refuse(
+        &mut self,
+        id: &WorkerId,
+        held: &Held,
+        cause: StartRefusal,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let runs = self.workers.get(id).map(|worker| worker.held.as_slice()).unwrap_or_default();
+        let oldest = runs.iter().chain([held]).map(|held| held.seen).min().unwrap_or(now);
+        let (run, age) = (held.run.clone(), now.since(oldest));
+        out.note(Note::StartRefused { run, worker: id.clone(), cause, age });
+        send_end(held, id.as_str(), How::NoRoom, Span::ZERO, out);
+        self.free(held, id.as_str(), How::NoRoom, Span::ZERO, out);
     }
 
     /// Learns that a front has read a sign of life that this owner sent at `at`.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -20,9 +20,7 @@
 /// awaited that does not come. The mean run time is 60 ms to 900 ms.
 const LOSSY_LOOK_WAIT: Span = Span::from_ms(60);
 /// Shortest lease of a start: the wait of the look that extends it, and its way.
-pub const START_LEASE: Span = Span::from_ms(300);
-/// Shortest lease that a look extends; any is of use.
-pub const LOOK_LEASE: Span = Span::from_ms(1);
+const START_LEASE: Span = Span::from_ms(300);
 /// Time for the answer to an order; a round trip takes 2 ms, and an instance with a small share of a
 /// core reads it some ten milliseconds later.
 const PATIENCE: Span = Span::from_ms(200);
@@ -145,14 +143,22 @@
         self.lost_at.is_some_and(|at| at >= start)
     }
 
-    /// A lease of at least `shortest` from now on for all that runs, and a note of when it ends at the
-    /// latest; none if a front may give its run up before.
-    pub fn lease(&mut self, shortest: Span, now: Time) -> Option<Lease> {
-        let (clock, at) = self.clock?;
+    /// A lease from now on for all that runs, and a note of when it ends at the latest; none if a
+    /// front may give its run up before.
+    pub fn lease(&mut self, now: Time) -> Option<Lease> {
         let length = lease_length(self.held.iter().map(|held| held.seen).min(), now);
-        if length < shortest {
-            return None;
-        }
+        if length > Span::ZERO { self.lease_for(length, now) } else { None }
+    }
+
+    /// The same with a further run; none if it would end before the next look extends it.
+    pub fn lease_with(&mut self, further: &Held, now: Time) -> Option<Lease> {
+        let runs = self.held.iter().chain([further]);
+        let length = lease_length(runs.map(|held| held.seen).min(), now);
+        if length >= START_LEASE { self.lease_for(length, now) } else { None }
+    }
+
+    fn lease_for(&mut self, length: Span, now: Time) -> Option<Lease> {
+        let (clock, at) = self.clock?;
         // The answer was under way for a while, so the worker's clock is ahead of this.
         let until = clock + now.since(at).as_ms() + length.as_ms();
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
