fix(http): a stop answers the connections that the system has already opened

What callers saw: a connection that ends without an answer, although the request was sent to a server that was not yet said to be gone. Only a server at its limit of connections, or one that is told to stop right after a burst, has such connections: the system opened them, the server had not accepted them.

Cause: `serve` left the accept loop at the stop and dropped the listener, whereupon the system resets every connection that waits in its queue.

Ruled out: requests in flight and their answers (`a_stop_finishes_requests_in_flight`); a connection that is accepted while the limit is reached, which is served after the stop.

Evidence: `a_stop_answers_connections_that_wait_to_be_accepted` on the code before: `connection 1: ""`.

Why it works: the queue is emptied before the listener is dropped, and each connection is served like one accepted before: a request that was sent is answered with `connection: close`, one that sent nothing is closed at once. At most 4,096 connections are taken, so that new clients cannot delay the stop.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,7 +9,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use smol::{
     Executor, Task, Timer,
-    future::FutureExt,
+    future::{FutureExt, poll_once},
     net::{TcpListener, TcpStream},
 };
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -54,6 +54,9 @@
 
 /// When a client that was refused for lack of memory should come back, in milliseconds.
 const RETRY_MS: u64 = 1_000;
+/// Connections accepted at a stop, so that new clients cannot delay it: the usual `somaxconn`, to
+/// which the system bounds those that wait.
+const LAST_CONNECTIONS: usize = 4096;
 
 impl<H: Handler> Server<H> {
     /// A server with bodies of at most 8 MiB each and 64 MiB in all, heads of 64 KiB, 10 s to send
@@ -107,6 +110,8 @@
     }
 
     /// Serves until `stop` is closed, then finishes the requests in flight and returns.
+    ///
+    /// Requests on connections that wait to be accepted are in flight too.
     pub async fn serve(
         self,
         executor: Arc<Executor<'static>>,
@@ -114,6 +119,13 @@
         stop: Receiver<()>,
     ) {
         let budget = Arc::new(Budget::new(self.limits.bodies));
+        let start = |stream: TcpStream| {
+            // Answers are small; waiting to fill a segment only adds latency.
+            let _ = stream.set_nodelay(true);
+            let stream = StallGuard::new(stream, self.limits.write);
+            let (handler, budget) = (Arc::clone(&self.handler), Arc::clone(&budget));
+            executor.spawn(run_connection(handler, self.limits, budget, stream, stop.clone()))
+        };
         let mut tasks: Vec<Task<()>> = Vec::new();
         while let Some(stream) = accept(&listener, &stop).await {
             tasks.retain(|task| !task.is_finished());
@@ -121,13 +133,12 @@
                 Timer::after(Duration::from_millis(10)).await;
                 tasks.retain(|task| !task.is_finished());
             }
-            // Answers are small; waiting to fill a segment only adds latency.
-            let _ = stream.set_nodelay(true);
-            let handler = Arc::clone(&self.handler);
-            let stream = StallGuard::new(stream, self.limits.write);
-            let budget = Arc::clone(&budget);
-            let run = run_connection(handler, self.limits, budget, stream, stop.clone());
-            tasks.push(executor.spawn(run));
+            tasks.push(start(stream));
+        }
+        // The system has opened these to their clients, and would reset them with the listener.
+        for _ in 0..LAST_CONNECTIONS {
+            let Some(Ok((stream, _))) = poll_once(listener.accept()).await else { break };
+            tasks.push(start(stream));
         }
         drop(listener);
         for task in tasks {
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -249,3 +249,31 @@
     server.runtime.block_on(serving);
     assert!(TcpStream::connect(addr).is_err(), "a stopped server must not listen");
 }
+
+/// Requests on connections that the server had not accepted when it stopped must get an answer.
+#[test]
+fn a_stop_answers_connections_that_wait_to_be_accepted() {
+    let (go, wait) = async_channel::bounded::<()>(1);
+    let (entered, inside) = async_channel::unbounded();
+    let handler = move |_request| {
+        let (wait, entered) = (wait.clone(), entered.clone());
+        async move {
+            entered.send(()).await.expect("test");
+            let _ = wait.recv().await;
+            reply_json(StatusCode::OK, "done")
+        }
+    };
+    let mut server = Fixture::new(|s| s.connections(1), handler);
+    let request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\na";
+    let mut streams = vec![server.raw(request)];
+    server.runtime.block_on(inside.recv()).expect("request");
+    streams.extend((0..4).map(|_| server.raw(request)));
+    server.stop.take();
+    drop(go);
+    for (number, stream) in streams.into_iter().enumerate() {
+        let answer = read_all(stream);
+        assert!(answer.contains("done"), "connection {number}: {answer:?}");
+    }
+    let serving = server.serving.take().expect("server");
+    server.runtime.block_on(serving);
+}
