fix(entry): requests that come while a forced stop ends do not wait for their job

What callers saw: nothing false, but an instance whose stop was forced after 60 s went on for up to 60 s more, beyond the time that whoever replaces it waits. What is killed then ends all other requests without an answer.

Cause: a forced stop ends the requests that wait for an answer, once. A request whose body arrived later, on a connection that was busy, was given a new ticket and could attach itself to a job that still ran, for its own `wait_ms`.

Ruled out: new jobs, which the shards refuse as `draining`; requests that were waiting, which get `stopped`.

Why it works: the table of waiting requests remembers that it was closed. A later request still asks its shard, so that its answer is as true as before, but with no time to wait. It is closed before the server is told to stop, so that no request falls between the two.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -91,6 +91,13 @@
     shard: usize,
 }
 
+impl Asked<'_> {
+    /// Time for which the request may wait for the end of its job.
+    const fn span(&self, ms: u64) -> Span {
+        if self.waiting.is_late() { Span::ZERO } else { Span::from_ms(ms) }
+    }
+}
+
 impl Drop for Asked<'_> {
     fn drop(&mut self) {
         if self.waiting.forget() {
@@ -256,7 +263,7 @@
         let job = Arc::new(submission.into_spec(key, request.body(), deadline));
         let shard = self.shards.of(&job.key);
         let asked = self.open(shard)?;
-        let until = now + Span::from_ms(wait);
+        let until = now + asked.span(wait);
         let ticket = asked.waiting.ticket;
         let first = request.headers().get("idempotency-first").is_some_and(|v| v == "true");
         let submit = Submit { ticket, wall: self.clock.wall(), until, first, job };
@@ -271,7 +278,7 @@
     async fn wait(&self, key: JobKey, wait: u64) -> Result<Response<Bytes>, Problem> {
         let shard = self.shards.of(&key);
         let asked = self.open(shard)?;
-        let until: Time = self.clock.now() + Span::from_ms(wait);
+        let until: Time = self.clock.now() + asked.span(wait);
         self.shards.send(shard, Event::Wait { ticket: asked.waiting.ticket, key, until });
         finish(asked.waiting.reply().await)
     }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -78,6 +78,7 @@
     background: Vec<Task<()>>,
     stop_lease: Sender<()>,
     lease: Task<()>,
+    drain: Duration,
     stop_writer: Sender<()>,
     writer: Task<()>,
 }
@@ -199,6 +200,7 @@
             stop_server,
             background,
             stop_lease,
+            drain: DRAIN_LIMIT,
             stop_writer,
         };
         let id = config.id.as_str();
@@ -206,6 +208,13 @@
         Ok((instance, incarnation))
     }
 
+    /// Sets the time allowed for work in flight when the instance is told to stop.
+    #[must_use]
+    pub const fn drain_limit(mut self, limit: Duration) -> Self {
+        self.drain = limit;
+        self
+    }
+
     /// Waits until the flag is set or this life is taken over, then ends it.
     pub fn wait(self, stop: &AtomicBool) -> End {
         let end = loop {
@@ -227,8 +236,8 @@
         self.shards.send_all(&Event::Drain);
         let whole = self.wait_drained();
         // Requests that wait for other instances end with them; all others have their reply.
-        drop(self.stop_server);
         self.replies.close();
+        drop(self.stop_server);
         self.runtime.block_on(self.serving);
         let tasks = self.runtime.block_on(self.tasks.join(TASKS_LIMIT));
         drop(self.stop_writer);
@@ -247,7 +256,7 @@
     }
 
     fn wait_drained(&self) -> bool {
-        let end = Instant::now() + DRAIN_LIMIT;
+        let end = Instant::now() + self.drain;
         let mut left = self.shards.len();
         while left > 0 {
             match self.drained.try_recv() {
--- a/crates/entry/src/replies.rs
+++ b/crates/entry/src/replies.rs
@@ -1,6 +1,6 @@
 //! Callers' requests that wait for a reply of a shard.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
 use cranberryhatch_core::{Answer, SlabMap, Ticket};
@@ -10,16 +10,24 @@
 
 /// Requests that wait, by ticket.
 pub struct Replies {
-    waiting: Mutex<(u64, SlabMap<Ticket, Sender<Answer>>)>,
+    table: Mutex<Table>,
     limit: usize,
 }
 
+#[derive(Default)]
+struct Table {
+    last: u64,
+    waiting: SlabMap<Ticket, Sender<Answer>>,
+    closed: bool,
+}
+
 /// A request that waits; dropping it frees its ticket.
 pub struct Waiting<'a> {
     replies: &'a Replies,
     /// The ticket, for the shard.
     pub ticket: Ticket,
     receiver: Receiver<Answer>,
+    late: bool,
 }
 
 impl Default for Replies {
@@ -32,27 +40,27 @@
     /// Makes a table for at most `limit` requests.
     #[must_use]
     pub fn new(limit: usize) -> Self {
-        Self { waiting: Mutex::default(), limit }
+        Self { table: Mutex::default(), limit }
     }
 
     /// Makes a ticket; none when too many requests wait.
     #[must_use]
     pub fn open(&self) -> Option<Waiting<'_>> {
         let (sender, receiver) = async_channel::bounded(1);
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        if waiting.1.len() >= self.limit {
+        let mut table = self.table();
+        if table.waiting.len() >= self.limit {
             return None;
         }
-        waiting.0 += 1;
-        let ticket = Ticket(waiting.0);
-        waiting.1.insert(ticket, sender);
-        Some(Waiting { replies: self, ticket, receiver })
+        table.last += 1;
+        let ticket = Ticket(table.last);
+        table.waiting.insert(ticket, sender);
+        Some(Waiting { replies: self, ticket, receiver, late: table.closed })
     }
 
     /// Number of requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).1.len()
+        self.table().waiting.len()
     }
 
     /// Whether no request waits.
@@ -69,17 +77,29 @@
         }
     }
 
-    /// Ends all requests without a reply.
+    /// Ends all requests without a reply; those that come later are late.
     pub fn close(&self) {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).1 = SlabMap::default();
+        let mut table = self.table();
+        table.closed = true;
+        table.waiting = SlabMap::default();
     }
 
     fn remove(&self, ticket: Ticket) -> Option<Sender<Answer>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).1.remove(&ticket)
+        self.table().waiting.remove(&ticket)
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Waiting<'_> {
+    /// Whether the instance is about to end, so that the request may only ask and not wait.
+    #[must_use]
+    pub const fn is_late(&self) -> bool {
+        self.late
+    }
+
     /// Frees the ticket; tells whether its reply had not come.
     pub fn forget(&self) -> bool {
         self.replies.remove(self.ticket).is_some()
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -213,15 +213,26 @@
         self.start_shards(id, addr, peer, 2)
     }
 
-    /// Starts an instance at addresses.
-    pub fn start_shards(&self, id: &str, addr: SocketAddr, peer: SocketAddr, shards: u32) -> Entry {
+    /// Settings of an instance's process.
+    pub fn config(
+        &self,
+        id: &str,
+        addr: SocketAddr,
+        peer: SocketAddr,
+        shards: u32,
+    ) -> ProcessConfig {
         let text = format!(
             "[instance]\nid = {id}\nzone = z1\nlisten = {addr}\npeer = {peer}\n\
              shards = {shards}\n\
              [platform]\naddress = {}\n",
             self.platform.addr
         );
-        let config = ProcessConfig::parse(&text).expect("settings");
+        ProcessConfig::parse(&text).expect("settings")
+    }
+
+    /// Starts an instance at addresses.
+    pub fn start_shards(&self, id: &str, addr: SocketAddr, peer: SocketAddr, shards: u32) -> Entry {
+        let config = self.config(id, addr, peer, shards);
         let stop = Arc::new(AtomicBool::new(false));
         let flag = Arc::clone(&stop);
         let run = move || Instance::run(&config, &flag).expect("an instance that ends well");
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -2,7 +2,35 @@
 
 mod common;
 
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::atomic::AtomicBool,
+    time::Duration,
+};
+
 use common::{Site, body_of, free_addr, own_key, submission};
+use cranberryhatch_entry::Instance;
+use cranberryhatch_store::Scan;
+
+fn scan(table: &str) -> Scan {
+    Scan { table: table.to_owned(), prefix: String::new(), after: String::new(), limit: 10 }
+}
+
+fn wait_ready(site: &Site, addr: SocketAddr) {
+    common::wait_until("the instance is ready", || {
+        let request = http::Request::get("/readyz").body(bytes::Bytes::new()).expect("request");
+        let sent = site.client.send_within(addr, request, common::PATIENCE);
+        site.runtime.block_on(sent).is_ok_and(|response| response.status().is_success())
+    });
+}
+
+fn wait_claimed(site: &Site) {
+    common::wait_until("a claim is stored", || {
+        let rows = site.runtime.block_on(async { site.platform().scan(&scan("claims")).await });
+        !rows.expect("rows").is_empty()
+    });
+}
 
 /// Every task of a job must run once and give its own result, whichever instance takes the job.
 #[test]
@@ -49,15 +77,10 @@
     entry.stop();
     let row = site.row("claims", &format!("script/{key}")).expect("claim");
     assert_eq!(row.value["end"]["outcome"], "complete", "{}", row.value);
-    let scan = cranberryhatch_store::Scan {
-        table: "holders".to_owned(),
-        prefix: String::new(),
-        after: String::new(),
-        limit: 10,
-    };
-    let rows = site.runtime.block_on(async { site.platform().scan(&scan).await }).expect("rows");
+    let rows = site.runtime.block_on(async { site.platform().scan(&scan("holders")).await });
+    let rows = rows.expect("rows");
     assert!(rows.is_empty(), "{rows:?}");
-    assert!(std::net::TcpStream::connect(entry.addr).is_err(), "the listener is closed");
+    assert!(TcpStream::connect(entry.addr).is_err(), "the listener is closed");
 }
 
 /// A job accepted right before a stop must be finished too, although the slots of its workers are
@@ -112,3 +135,43 @@
         assert_eq!(answer["outcome"], "complete", "{answer}");
     }
 }
+
+/// A request whose body comes late must not delay a forced stop by waiting for its job.
+#[test]
+fn a_stop_that_is_forced_does_not_wait_for_late_requests() {
+    let site = Site::new(1);
+    site.list();
+    let config = site.config("e1", free_addr(), free_addr(), 1);
+    let (instance, _) = Instance::start(&config, None).expect("an instance");
+    wait_ready(&site, config.listen);
+    let key = own_key("late");
+    let job = submission(&key, 1, 30_000);
+    let (client, addr, first) = (site.client.clone(), config.listen, job.clone());
+    let first = site.runtime.spawn(async move {
+        client.send_within(addr, first, common::PATIENCE).await.expect("response")
+    });
+    wait_claimed(&site);
+    let mut stream = TcpStream::connect(addr).expect("connection");
+    stream.set_read_timeout(Some(common::PATIENCE)).expect("timeout");
+    let head = format!(
+        "POST {} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer script-token\r\n\
+         idempotency-key: {key}\r\nexpect: 100-continue\r\ncontent-length: {}\r\n\r\n",
+        job.uri(),
+        job.body().len()
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    let mut begun = [0; 25];
+    stream.read_exact(&mut begun).expect("the body is asked for");
+    let late = std::thread::spawn(move || {
+        common::wait_until("the listener is closed", || TcpStream::connect(addr).is_err());
+        stream.write_all(job.body()).expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("answer");
+        answer
+    });
+    instance.drain_limit(Duration::from_millis(100)).wait(&AtomicBool::new(true));
+    let first = body_of(&site.runtime.block_on(first));
+    assert_eq!(first["code"], "stopped", "{first}");
+    let late = late.join().expect("answer");
+    assert!(late.contains(r#""outcome":"pending""#), "{late}");
+}
