fix(entry): a stop that leaves jobs or outcomes keeps its holder row for a successor

What callers saw: after a stop that was forced after 60 s, or whose last outcomes the platform did not take, the same request with the same key got `unknown`, `holder-unreachable` at every instance for as long as the key is remembered. A job whose deadline is longer than 60 s (`deadline.max` is 10 minutes) never got a final answer.

Cause: the instance deleted its row in the table of holders at every end, as if nothing were left. The claims of the jobs that were left named a holder without a row, and instances look for jobs to take over by such rows.

Ruled out: a crash, after which the row stays (`claims.rs`, core `recovery.rs`); a stop within its time limit, which still removes the row (`a_stop_is_graceful`).

Why it works: the row is deleted only when every shard was drained and the writer has written everything. Otherwise it lapses as after a crash, a peer takes it over, asks the endpoints and ends the jobs.

--- a/crates/entry/src/claims/writer.rs
+++ b/crates/entry/src/claims/writer.rs
@@ -67,8 +67,9 @@
 }
 
 impl Writer {
-    /// Writes until `stop` is closed, then what is left within a bounded time.
-    pub async fn run(&self, stop: Receiver<()>) {
+    /// Writes until `stop` is closed, then what is left within a bounded time; tells whether
+    /// everything is written.
+    pub async fn run(&self, stop: Receiver<()>) -> bool {
         let mut number = 0_u64;
         let mut last = Instant::now() - Duration::from_secs(1);
         loop {
@@ -77,7 +78,7 @@
             let (claims, records) = self.backlog.waiting();
             if claims + records == 0 {
                 if stopping {
-                    return;
+                    return true;
                 }
                 continue;
             }
@@ -86,7 +87,7 @@
             number += 1;
             let Some(group) = self.next_group(number) else { continue };
             if !self.settle(&group, &stop).await {
-                return;
+                return false;
             }
         }
     }
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -80,7 +80,7 @@
     lease: Task<()>,
     drain: Duration,
     stop_writer: Sender<()>,
-    writer: Task<()>,
+    writer: Task<bool>,
 }
 
 /// Parts that the tasks of a life share.
@@ -241,9 +241,14 @@
         self.runtime.block_on(self.serving);
         let tasks = self.runtime.block_on(self.tasks.join(TASKS_LIMIT));
         drop(self.stop_writer);
-        self.runtime.block_on(self.writer);
-        drop(self.stop_lease);
-        self.runtime.block_on(self.lease);
+        let written = self.runtime.block_on(self.writer);
+        if whole && written {
+            drop(self.stop_lease);
+            self.runtime.block_on(self.lease);
+        } else {
+            // The row stays: without it no instance looks for the jobs that are left.
+            self.runtime.block_on(self.lease.cancel());
+        }
         for task in self.background {
             self.runtime.block_on(task.cancel());
         }
@@ -252,7 +257,7 @@
         self.shards.stop();
         self.threads.join();
         let why = if end == End::Stopped { "stopped" } else { "superseded" };
-        log::info!(why = why, drained = whole, tasks = tasks; "ended");
+        log::info!(why = why, drained = whole, written = written, tasks = tasks; "ended");
     }
 
     fn wait_drained(&self) -> bool {
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -175,3 +175,39 @@
     let late = late.join().expect("answer");
     assert!(late.contains(r#""outcome":"pending""#), "{late}");
 }
+
+/// Jobs that are left when a stop takes too long must be ended by another instance.
+#[test]
+fn a_stop_that_is_forced_leaves_its_jobs_to_a_successor() {
+    let mut site = Site::new(1);
+    let (addr, peer) = (free_addr(), free_addr());
+    let config = site.config("e1", addr, peer, 1);
+    let (instance, _) = Instance::start(&config, None).expect("an instance");
+    site.list();
+    let key = own_key("left");
+    let send = |site: &Site, addr, key: &str, run_ms| {
+        let (client, request) = (site.client.clone(), submission(key, 1, run_ms));
+        site.runtime.spawn(async move {
+            client.send_within(addr, request, common::PATIENCE).await.expect("response")
+        })
+    };
+    wait_ready(&site, addr);
+    let first = body_of(&site.runtime.block_on(send(&site, addr, &own_key("first"), 1)));
+    assert_eq!(first["outcome"], "complete", "{first}");
+    let left = send(&site, addr, &key, 8_000);
+    common::wait_until("the task runs", || {
+        let request = http::Request::get("/v1/admin/instances");
+        let request = request.header("authorization", "Bearer operator-token");
+        let views = site.send(addr, request.body(bytes::Bytes::new()).expect("request"));
+        body_of(&views)[0]["in_flight"] == 1
+    });
+    instance.drain_limit(Duration::from_millis(100)).wait(&AtomicBool::new(true));
+    let left = body_of(&site.runtime.block_on(left));
+    assert_eq!(left["code"], "stopped", "{left}");
+    let successor = site.entry("e2");
+    site.wait_ready(&successor);
+    common::wait_until("the job has a final answer", || {
+        let answer = body_of(&site.runtime.block_on(send(&site, successor.addr, &key, 8_000)));
+        answer["outcome"] == "complete"
+    });
+}
