fix(entry): answers of a stopping instance close their connections

What callers saw: a caller that keeps its connection open was refused as `draining` for as long as the stop took, up to 60 s, although other instances had room. When the stop ended, the connection was closed as idle, and a request that crossed with that ended without an answer.

Cause: a balancer that sees `/readyz` fail moves new connections. Nothing ended those that were open before the work in flight had ended.

Ruled out: new work that is accepted after the request to stop; the shards refuse it as `not-run`, `draining`, on old connections too (same test, passed before).

Evidence: `a_stopping_instance_refuses_on_open_connections_and_closes_them` on the code before: `job: None`, the refusal has no `connection` header.

Why it works: from the request to stop on each answer carries `connection: close`, after which the server closes the connection. The caller's next request opens one, which the balancer sends elsewhere.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -15,7 +15,7 @@
 use cranberryhatch_core::{Answer, Event, Submit};
 use cranberryhatch_http::{Problem, reply_json};
 use cranberryhatch_types::{Holder, JobKey, KeyName, Span, TeamId, Time, ZoneId};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -146,10 +146,19 @@
 impl Api {
     /// Answers one request.
     pub async fn answer(&self, request: Request<Bytes>) -> Response<Bytes> {
-        match self.route(request).await {
+        let mut response = match self.route(request).await {
             Ok(response) => response,
             Err(problem) => problem.response(),
+        };
+        // A balancer sends new connections elsewhere, but not the requests of those that are open.
+        if self.is_stopping() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        response
+    }
+
+    fn is_stopping(&self) -> bool {
+        !self.ready.load(Ordering::Relaxed)
     }
 
     async fn route(&self, request: Request<Bytes>) -> Result<Response<Bytes>, Problem> {
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use common::{Site, body_of, free_addr, own_key, submission};
+use common::{Entry, Site, body_of, free_addr, own_key, submission};
 use cranberryhatch_entry::Instance;
 use cranberryhatch_store::Scan;
 
@@ -136,6 +136,49 @@
     }
 }
 
+/// Checks an instance that is told to stop while it still runs the job with a key.
+fn while_stopping(check: impl FnOnce(&Site, &Entry, &str)) {
+    let site = Site::new(1);
+    site.list();
+    let entry = site.start_shards("e1", free_addr(), free_addr(), 1);
+    site.wait_ready(&entry);
+    let key = own_key("last");
+    let (client, addr) = (site.client.clone(), entry.addr);
+    let request = submission(&key, 8, 3_000);
+    let last = site.runtime.spawn(async move {
+        client.send_within(addr, request, common::PATIENCE).await.expect("response")
+    });
+    wait_claimed(&site);
+    entry.signal();
+    common::wait_until("the instance stops", || {
+        let request = http::Request::get("/readyz").body(bytes::Bytes::new()).expect("request");
+        site.send(entry.addr, request).status() == 503
+    });
+    check(&site, &entry, &key);
+    let last = body_of(&site.runtime.block_on(last));
+    assert_eq!(last["outcome"], "complete", "{last}");
+}
+
+/// Callers with open connections must be refused at once, and sent to another instance.
+#[test]
+fn a_stopping_instance_refuses_on_open_connections_and_closes_them() {
+    while_stopping(|site, entry, key| {
+        let mut refused = submission(&own_key("new"), 1, 1);
+        refused.headers_mut().insert("idempotency-first", "true".parse().expect("header"));
+        let refused = site.send(entry.addr, refused);
+        let body = body_of(&refused);
+        assert_eq!((&body["outcome"], &body["code"]), (&"not-run".into(), &"draining".into()));
+        let path = format!("/v1/jobs/{key}");
+        let asked = http::Request::get(path).header("authorization", "Bearer script-token");
+        let asked = site.send(entry.addr, asked.body(bytes::Bytes::new()).expect("request"));
+        assert_eq!(body_of(&asked)["outcome"], "pending");
+        for (what, response) in [("job", refused), ("question", asked)] {
+            let connection = response.headers().get("connection");
+            assert!(connection.is_some_and(|value| value == "close"), "{what}: {connection:?}");
+        }
+    });
+}
+
 /// A request whose body comes late must not delay a forced stop by waiting for its job.
 #[test]
 fn a_stop_that_is_forced_does_not_wait_for_late_requests() {
