fix(entry): a stopping instance hands out no keys

What callers saw: 200 and keys from an instance that was about to end. A job under such a key got `not-run`, `draining` there, and `unknown` at any other instance once it had ended, because only the instance that handed a key out can say that nothing was started under it.

Cause: `POST /v1/keys` asks no shard, so the refusal of new work did not reach it.

Ruled out: keys that were handed out before the request to stop; they end with the instance as before, which api.md says.

Evidence: `a_stopping_instance_hands_out_no_keys` on the code before: `left: (200, Null) right: (503, String("draining"))`, with the body `{"keys":["~e1~~0"],"team":"script"}`.

Why it works: the request is refused with 503 `draining` from the request to stop on, so that callers and balancers go to an instance that stays.

--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -244,6 +244,12 @@
             let detail = format!("count must be from 1 to {KEYS_LIMIT}");
             return Err(Problem::new(StatusCode::BAD_REQUEST, "bad-count", detail));
         }
+        // No other instance can serve them.
+        if self.is_stopping() {
+            let detail = "the instance is stopping, and its keys would end with it";
+            return Err(Problem::new(StatusCode::SERVICE_UNAVAILABLE, "draining", detail)
+                .retry_after_ms(RETRY_MS));
+        }
         let first = self.next.fetch_add(request.count, Ordering::Relaxed);
         let time = self.clock.wall();
         let keys: Vec<String> = (first..first + request.count)
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -179,6 +179,17 @@
     });
 }
 
+/// Keys that only a stopping instance could serve must not be handed out.
+#[test]
+fn a_stopping_instance_hands_out_no_keys() {
+    while_stopping(|site, entry, _| {
+        let body = serde_json::json!({ "count": 1 });
+        let keys = site.send(entry.addr, common::post("/v1/keys", "script-token", &body));
+        let (status, body) = (keys.status().as_u16(), body_of(&keys));
+        assert_eq!((status, &body["code"]), (503, &"draining".into()), "{body}");
+    });
+}
+
 /// A request whose body comes late must not delay a forced stop by waiting for its job.
 #[test]
 fn a_stop_that_is_forced_does_not_wait_for_late_requests() {
