fix(entry): an instance without work answers for 2.5 s after the request to stop

What callers saw: an instance without work in flight closed its listener and its open connections as soon as it saw the signal, for which it looks every 20 ms. A balancer that checks once a second sends requests there for up to two checks more: they were refused by the system, or ended without an answer when they crossed with the close of an open connection.

Cause: the end of a stop was bound to the work in flight alone. `/readyz` told about the stop, but nobody had the time to ask.

Ruled out: requests that the instance had read; they are answered (`a_stop_finishes_requests_in_flight`).

Evidence: `a_stop_without_work_still_answers_open_connections` on the code before: the request sent 1 s after the request to stop finds the connection closed and gets no answer.

Why it works: the instance refuses new work as before, but answers for at least 2.5 s, which is two checks of a balancer and half a second for requests under way. Each answer closes its connection, so that few are left when the stop ends. A life that was taken over does not wait, because the next one needs its address.

--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -49,6 +49,9 @@
 /// Time allowed for work in flight after a signal; the longest deadline of a job is larger, but
 /// whoever replaces the instance does not wait for that long.
 const DRAIN_LIMIT: Duration = Duration::from_secs(60);
+/// Time for which a stopping instance goes on to answer callers although it has no work: two checks
+/// of a balancer that checks once a second, and half a second for requests under way.
+const LAST_CALLERS: Duration = Duration::from_millis(2_500);
 /// Time allowed for tasks that go on after the shards are drained.
 const TASKS_LIMIT: Duration = Duration::from_secs(5);
 
@@ -233,8 +236,13 @@
     /// Ends this life: refuses new work, finishes work in flight, records, joins everything.
     fn end(self, end: End) {
         self.ready.store(false, Ordering::Relaxed);
+        let begin = Instant::now();
         self.shards.send_all(&Event::Drain);
         let whole = self.wait_drained();
+        if end == End::Stopped {
+            // A life that was taken over ends at once, because the next one waits for its address.
+            std::thread::sleep(LAST_CALLERS.saturating_sub(begin.elapsed()));
+        }
         // Requests that wait for other instances end with them; all others have their reply.
         self.replies.close();
         drop(self.stop_server);
--- a/crates/entry/tests/instance.rs
+++ b/crates/entry/tests/instance.rs
@@ -190,6 +190,28 @@
     });
 }
 
+/// An instance without work must not close its doors before a balancer can see that it stops.
+#[test]
+fn a_stop_without_work_still_answers_open_connections() {
+    let site = Site::new(1);
+    site.list();
+    let entry = site.start_shards("e1", free_addr(), free_addr(), 1);
+    site.wait_ready(&entry);
+    let mut stream = TcpStream::connect(entry.addr).expect("connection");
+    stream.set_read_timeout(Some(common::PATIENCE)).expect("timeout");
+    let request = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n";
+    stream.write_all(request).expect("sent");
+    let mut first = [0; 15];
+    stream.read_exact(&mut first).expect("answer");
+    entry.signal();
+    // A balancer that checks once a second has not seen the stop yet.
+    std::thread::sleep(Duration::from_secs(1));
+    stream.write_all(request).expect("sent");
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).expect("answers until the connection is closed");
+    assert!(answers.contains("connection: close"), "{answers}");
+}
+
 /// A request whose body comes late must not delay a forced stop by waiting for its job.
 #[test]
 fn a_stop_that_is_forced_does_not_wait_for_late_requests() {
