fix(fleet): a new owner waits for the leases of the former one

Cause: a new owner found a run, its front claimed it with an old sign of life, so that no lease could be given, and the next look got no answer. A worker that does not answer loses its runs when the leases that this owner gave have ended; it had given none, and reported the run as stopped at once, while the former owner's lease went on for 0.8 s. The new test fails without the change. Change: opening a worker with runs notes that their leases may go on for a whole lease.

--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -11,6 +11,7 @@
     held::Stage,
     note::{DropCause, Note},
     output::Message,
+    run_life::{LEASE, LEASE_SLACK},
     worker::Charge,
 };
 
@@ -47,6 +48,8 @@
         }
         let found = seen.running.len();
         worker.charge = Charge::Claiming { until: now + CLAIM_WAIT, waits_for, found };
+        // What runs may still have a lease of the earlier owner.
+        worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
         // Until its front claims it, a run counts as lost and is stopped in the end.
         worker.held =
             seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -125,7 +125,7 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 3] = [
+const REGRESSIONS: [Regression; 4] = [
     Regression {
         seed: 1435,
         cause: "each stop that was sent again put the end of a doubtful run off, for ever",
@@ -138,6 +138,10 @@
         seed: 6642,
         cause: "a former owner reported a run as ended that a later owner held",
     },
+    Regression {
+        seed: 200_934,
+        cause: "a new owner reported a run as ended whose lease was the former owner's",
+    },
 ];
 
 #[test]
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -5,18 +5,19 @@
 
 use common::{listed, need};
 use cranberryhatch_fleet::{
-    Command, Listing, LookAnswer, Looked, Member, Members, Message, Note, Output, Owner, RunKey,
-    Seen, StartAnswer, StartRefusal,
+    Command, LEASE, Listing, LookAnswer, Looked, Member, Members, Message, Note, Output, Owner,
+    RunKey, Running, Seen, StartAnswer, StartRefusal,
 };
-use cranberryhatch_schema::fleet::{Run, Start};
+use cranberryhatch_schema::fleet::{Claim, Run, Start};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 const START: Time = Time::from_ms(10_000);
 
-/// An owner with a worker on which nothing runs.
+/// An owner with a worker that it has not opened yet.
 struct Bed {
     owner: Owner,
     members: Members,
+    listing: Listing,
     worker: WorkerId,
     /// Fencing token of the last look.
     token: u64,
@@ -38,20 +39,37 @@
         listing.replace(vec![listed("w", "a", 32_000)], START);
         let mut owner = Owner::new(me.id);
         owner.assign(&listing, &members.owners(1), 0, START);
-        let mut bed = Self { owner, members, worker: "w".parse().expect("an id"), token: 0 };
+        Self { owner, members, listing, worker: "w".parse().expect("an id"), token: 0 }
+    }
+
+    /// An owner that the worker obeys and on which nothing runs.
+    fn opened() -> Self {
+        let mut bed = Self::new();
         bed.look(START, &mut Output::default());
         bed
     }
 
+    fn tick(&mut self, now: Time, out: &mut Output) {
+        let owners = self.members.owners(1);
+        self.owner.tick(&self.listing, &owners, 0, now, out);
+    }
+
     /// Looks at the worker, which says that nothing runs and nothing ended.
     fn look(&mut self, now: Time, out: &mut Output) {
+        self.look_at(&[], true, now, out);
+    }
+
+    /// Looks at the worker, which says what runs, or nothing at all.
+    fn look_at(&mut self, runs: &[RunKey], answers: bool, now: Time, out: &mut Output) {
         let mut looks = Output::default();
         self.owner.look(now, &mut looks);
         for command in looks.commands {
             let Command::Look { worker, token, .. } = command else { continue };
             self.token = token;
-            let seen = Seen { clock: now.as_ms(), ..Seen::default() };
-            let answer = LookAnswer::Seen(Box::new(seen));
+            let running = |run: &RunKey| Running { run: run.clone(), percent: 0 };
+            let running = runs.iter().map(running).collect();
+            let seen = Seen { clock: now.as_ms(), running, ended: Vec::new() };
+            let answer = if answers { LookAnswer::Seen(Box::new(seen)) } else { LookAnswer::Lost };
             let looked = Looked { worker: worker.id, token, asked: now, answer };
             self.owner.looked(looked, &self.members, now, out);
         }
@@ -113,7 +131,7 @@
         },
     ];
     for Case { name, change, cause } in cases {
-        let mut bed = Bed::new();
+        let mut bed = Bed::opened();
         let mut order = start(bed.token, START);
         change(&mut order);
         let mut out = Output::default();
@@ -128,7 +146,7 @@
 
 #[test]
 fn a_stop_that_is_sent_again_does_not_put_off_the_end_of_a_doubtful_run() {
-    let mut bed = Bed::new();
+    let mut bed = Bed::opened();
     let mut out = Output::default();
     let front: InstanceId = "e-2".parse().expect("a name");
     let order = start(bed.token, START);
@@ -148,3 +166,24 @@
     bed.look(START + Span::from_ms(91), &mut out);
     assert_eq!(ends(&out), 1, "80 ms after the first stop was accepted the run is gone");
 }
+
+#[test]
+fn a_run_is_not_reported_as_ended_while_a_former_owners_lease_may_hold() {
+    let mut bed = Bed::new();
+    let mut out = Output::default();
+    let front: InstanceId = "e-2".parse().expect("a name");
+    let order = start(0, Time::ZERO);
+    let run = RunKey::from(order.run.as_ref().expect("a run"));
+    bed.look_at(std::slice::from_ref(&run), true, START, &mut out);
+    // The front has read no sign of life of this owner yet, so no lease can be given.
+    let claim = Claim { worker: "w".to_owned(), runs: vec![order] };
+    bed.owner.claimed(&front, &claim, START, &mut out);
+    let none = Claim { worker: "w".to_owned(), runs: Vec::new() };
+    bed.owner.claimed(&"e-1".parse().expect("a name"), &none, START, &mut out);
+    bed.look_at(&[], false, START + Span::from_ms(10), &mut out);
+    let until = START + LEASE;
+    bed.tick(until, &mut out);
+    assert_eq!(ends(&out), 0, "the former owner's lease may hold until {until}");
+    bed.tick(until + Span::from_ms(200), &mut out);
+    assert_eq!(ends(&out), 1, "every lease is over");
+}
