fix(fleet): the end of a run that nobody claimed reaches its front

Callers saw: 504 at their time limit for jobs whose task had been stopped long before; a job that was over stayed in its front for 10 s, so that a planned stop took its whole grace period and the same job, sent again, waited. Cause: a new owner stops what no front claims within 300 ms and reported the end to itself. A front that read the takeover later, or whose job was over and which claims nothing then, had already written down the new owner and waited for it for ever. Change: the end of an unclaimed run goes to all instances in reach. It follows the takeover on the same link, so a late front reads both in order. Ruled out: an answer to the late claim, for which the owner would have to remember how each run ended.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -91,6 +91,12 @@
         })
     }
 
+    /// Whether a front has ordered or claimed it from this owner.
+    #[must_use]
+    pub const fn is_claimed(&self) -> bool {
+        !self.kind.is_empty()
+    }
+
     /// The report of it for the scheduler.
     #[must_use]
     pub fn report(&self) -> HeldMessage {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -124,6 +124,11 @@
         known
     }
 
+    fn meet(&mut self) {
+        let peers = self.members.peers().iter();
+        self.owner.meet(peers.map(|peer| peer.id.clone()).collect());
+    }
+
     /// A link to a peer is up in both directions.
     pub fn link_up(&mut self, peer: Member, now: Time, out: &mut Output) {
         let id = peer.id.clone();
@@ -141,6 +146,7 @@
             },
         );
         self.members.up(peer);
+        self.meet();
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
         self.send_beats(now, out);
         self.duties(now, out);
@@ -153,6 +159,7 @@
         if !self.members.down(peer) {
             return;
         }
+        self.meet();
         let heard = self.heard.remove(peer).map_or(now, |heard| heard.at);
         let peers = self.members.peers().len();
         out.note(Note::PeerDown { peer: peer.clone(), silence: now.since(heard), peers });
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -52,6 +52,7 @@
 #[derive(Debug)]
 pub struct Owner {
     me: InstanceId,
+    peers: Vec<InstanceId>,
     workers: VecMap<WorkerId, Worker>,
     scheduler: Option<InstanceId>,
     reported: Time,
@@ -73,6 +74,7 @@
     pub fn new(me: InstanceId) -> Self {
         Self {
             me,
+            peers: Vec::new(),
             workers: VecMap::default(),
             scheduler: None,
             reported: Time::ZERO,
@@ -127,6 +129,22 @@
         self.reported = Time::ZERO;
     }
 
+    /// Learns which instances are in reach.
+    pub fn meet(&mut self, peers: Vec<InstanceId>) {
+        self.peers = peers;
+    }
+
+    /// Tells the front of a run that it ended; all instances if no front has claimed it, since the
+    /// claim may come late, or the front may only wait for the end.
+    fn tell_end(&self, held: &Held, worker: &str, how: How, took: Span, out: &mut Output) {
+        if !held.is_claimed() {
+            for peer in &self.peers {
+                out.send(peer, Message::Ended(ended_message(&held.run, worker, how, took)));
+            }
+        }
+        send_end(held, worker, how, took, out);
+    }
+
     /// Reports the end of a run to its front and to the scheduler.
     fn end(&mut self, id: &WorkerId, run: &RunKey, how: How, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -139,7 +157,7 @@
             Stage::Starting | Stage::Doubtful { .. } => now.since(held.sent),
         };
         out.note(Note::RunEnded { run: run.clone(), worker: id.clone(), how, took });
-        send_end(&held, id.as_str(), how, took, out);
+        self.tell_end(&held, id.as_str(), how, took, out);
         self.free(&held, id.as_str(), how, took, out);
     }
 
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -83,7 +83,7 @@
         let found = *found;
         let mut stops = Vec::new();
         for held in &mut worker.held {
-            if held.kind.is_empty() {
+            if !held.is_claimed() {
                 held.stopping = Some(now);
                 stops.push(held.run.clone());
             }
@@ -128,7 +128,7 @@
         if cause == DropCause::OtherLife {
             // The life that ran them is over.
             for held in &worker.held {
-                send_end(held, id.as_str(), How::Stopped, Span::ZERO, out);
+                self.tell_end(held, id.as_str(), How::Stopped, Span::ZERO, out);
             }
         }
         if cause == DropCause::Fenced {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -894,6 +894,11 @@
         self.decide(node, |n, now, out| n.submit(ticket, job, now, out));
     }
 
+    /// Has the caller of a job that was handed in once go away.
+    pub fn leave_now(&mut self, request: usize) {
+        self.leave(request, 0);
+    }
+
     fn leave(&mut self, request: usize, attempt: usize) {
         let Some(made) = self.requests[request].attempts.get_mut(attempt) else { return };
         if made.left || made.answer.is_some() {
