fix(fleet): a front that was paused past a job's time limit proves nothing for its runs

Callers saw: nothing yet; found by review. A caller that lost its front at the time limit sends its job again 1.3 s later. A front that stood still across that limit named a newer sign of life of the owner first and gave the run up after, so that the lease could be extended past the second start if every stop was lost for 0.9 s. It also claimed runs of such jobs from a new owner. Change: a tick ends what is over before it sends signs of life, and only jobs within their limit claim runs. Evidence: two of the new tests in front.rs fail without the change; the third guards the answer to a job sent again when its instance ends.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -36,7 +36,7 @@
         let mut ends = Vec::new();
         let mut claims = Vec::new();
         for (_, active) in self.jobs.iter_mut() {
-            let wanted = active.closing.is_none();
+            let wanted = active.closing.is_none() && now < active.job.limit;
             let job = active.job.clone();
             let keys: Vec<TaskKey> = active.placed().map(|(key, _)| key).collect();
             for key in keys {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -368,7 +368,6 @@
             self.doubt_until = now + DOUBT;
         }
         self.check_peers(now, out);
-        self.send_beats(now, out);
         self.join(now, out);
         if now.since(self.assigned_at) >= ASSIGN_EVERY {
             self.assign(wall_ms, now);
@@ -380,6 +379,8 @@
             self.front.end_all(now, out);
             self.stopped = true;
         }
+        // They prove that this instance wants its runs, so jobs that are over are ended before.
+        self.send_beats(now, out);
         self.owner.tick(&self.listing, &self.owners, wall_ms, now, out);
         self.settle(now, true, out);
     }
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -346,3 +346,59 @@
     };
     assert_eq!(expired(out), Some(expected));
 }
+
+#[test]
+fn a_front_that_was_paused_past_a_jobs_limit_proves_nothing_for_its_runs() {
+    let peer = id("p");
+    let mut node = Node::new(member("e-1", false), SENT);
+    let mut out = Output::default();
+    node.link_up(member("p", true), SENT, &mut out);
+    node.submit(1, job(500), SENT, &mut out);
+    let place =
+        Place { task: 0, worker: "w".to_owned(), owner: "p".to_owned(), run_ms: 100, token: 7 };
+    let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
+    node.message(&peer, Message::Grant(grant), SENT, &mut out);
+    out.commands.clear();
+    let after = SENT + Span::from_ms(550);
+    let beat = Beat { joined: true, next_ms: 140, sent_ms: 77, ..Beat::default() };
+    node.message(&peer, Message::Beat(beat), after, &mut out);
+    node.tick(0, after, &mut out);
+    let place = |wanted: fn(&Message) -> bool| {
+        let is_sent = |c: &Command| matches!(c, Command::Send { message, .. } if wanted(message));
+        out.commands.iter().position(is_sent).expect("sent")
+    };
+    let stop = place(|message| matches!(message, Message::Stop(_)));
+    let sign = place(|message| matches!(message, Message::Beat(beat) if beat.seen_ms == 77));
+    assert!(stop < sign, "the run is given up before a newer sign is named");
+}
+
+#[test]
+fn a_job_past_its_limit_claims_no_run() {
+    for (after, claims) in [(59_999, 1), (60_000, 0)] {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        let running = vec![run()];
+        let found = Takeover { worker: "w".to_owned(), running, ended: Vec::new(), token: 8 };
+        front.takeover(&id("p"), &found, SENT, SENT + Span::from_ms(after), &mut out);
+        let claimed = out.commands.iter().find_map(|command| match command {
+            Command::Send { message: Message::Claim(claim), .. } => Some(claim.runs.len()),
+            _ => None,
+        });
+        assert_eq!(claimed, Some(claims), "after {after} ms");
+    }
+}
+
+#[test]
+fn a_job_sent_again_is_answered_when_its_instance_ends() {
+    let mut out = Output::default();
+    let mut front = placed(&mut out);
+    front.caller_gone(1, SENT, &mut out);
+    front.submit(2, job(60_000), SENT, &mut out);
+    out.commands.clear();
+    front.end_all(SENT, &mut out);
+    let answered = out
+        .commands
+        .iter()
+        .any(|command| matches!(command, Command::Answer { ticket: 2, outcome: Outcome::GivenUp }));
+    assert!(answered, "it waits for the runs of the first");
+}
