fix(fleet): the slack of a lease covers the age of the worker's clock; looks are answered before a short lease ends

Callers saw: nothing; found by review, by arithmetic. The end of a lease is counted from a reading of the worker's clock that may be 3 s old, and a clock that is 2 % slow is 81 ms behind by the end, where the slack was 70 ms: an owner could report a run as ended 10 ms early. And a look waits up to 240 ms for an end also where the lease that it gives is shorter, so that all runs on the worker could lapse before the next. Change: slack of 90 ms; a look waits for half of the lease that is left at most, and 20 ms at least. Evidence: run_life.rs counts the age of the reading now; owner.rs has a look with a short lease.

--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -147,8 +147,8 @@
             }
             // A worker whose last look got no answer must be able to let the lease end.
             let leases = busy && !worker.dark && !matches!(worker.charge, Charge::Opening { .. });
-            let wait = if leases { worker.look_wait(now) } else { Span::ZERO };
             let lease = if leases { worker.lease(now) } else { None };
+            let wait = if leases { worker.look_wait(now) } else { Span::ZERO };
             worker.looking = Some(now);
             worker.looked = now;
             out.commands.push(Command::Look {
--- a/crates/fleet/src/run_life.rs
+++ b/crates/fleet/src/run_life.rs
@@ -17,9 +17,9 @@
 /// The platform shortens longer leases to 1 s; below 800 ms a new owner would come too late to keep
 /// the runs of one that lost power.
 pub const LEASE: Span = Span::from_ms(950);
-/// Time that covers a worker's clock that is slow by 2 % (the platform's bound) and the way of the
-/// answers.
-pub(crate) const LEASE_SLACK: Span = Span::from_ms(70);
+/// Time that covers a worker's clock that is slow by 2 % (the platform's bound), over a lease and the
+/// 3 s after which an idle worker's clock is read again, and the way of the answers.
+pub(crate) const LEASE_SLACK: Span = Span::from_ms(90);
 
 /// Length of a lease that is given now, where `seen` is the oldest of the signs that the fronts of the
 /// worker's runs have read; zero if none can be given.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -19,6 +19,8 @@
 /// The same for a worker that has not answered a look lately: ends are not seen while an answer is
 /// awaited that does not come. The mean run time is 60 ms to 900 ms.
 const LOSSY_LOOK_WAIT: Span = Span::from_ms(60);
+/// Shortest time for which a worker is asked to wait because a lease is short; a look costs a request.
+const LOOK_WAIT_MIN: Span = Span::from_ms(20);
 /// Shortest lease of a start: the wait of the look that extends it, and its way.
 const START_LEASE: Span = Span::from_ms(300);
 /// Time for the answer to an order; a round trip takes 2 ms, and an instance with a small share of a
@@ -119,6 +121,9 @@
     #[must_use]
     pub fn look_wait(&self, now: Time) -> Span {
         let longest = if self.is_lossy(now) { LOSSY_LOOK_WAIT } else { LOOK_WAIT };
+        // The next look extends the lease, so this one must be answered well before its end.
+        let lease = self.lease_end.since(now + LEASE_SLACK) / 2;
+        let longest = longest.min(lease.max(LOOK_WAIT_MIN));
         // A look that is sent later than this time tells whether a doubtful run is gone.
         let doubts = self.held.iter().filter_map(|held| match held.stage {
             Stage::Doubtful { until } => Some((until + Span::from_ms(1)).since(now)),
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -187,3 +187,32 @@
     bed.tick(until + Span::from_ms(200), &mut out);
     assert_eq!(ends(&out), 1, "every lease is over");
 }
+
+#[test]
+fn a_look_is_answered_well_before_a_short_lease_ends() {
+    struct Case {
+        name: &'static str,
+        age: u64,
+        longest: u64,
+    }
+    let cases = [
+        Case { name: "full lease", age: 0, longest: 240 },
+        Case { name: "the front was silent", age: 900, longest: 155 },
+    ];
+    for Case { name, age, longest } in cases {
+        let mut bed = Bed::opened();
+        let order = start(bed.token, START - Span::from_ms(age));
+        let run = RunKey::from(order.run.as_ref().expect("a run"));
+        let mut out = Output::default();
+        bed.owner.start(&"e-2".parse().expect("a name"), order, START, &mut out);
+        let (worker, clock) = (bed.worker.clone(), Some(START.as_ms()));
+        bed.owner.started(&worker, &run, StartAnswer::Started, clock, START, &mut out);
+        out.commands.clear();
+        bed.owner.look(START, &mut out);
+        let wait = out.commands.iter().find_map(|command| match command {
+            Command::Look { wait, lease: Some(_), .. } => Some(wait.as_ms()),
+            _ => None,
+        });
+        assert_eq!(wait, Some(longest), "{name}");
+    }
+}
--- a/crates/fleet/tests/run_life.rs
+++ b/crates/fleet/tests/run_life.rs
@@ -7,6 +7,8 @@
 const RESEND: Span = Span::from_ms(1_300);
 /// How much slower than ours a worker's clock may be, in percent: the platform's bound.
 const SLOW_CLOCK: u64 = 2;
+/// Oldest reading of a worker's clock from which the end of a lease is counted, in milliseconds.
+const CLOCK_AGE: u64 = 3_000;
 const NOW: Time = Time::from_ms(100_000);
 
 #[test]
@@ -14,7 +16,8 @@
     assert!(RUN_LIFE <= RUN_GONE && RUN_LIFE <= RESEND);
     for age in 0..=2 * RUN_GONE.as_ms() {
         let length = lease_length(Some(NOW - Span::from_ms(age)), NOW).as_ms();
-        let longest = length + length * SLOW_CLOCK / 100;
+        let by_its_clock = CLOCK_AGE + length;
+        let longest = (by_its_clock * 100).div_ceil(100 - SLOW_CLOCK) - CLOCK_AGE;
         assert!(length == 0 || age + longest <= RUN_LIFE.as_ms(), "sign of life {age} ms ago");
     }
 }
@@ -30,8 +33,8 @@
     let cases = [
         Case { name: "nothing runs", age: None, length: full },
         Case { name: "a sign just read", age: Some(0), length: full },
-        Case { name: "as old as two signs on slow links", age: Some(280), length: full },
-        Case { name: "the front was silent", age: Some(600), length: 630 },
+        Case { name: "as old as two signs on slow links", age: Some(260), length: full },
+        Case { name: "the front was silent", age: Some(600), length: 610 },
         Case { name: "the owner was paused", age: Some(1_500), length: 0 },
         Case { name: "no sign was read", age: Some(100_000), length: 0 },
     ];
