--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -25,8 +25,8 @@
 
 /// Time after the last sign of an owner by which none of the runs that it started can be at work.
 ///
-/// It covers the longest chain: the owner is lost, its lease is nearly over when a new owner lists the
-/// worker, the new owner waits for claims and then stops what nobody claimed.
+/// No lease lasts longer than `RUN_LIFE` after the latest sign of life that this front has named to the
+/// owner, and it cannot have named one that it had not read.
 pub const RUN_GONE: Span = Span::from_ms(1_500);
 /// Step between run numbers after a worker refused one as old.
 const OLD_STEP: u32 = 4;
@@ -235,9 +235,10 @@
         let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
         let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
         let Some(state) = active.task(&run.task) else { return };
-        // A former owner may take a run for ended whose lease the present one has extended.
-        let inferred = !matches!(ended.how(), How::Done | How::Failed);
-        if inferred && matches!(&state.phase, Phase::Placed(place) if place.owner != *from) {
+        // A former owner may take a run for ended whose lease the present one has extended; only what
+        // ends a run for good can come from it.
+        let is_final = matches!(ended.how(), How::Done | How::Failed);
+        if !is_final && matches!(&state.phase, Phase::Placed(place) if place.owner != *from) {
             return;
         }
         self.end(&run, &ended.worker, ended.how(), now, out);
@@ -413,8 +414,16 @@
         for name in names {
             let Some(active) = self.jobs.get_mut(&name) else { continue };
             // Runs of the job that it follows may have been at work.
-            if let Some((ticket, _)) = active.next.take() {
+            if let Some((ticket, job)) = active.next.take() {
                 out.answer(ticket, Outcome::GivenUp);
+                out.note(Note::Answered {
+                    job: job.name,
+                    kind: job.policy.kind.clone(),
+                    outcome: Outcome::GivenUp,
+                    took: now.since(job.born),
+                    queued: None,
+                    runs: 0,
+                });
             }
             let outcome = if active.at_work > 0 {
                 Outcome::GivenUp
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -3,9 +3,7 @@
 use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use super::{
-    CLAIM_WAIT, Owner, REFUSED_PAUSE, STRAY_LIMIT, ended_message, how, push_stop, send_end,
-};
+use super::{CLAIM_WAIT, Owner, REFUSED_PAUSE, STRAY_LIMIT, ended_message, how, push_stop};
 use crate::{
     End, Held, Members, Need, Output, RunKey, Seen,
     held::Stage,
--- a/crates/fleet/src/stop.rs
+++ b/crates/fleet/src/stop.rs
@@ -12,9 +12,10 @@
 ///
 /// Later jobs are refused: callers with open connections would keep the instance busy until it ends.
 pub const LAST_CALLERS: Span = Span::from_ms(2_500);
-/// Time before the end of the grace period at which the jobs that are left are answered: a signal is
-/// noticed after 50 ms, answers and the last log lines have 200 ms each.
-const RESERVE: Span = Span::from_ms(500);
+/// Time before the end of the grace period at which the jobs that are left are answered: the process
+/// notices the signal and the end of the stop after 50 ms each and a tick after 20 ms; answers and the
+/// last log lines have 200 ms each.
+const RESERVE: Span = Span::from_ms(600);
 
 /// A request to stop.
 #[derive(Clone, Copy, Debug)]
