--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -31,6 +31,7 @@
     let mut name = 1;
     while world.now < end {
         world.run_until(world.now + rng.u64(5..120));
+        world.give_up();
         if rng.u32(0..10) < 7 {
             let tasks = rng.u32(1..9);
             world.request(
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -894,6 +894,24 @@
         self.decide(node, |n, now, out| n.submit(ticket, job, now, out));
     }
 
+    /// Has callers whose time limit passed without an answer, as those of a paused instance, send their
+    /// jobs again.
+    pub fn give_up(&mut self) {
+        for index in 0..self.requests.len() {
+            let request = &mut self.requests[index];
+            if request.outcome.is_some() || self.now < request.limit {
+                continue;
+            }
+            let limit = request.limit;
+            let Some(attempt) = request.attempts.last_mut() else { continue };
+            if attempt.answer.is_some() || attempt.left {
+                continue;
+            }
+            attempt.left = true;
+            self.at((limit + RESEND).max(self.now), Happening::Submit { request: index });
+        }
+    }
+
     /// Has the caller of a job that was handed in once go away.
     pub fn leave_now(&mut self, request: usize) {
         self.leave(request, 0);
