fix(entry): ready only when peers, list and workers are there or given up

Cause, from the traces: praha-a-e0 read the list at its start, before it was published, and so counted as listed. Its settings came with a poll of their own, and it said ready at once, 0.9 s before it read the list that has its peers. The demo's first requests came between the two: every `holder-unreachable` has a question to the holder that was dropped within 20 ms of the submission, because there was no link. The job of 25 s started about 30 tasks: an instance that has not read the list does not know where workers lent to it are, each start on them is refused unsent and counts against the budget of retries (10 and one a second); that last step is from the code and the count of starts, not from a trace. Now: settings in force in each shard, a list with the instance itself, a link to each listed peer and a heartbeat from it (it knows the way back), own workers free to lend; peers that are leaving are not waited for. After 5 s the rest is given up and named in the log, so an instance that is cut off still serves. The core tells what is missing, the process looks at links. Ruled out: a wait in the chores, since a balancer acts on readiness too; a limit for each peer, which has no end while peers come. Tests failed before: readiness.rs of entry, ready after 45 ms without the own row and after 21 ms with an absent peer.

--- a/crates/core/src/cluster.rs
+++ b/crates/core/src/cluster.rs
@@ -4,11 +4,11 @@
 
 use cranberryhatch_schema::peer::envelope::Body;
 use cranberryhatch_settings::InForce;
-use cranberryhatch_types::{Incarnation, ShardId, Span, TeamId, Time, WorkerId};
+use cranberryhatch_types::{Incarnation, InstanceId, ShardId, Span, TeamId, Time, WorkerId};
 
 use crate::{
-    Command, Counter, Endpoint, Event, Identity, Listing, Need, Pool, Signal, Slot, StateChange,
-    WorkerNo,
+    Command, Counter, Endpoint, Event, Identity, Listing, Missing, Need, Pool, Signal, Slot,
+    StateChange, WorkerNo,
     borrowing::Borrowing,
     lending::Lending,
     membership::{Load, Membership},
@@ -248,6 +248,24 @@
         }
     }
 
+    /// What this shard has not got yet, sorted.
+    #[must_use]
+    pub fn missing(&self) -> Vec<Missing> {
+        let idle = self.members.unborrowed().is_some();
+        let lacks = [
+            (Missing::Settings, self.version == 0),
+            (Missing::List, !self.members.is_listed()),
+            (Missing::Peers, !self.members.hears_all()),
+            (Missing::Workers, self.pool.is_guarded(idle)),
+        ];
+        lacks.into_iter().filter(|(_, lacks)| *lacks).map(|(what, _)| what).collect()
+    }
+
+    /// Instances that this shard expects to exchange messages with.
+    pub fn staying(&self) -> impl Iterator<Item = &InstanceId> {
+        self.members.staying()
+    }
+
     /// Takes a slot for a task of a team.
     ///
     /// # Errors
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -4,11 +4,11 @@
 
 use cranberryhatch_schema::{Values, peer::envelope::Body};
 use cranberryhatch_settings::InForce;
-use cranberryhatch_types::{Holder, ShardId, Time, ZoneId};
+use cranberryhatch_types::{Holder, InstanceId, ShardId, Time, ZoneId};
 
 use crate::{
-    AttemptId, Cluster, Code, Command, Event, FairQueue, HolderLease, JobNo, JobSpec, Recovery,
-    SlabMap, StateChange, Submit,
+    AttemptId, Cluster, Code, Command, Event, FairQueue, HolderLease, JobNo, JobSpec, Missing,
+    Recovery, SlabMap, StateChange, Submit,
     abandoned::Abandoned,
     attempt::Attempt,
     contacts::Contacts,
@@ -217,6 +217,17 @@
         no.and_then(|no| self.jobs.get(no)).is_some_and(|job| job.spec.digest == spec.digest)
     }
 
+    /// What this shard has not got yet to serve, sorted.
+    #[must_use]
+    pub fn missing(&self) -> Vec<Missing> {
+        self.cluster.missing()
+    }
+
+    /// Instances that this shard expects to exchange messages with.
+    pub fn staying(&self) -> impl Iterator<Item = &InstanceId> {
+        self.cluster.staying()
+    }
+
     /// Tasks that wait for a slot.
     #[must_use]
     pub const fn waiting(&self) -> u64 {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -49,6 +49,8 @@
     leaving: Vec<InstanceId>,
     // Whether the list was read.
     complete: bool,
+    // Whether the list that was read last has the own instance.
+    listed: bool,
     draining: bool,
     told: Option<Time>,
 }
@@ -74,6 +76,7 @@
             contacts: Vec::new(),
             leaving: Vec::new(),
             complete: false,
+            listed: false,
             draining: false,
             told: None,
             me,
@@ -135,6 +138,7 @@
     /// Takes the platform's list; tells whether owners may have changed.
     pub(crate) fn listed(&mut self, list: &[Listing]) -> bool {
         self.complete = true;
+        self.listed = false;
         let was_leaving = std::mem::take(&mut self.leaving);
         for contact in &mut self.contacts {
             contact.listed = false;
@@ -144,7 +148,9 @@
             if *leaving {
                 self.leaving.push(id.clone());
             }
-            if *id != self.me.holder.instance {
+            if *id == self.me.holder.instance {
+                self.listed = true;
+            } else {
                 self.contact(id, zone).listed = true;
             }
         }
@@ -353,6 +359,22 @@
         }
     }
 
+    /// Whether the list that was read last has the own instance.
+    pub(crate) const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// Instances that are listed or were heard, without those that are leaving.
+    pub(crate) fn staying(&self) -> impl Iterator<Item = &InstanceId> {
+        let ids = self.contacts.iter().map(|contact| &contact.instance);
+        ids.filter(|id| !self.is_leaving(id))
+    }
+
+    /// Whether every instance that stays was heard.
+    pub(crate) fn hears_all(&self) -> bool {
+        self.staying().all(|id| self.peers.iter().any(|peer| peer.shard.instance == *id))
+    }
+
     /// Time since which every shard that may borrow has said that it has borrowed nothing; none when
     /// one of them has, or when a listed instance was not heard or the list was not read.
     pub(crate) fn unborrowed(&self) -> Option<Time> {
--- a/crates/core/src/pool/loans.rs
+++ b/crates/core/src/pool/loans.rs
@@ -20,6 +20,14 @@
         }
     }
 
+    /// Whether an own worker was gained and not heard since or, when nobody has borrowed anything,
+    /// may not be lent yet. Loans of an earlier owner end with their lease, which is not waited for.
+    pub(crate) fn is_guarded(&self, idle: bool) -> bool {
+        let own = self.workers.iter().filter(|worker| worker.owned && worker.usable());
+        let mut guarded = own.filter(|worker| worker.guard.is_some());
+        guarded.any(|worker| idle || worker.seen < worker.gained)
+    }
+
     /// Slots of loans that may be used or are.
     pub(crate) fn borrowed(&self) -> u32 {
         self.loans.iter().map(|loan| loan.slots.max(loan.used)).sum()
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -66,8 +66,9 @@
     pub metrics: Arc<Metrics>,
     /// Whether the instance takes new work.
     pub ready: Arc<AtomicBool>,
-    /// Whether the first read of the list of instances has ended; before, no endpoint is known.
-    pub listed: Arc<AtomicBool>,
+    /// Whether all that the instance needs to serve is there or was given up; see
+    /// [`crate::readiness`].
+    pub settled: Arc<AtomicBool>,
     /// Number of the next key to be handed out.
     pub next: AtomicU64,
 }
@@ -213,8 +214,7 @@
     }
 
     fn readiness(&self) -> Result<Response<Bytes>, Problem> {
-        let works = self.ready.load(Ordering::Relaxed) && self.listed.load(Ordering::Relaxed);
-        if works && self.settings.current().is_some() {
+        if self.ready.load(Ordering::Relaxed) && self.settled.load(Ordering::Relaxed) {
             return Ok(reply_json(StatusCode::OK, "ready"));
         }
         let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/entry/src/endpoints/worker.rs
+++ b/crates/entry/src/endpoints/worker.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
@@ -33,6 +33,7 @@
     /// Its availability zone.
     pub zone: ZoneId,
     seen: AtomicU64,
+    tried: AtomicBool,
     last: Mutex<Option<Endpoint>>,
     flights: Mutex<Vec<Flight>>,
     pub(super) questions: Mutex<Vec<Question>>,
@@ -52,6 +53,7 @@
             addr,
             zone,
             seen: AtomicU64::new(now.as_ms()),
+            tried: AtomicBool::new(false),
             last: Mutex::default(),
             flights: Mutex::default(),
             questions: Mutex::default(),
@@ -70,6 +72,17 @@
         locked(&self.last).is_some()
     }
 
+    /// Takes note that the shards were told how a heartbeat to it ended.
+    pub fn note_tried(&self) {
+        self.tried.store(true, Ordering::Release);
+    }
+
+    /// Whether a heartbeat to it has ended, with an answer or without.
+    #[must_use]
+    pub fn is_tried(&self) -> bool {
+        self.tried.load(Ordering::Acquire)
+    }
+
     /// Its last answer to a heartbeat.
     pub(super) fn last(&self) -> Option<Endpoint> {
         locked(&self.last).clone()
--- a/crates/entry/src/heartbeats.rs
+++ b/crates/entry/src/heartbeats.rs
@@ -42,6 +42,7 @@
                     None => Event::EndpointLost(worker.id.clone()),
                 };
                 shards.send_all(&event);
+                worker.note_tried();
             };
             tasks.spawn(one);
             // An endpoint that has not answered yet cannot be used, so it is not kept waiting.
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -27,6 +27,7 @@
     lease::{Lease, next_incarnation},
     peers::{Peers, Punctuality, Receiver as PeerReceiver, Roster, Route},
     reach::Store,
+    readiness::Readiness,
     replies::Replies,
     settings_store::SettingsStore,
     shards::{ShardThreads, Shards},
@@ -102,7 +103,7 @@
     tasks: Arc<Tasks>,
     instances: Arc<AtomicU64>,
     ready: Arc<AtomicBool>,
-    listed: Arc<AtomicBool>,
+    settled: Arc<AtomicBool>,
 }
 
 impl Instance {
@@ -166,7 +167,7 @@
             tasks: Arc::new(Tasks::new(runtime.executor())),
             instances: Arc::new(AtomicU64::new(1)),
             ready: Arc::new(AtomicBool::new(true)),
-            listed: Arc::new(AtomicBool::new(false)),
+            settled: Arc::default(),
             holder,
         };
         cell.get_or_init(|| parts.effects(drained_sender, superseded_sender));
@@ -368,6 +369,16 @@
         }
     }
 
+    fn readiness(&self) -> Readiness {
+        Readiness {
+            clock: self.clock,
+            shards: Arc::clone(&self.shards),
+            store: self.store.clone(),
+            peers: Arc::clone(&self.peers),
+            endpoints: Arc::clone(&self.endpoints),
+        }
+    }
+
     fn api(&self, config: &ProcessConfig) -> Api {
         Api {
             clock: self.clock,
@@ -382,7 +393,7 @@
             peers: Arc::clone(&self.peers),
             metrics: Arc::clone(&self.metrics),
             ready: Arc::clone(&self.ready),
-            listed: Arc::clone(&self.listed),
+            settled: Arc::clone(&self.settled),
             next: AtomicU64::new(0),
         }
     }
@@ -394,7 +405,9 @@
         writer: &Arc<Writer>,
     ) -> Vec<Task<()>> {
         let (lease, writer) = (Arc::clone(lease), Arc::clone(writer));
+        let (readiness, settled) = (self.readiness(), Arc::clone(&self.settled));
         vec![
+            runtime.spawn(async move { readiness.settle(&settled).await }),
             runtime.spawn(watch::follow_settings(self.store.clone(), Arc::clone(&self.settings))),
             runtime.spawn(watch::follow_list(
                 self.store.clone(),
@@ -402,7 +415,6 @@
                 Arc::clone(&self.peers),
                 Arc::clone(&self.shards),
                 Arc::clone(&self.instances),
-                Arc::clone(&self.listed),
             )),
             runtime.spawn(heartbeats::beat(
                 Arc::clone(&self.tasks),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod lease;
 pub mod peers;
 pub mod reach;
+pub mod readiness;
 pub mod replies;
 pub mod settings_store;
 pub mod shards;
--- a/crates/entry/src/peers/link.rs
+++ b/crates/entry/src/peers/link.rs
@@ -55,6 +55,12 @@
         self.addr
     }
 
+    /// Whether it is connected.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.line.as_ref().is_some_and(|line| line.open.load(Ordering::Acquire) > 0)
+    }
+
     /// Whether the peer took the message into its buffer.
     pub fn send(&mut self, bytes: &[u8]) -> bool {
         if let Some(line) = &self.line {
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -64,6 +64,13 @@
         links.iter().map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether a message to a peer would leave now.
+    #[must_use]
+    pub fn is_linked(&self, id: &InstanceId) -> bool {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.binary_search_by(|(known, _)| known.cmp(id)).is_ok_and(|at| links[at].1.is_open())
+    }
+
     /// Sends a message, or drops and counts it when the peer cannot take it at once.
     pub fn send(&self, from_shard: u32, to: &ShardId, body: Body) {
         let tells_addr =
--- a/crates/entry/src/watch.rs
+++ b/crates/entry/src/watch.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -71,14 +71,13 @@
     }
 }
 
-/// Reads the list of instances, and tells once it was read or the platform is known to be away.
+/// Reads the list of instances.
 pub async fn follow_list(
     store: Store,
     endpoints: Arc<Endpoints>,
     peers: Arc<Peers>,
     shards: Arc<Shards>,
     instances: Arc<AtomicU64>,
-    listed: Arc<AtomicBool>,
 ) {
     loop {
         if let Ok(list) = store.instances().await {
@@ -86,8 +85,6 @@
             let listings = list.iter().filter_map(listing).collect();
             shards.send_all(&Event::Listed(Arc::new(listings)));
         }
-        // Without the platform an instance serves with what its peers tell it.
-        listed.store(true, Ordering::Relaxed);
         Timer::after(POLL).await;
     }
 }
