fix(core): a question about an issued key that overtakes its job waits for it

The demo sends a tenth of its keys to their holder and to another instance at once. In one run the submission of praha-b-e0~1 at praha-b-e1 was sent and answered within the same millisecond. Cause: the other instance asks the holder; when its question comes before the caller's own submission, the holder knows no job and says so at once. The answer is true and useless: the job completes a moment later. Now the holder keeps a question about a key of its own life, whose job may still come, for as long as the asker waits (500 ms at most), and has it wait for the job once that comes. A job of an earlier life, a cancellation, a question that does not wait and a holder that is stopping get their reply at once as before. At most 1,024 questions wait. Ruled out: that the asker asks again, which costs messages and answers later; to hand the submission on to the holder, whose task starts would then depend on a message that may be doubled. Test failed before: a_question_that_overtakes_its_job_waits_for_it (core forward), replied at once with an unknown job.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -69,6 +69,7 @@
             self.queue_all(no);
         }
         self.attach(turn, no, target, submit.until);
+        self.attach_early(turn, no);
     }
 
     fn refuse(turn: &mut Turn, target: Target, refusal: Answer) {
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -194,6 +194,7 @@
                 Due::Waiter(waiter) => self.wait_due(turn, waiter),
                 Due::Check(attempt) => self.check_due(turn, attempt),
                 Due::Retry(no, index) => self.retry_due(turn.now, no, index),
+                Due::Early(no) => self.early_due(turn, no),
                 Due::Forward(request) => self.forward_due(turn, request),
             }
         }
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -1,15 +1,19 @@
 //! Questions to the holder of a job, and answers to those of other instances.
 
+use std::sync::Arc;
+
 use cranberryhatch_schema::peer::{Forward, ForwardReply, envelope::Body};
-use cranberryhatch_types::{Holder, Incarnation, JobKey, ShardId, Span, Time};
+use cranberryhatch_types::{Holder, Incarnation, JobKey, KeyName, ShardId, Span, Time};
 
 use crate::{
-    Answer, Code, Command, Digest, Dispatcher, Outcome, SlabMap, timers::Due, turn::Turn,
+    Answer, Code, Command, Digest, Dispatcher, JobNo, Outcome, SlabMap, timers::Due, turn::Turn,
     waiters::Target,
 };
 
 /// Longest wait asked of a holder at a time; a dead holder is found out after one such slice.
 const SLICE: Span = Span::from_ms(500);
+/// Most questions about keys without a job that wait; a deployment has a few dozen askers.
+const EARLY: usize = 1_024;
 /// Time allowed for a reply beyond the wait asked for.
 const REPLY: Span = Span::from_secs(1);
 
@@ -18,6 +22,18 @@
 pub(crate) struct Forwards {
     asked: SlabMap<u64, Question>,
     next: u64,
+    early: SlabMap<u64, Early>,
+    arrived: u64,
+}
+
+/// A question about a key of this life that came before its job.
+#[derive(Debug)]
+struct Early {
+    key: JobKey,
+    digest: Option<Digest>,
+    from: ShardId,
+    request: u64,
+    until: Time,
 }
 
 /// A question to a holder.
@@ -33,7 +49,12 @@
 impl Forwards {
     /// No questions; numbers are never those of an earlier life, whose replies may still arrive.
     pub(crate) fn new(incarnation: Incarnation) -> Self {
-        Self { asked: SlabMap::default(), next: incarnation.get() << 20 }
+        Self {
+            asked: SlabMap::default(),
+            next: incarnation.get() << 20,
+            early: SlabMap::default(),
+            arrived: 0,
+        }
     }
 
     /// Whether no question is under way.
@@ -143,9 +164,49 @@
         }
         match self.known_end(&key, digest.as_ref()) {
             Some(answer) => turn.push(target.reply(answer)),
+            None if self.may_come(&key, ask) => {
+                let until = turn.now + Span::from_ms(ask.wait_ms).min(SLICE);
+                let no = self.forwards.arrived;
+                self.forwards.arrived += 1;
+                let early = Early { key, digest, from, request: ask.request, until };
+                self.forwards.early.insert(no, early);
+                self.timers.set(until, Due::Early(no));
+            }
             None => unknown(turn, from, ask.request),
         }
     }
+
+    // Whether the job of a key that is not known may be on its way: a caller that sends it here and
+    // elsewhere at once may be overtaken by the question of the other instance.
+    fn may_come(&self, key: &JobKey, ask: &Forward) -> bool {
+        let mine = matches!(&key.name, KeyName::Issued { holder, .. } if *holder == self.me.holder);
+        let waits = ask.wait_ms > 0 && !ask.cancel && !self.draining;
+        mine && waits && self.forwards.early.len() < EARLY
+    }
+
+    /// Has questions that came before a job wait for its answer.
+    pub(crate) fn attach_early(&mut self, turn: &mut Turn, no: JobNo) {
+        let Some(spec) = self.jobs.get(no).map(|job| Arc::clone(&job.spec)) else { return };
+        let same = |(no, early): (&u64, &Early)| (early.key == spec.key).then_some(*no);
+        let came: Vec<u64> = self.forwards.early.iter().filter_map(same).collect();
+        for early in came {
+            let Some(early) = self.forwards.early.remove(&early) else { continue };
+            let Early { key, digest, from, request, until } = early;
+            let target = Target::Peer { shard: from, request };
+            if digest.is_some_and(|digest| digest != spec.digest) {
+                turn.push(target.reply(Answer::reused(key)));
+            } else {
+                self.attach(turn, no, target, until);
+            }
+        }
+    }
+
+    /// Tells that no job came for a question.
+    pub(crate) fn early_due(&mut self, turn: &mut Turn, no: u64) {
+        if let Some(early) = self.forwards.early.remove(&no) {
+            unknown(turn, early.from, early.request);
+        }
+    }
 }
 
 fn reply_all(turn: &mut Turn, targets: Vec<(Target, Time)>, answer: &Answer) {
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -15,6 +15,8 @@
     Check(AttemptId),
     /// The end of a task's pause after a refused start.
     Retry(JobNo, u32),
+    /// The end of a question's wait for a job that has not come.
+    Early(u64),
     /// The end of the time in which another holder should have replied.
     Forward(u64),
 }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -4,7 +4,7 @@
 
 use cranberryhatch_core::{ClaimOutcome, Code, Outcome, Ticket};
 use cranberryhatch_schema::peer::{Forward, ForwardReply, envelope::Body};
-use support::{Rig, issued, job, key, sent, starts};
+use support::{HOLDER, Rig, issued, job, key, sent, starts};
 
 /// The holder that is asked.
 const PEER: &str = "praha-a-2/3";
@@ -286,3 +286,97 @@
     let reply = reply(&rig).expect("a reply");
     assert_eq!((reply.outcome.as_str(), reply.results.len()), ("complete", 1));
 }
+
+/// A question of another instance that comes before the job of an issued key.
+struct EarlyCase {
+    guards: &'static str,
+    life: &'static str,
+    /// Digest of the question's body.
+    digest: u8,
+    wait: u64,
+    cancel: bool,
+    /// Whether the job comes after the question.
+    comes: bool,
+    /// Outcome and code of the reply after the job has run, or none when the job is not known.
+    expect: Option<(&'static str, &'static str)>,
+    /// Whether the reply comes at once.
+    at_once: bool,
+}
+
+const ASKED: EarlyCase = EarlyCase {
+    guards: "a question that overtakes its job by a millisecond is answered with unknown",
+    life: HOLDER,
+    digest: 1,
+    wait: 500,
+    cancel: false,
+    comes: true,
+    expect: Some(("complete", "")),
+    at_once: false,
+};
+
+const EARLY: &[EarlyCase] = &[
+    ASKED,
+    EarlyCase {
+        guards: "another body gets the answer of the first",
+        digest: 2,
+        expect: Some(("not-run", "key-reused")),
+        ..ASKED
+    },
+    EarlyCase {
+        guards: "a question about a job that never comes is not answered",
+        comes: false,
+        expect: None,
+        ..ASKED
+    },
+    EarlyCase {
+        guards: "an asker that does not wait is kept",
+        wait: 0,
+        expect: None,
+        at_once: true,
+        ..ASKED
+    },
+    EarlyCase {
+        guards: "a cancellation waits for a job to cancel",
+        cancel: true,
+        expect: None,
+        at_once: true,
+        ..ASKED
+    },
+    EarlyCase {
+        guards: "a job of an earlier life, which cannot come any more, is waited for",
+        life: "praha-a-1/6",
+        comes: false,
+        expect: None,
+        at_once: true,
+        ..ASKED
+    },
+];
+
+#[test]
+fn a_question_that_overtakes_its_job_waits_for_it() {
+    for case in EARLY {
+        let mut rig = Rig::new("");
+        rig.worker("w1", 1);
+        let name = issued(case.life, 1);
+        let (digest, wait_ms) = (vec![case.digest; 32], case.wait);
+        let cancel = case.cancel;
+        let ask = Forward { request: 5, key: name.to_string(), digest, wait_ms, cancel };
+        rig.peer(PEER, Body::Forward(ask));
+        let mut replies: Vec<_> = reply(&rig).into_iter().collect();
+        assert_eq!(replies.len(), usize::from(case.at_once), "{}", case.guards);
+        if case.comes {
+            rig.submit(&job(&name, 1));
+            replies.extend(reply(&rig));
+            let started = starts(&rig.out);
+            assert_eq!(started.len(), 1, "{}", case.guards);
+            rig.done(started[0].attempt);
+            replies.extend(reply(&rig));
+        }
+        rig.pass(500);
+        replies.extend(reply(&rig));
+        assert_eq!(replies.len(), 1, "one reply: {}", case.guards);
+        let reply = &replies[0];
+        let said = reply.known.then_some((reply.outcome.as_str(), reply.code.as_str()));
+        assert_eq!((reply.request, said), (5, case.expect), "{}", case.guards);
+    }
+}
