fix(core): peers hear of a shard's first idle slots at once

Cause: an instance becomes ready when its own workers may be lent, and its peers hear of them with the next heartbeat, up to 0.5 s later in the zone and 0.96 s elsewhere. Until then they count it as having no idle slots and ask it last. Now a shard that has idle slots for the first time in its life sends its heartbeats in the same tick, and shard 0 does so for its siblings. This happens once a shard and life, so the budget of heartbeats stays as it is. Ruled out: a longer wait before readiness; a heartbeat at each change from none idle to some, which a loaded shard has all the time. Test failed before: peers_know_the_idle_slots_of_an_instance_that_can_serve (core readiness), no heartbeat.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -53,6 +53,8 @@
     listed: bool,
     draining: bool,
     told: Option<Time>,
+    // Shards of the own instance that had idle slots at any time, sorted.
+    opened: Vec<u32>,
 }
 
 impl Membership {
@@ -79,6 +81,7 @@
             listed: false,
             draining: false,
             told: None,
+            opened: Vec::new(),
             me,
         }
     }
@@ -227,6 +230,9 @@
                 );
             }
         }
+        if own && beat.idle > 0 {
+            self.open(origin.shard);
+        }
         if !own && !known && self.me.shard.shard == 0 {
             self.contact(&origin.instance, &zone).sent = Some(now);
             let to = ShardId { instance: origin.instance, shard: 0 };
@@ -322,8 +328,19 @@
         NEAR.max(FAR_STEP * far as u64)
     }
 
+    // The first slots that a shard can lend are told at once: others have none to ask for until then.
+    fn open(&mut self, shard: u32) {
+        let Err(place) = self.opened.binary_search(&shard) else { return };
+        self.opened.insert(place, shard);
+        self.told = None;
+        self.contacts.iter_mut().for_each(|contact| contact.sent = None);
+    }
+
     /// Sends the heartbeats that are due.
     pub(crate) fn tick(&mut self, now: Time, load: Load, out: &mut Vec<Command>) {
+        if load.idle > 0 {
+            self.open(self.me.shard.shard);
+        }
         if self.told.is_none_or(|told| now.since(told) >= NEAR) {
             self.told = Some(now);
             self.tell_siblings(load, out);
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use cranberryhatch_core::{Cluster, Event, Listing, Missing};
+use cranberryhatch_core::{Cluster, Command, Event, Listing, Missing};
 use cranberryhatch_schema::peer::{Heartbeat, envelope::Body};
 use cranberryhatch_types::{Incarnation, Time};
 use fleet::{PLAIN, endpoint, identity, settings, zone};
@@ -82,7 +82,7 @@
 ];
 
 /// A shard that has read its list and hears its worker and peer at a time.
-fn hear(cluster: &mut Cluster, case: &Case, at: u64) {
+fn hear(cluster: &mut Cluster, case: &Case, at: u64) -> Vec<Command> {
     let mut out = Vec::new();
     let mut tell = |event: &Event| cluster.handle(Time::from_ms(at), event, &mut out);
     if case.settings {
@@ -112,6 +112,7 @@
         tell(&Event::Peer { from, incarnation, body: Body::Heartbeat(beat) });
     }
     tell(&Event::Tick);
+    out
 }
 
 #[test]
@@ -135,3 +136,22 @@
     hear(&mut cluster, &case, 500);
     assert_eq!(cluster.missing(), []);
 }
+
+/// A peer that hears of idle slots with the next heartbeat only has no slots to ask for until then.
+#[test]
+fn peers_know_the_idle_slots_of_an_instance_that_can_serve() {
+    let peer = Some(HEARD);
+    let case = Case { guards: "", settings: true, listed: true, peer, expect: &[] };
+    let mut cluster = Cluster::new(identity("entry-0", 1, zone(0), 0, 1));
+    hear(&mut cluster, &case, 0);
+    // Less than the time between two heartbeats.
+    let out = hear(&mut cluster, &case, 200);
+    assert_eq!(cluster.missing(), []);
+    let idle = out.iter().find_map(|command| match command {
+        Command::Send { to, body: Body::Heartbeat(beat) } if to.to_string() == "entry-1/0" => {
+            Some(beat.idle)
+        }
+        _ => None,
+    });
+    assert!(idle.is_some_and(|idle| idle > 0), "{idle:?}");
+}
