feat(fleet): members count once all agree; workers out of reach are asked without a token

Cause: each instance worked out owners and scheduler from the links that it alone had; instances of the cut zone went on opening the workers of other zones under tokens of their own and fenced their living owners with the first packets that came through, before the fronts of what ran there were linked (found 3, kept 0). Instances that started together joined one by one, and the first one opened all 48 workers. Change: signs of life carry a hash of the members in reach; a member that came up or joined counts once all have agreed for 60 ms, or after 1.2 s; a lost one stops counting at once. A worker that did not answer is looked at with no token, and opened 1 s after it answers. An instance joins as soon as it sees all registered instances. The scheduler refuses nothing for 400 ms after members were counted, unless it knows all listed workers. The test of the new scheduler now has a worker that is not reported, and a second case where all are.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -280,6 +280,11 @@
         self.decide(|node, now, out| node.listed(workers, wall, now, out));
     }
 
+    /// Learns which instances are registered on the platform.
+    pub fn registered(&self, instances: Vec<InstanceId>) {
+        self.node().registered(instances);
+    }
+
     /// Does what is due by the time, until the process ends.
     pub async fn run_ticks(self: Arc<Self>) {
         let mut count = 0;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -227,14 +227,19 @@
             Ok(rows) => {
                 registered = true;
                 backoff.succeeded(List::Instances);
+                let mut instances = Vec::new();
                 for value in rows.rows.into_iter().filter_map(|row| row.value) {
                     match Hello::decode(value) {
-                        Ok(hello) => edge.links().learn(&edge, hello),
+                        Ok(hello) => {
+                            instances.extend(hello.instance.parse());
+                            edge.links().learn(&edge, hello);
+                        }
                         Err(error) => {
                             log::warn!(error = error.to_string(); "instance-unreadable");
                         }
                     }
                 }
+                edge.registered(instances);
                 Timer::after(INSTANCES_EVERY).await;
             }
             Err(error) => {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -205,6 +205,12 @@
         Note::WorkerOpened { worker, token, found, kept } => {
             log::info!(worker = worker.as_str(), token, found, kept; "{name}");
         }
+        Note::WorkerReached { worker, opens_in } => {
+            log::info!(worker = worker.as_str(), opens_in_ms = opens_in.as_ms(); "{name}");
+        }
+        Note::MembersCounted { counted, peers, agreed } => {
+            log::info!(counted, peers, agreed; "{name}");
+        }
         Note::WorkerDropped { worker, cause } => {
             log::info!(worker = worker.as_str(), cause = cause.to_string(); "{name}");
         }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,11 +1,19 @@
 //! Instances that are in contact, and the duties that follow from them.
 
-use cranberryhatch_types::{InstanceId, WorkerId, ZoneId};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId, ZoneId};
+
+use crate::VecMap;
 
 /// Workers for which one owner is enough; it starts and ends some ten tasks a second on each.
 const WORKERS_PER_OWNER: usize = 30;
 /// Fewest owners of a zone, so that the loss of one stops a small part.
 const OWNERS_MIN: usize = 3;
+/// Time for which all must agree before members count, so that those that come up or join together
+/// are counted together; three ticks.
+const AGREED_FOR: Span = Span::from_ms(60);
+/// Longest time for which a peer that came up does not count: in a network in which not all reach all,
+/// instances never see the same. Several times what reconnecting takes.
+const AGREE_LIMIT: Span = Span::from_ms(1_200);
 
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,18 +42,31 @@
 
 /// This instance and the peers whose links are up.
 ///
-/// All instances with the same view come to the same duties, without talking about them.
+/// All instances that count the same members come to the same duties. A peer that came up counts once
+/// all agree on who is in reach, so that duties change once and not with each link.
 #[derive(Clone, Debug)]
 pub struct Members {
     me: Member,
     peers: Vec<Member>,
+    // Members that do not count yet, and since when they are up or have joined.
+    pending: VecMap<InstanceId, Time>,
+    // Hash of the instances that each peer reaches, as it last said.
+    views: VecMap<InstanceId, u64>,
+    // Since when all agree.
+    agreed: Option<Time>,
 }
 
 impl Members {
     /// Only this instance.
     #[must_use]
-    pub const fn new(me: Member) -> Self {
-        Self { me, peers: Vec::new() }
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            peers: Vec::new(),
+            pending: VecMap::default(),
+            views: VecMap::default(),
+            agreed: None,
+        }
     }
 
     /// This instance.
@@ -66,7 +87,8 @@
     }
 
     /// Adds a peer, or replaces what it said before.
-    pub fn up(&mut self, member: Member) {
+    pub fn up(&mut self, member: Member, now: Time) {
+        self.await_agreement(member.id.clone(), now);
         match self.find(&member.id) {
             Ok(place) => self.peers[place] = member,
             Err(place) => self.peers.insert(place, member),
@@ -75,10 +97,80 @@
 
     /// Removes a peer; whether it was there.
     pub fn down(&mut self, id: &InstanceId) -> bool {
+        self.pending.remove(id);
+        self.views.remove(id);
         let place = self.find(id);
         place.map(|place| self.peers.remove(place)).is_ok()
     }
 
+    /// This instance takes duties once all agree that it does.
+    pub fn join(&mut self, now: Time) {
+        self.me.joined = true;
+        self.await_agreement(self.me.id.clone(), now);
+    }
+
+    /// Learns that a peer takes duties, or does so no more.
+    pub fn peer_joined(&mut self, id: &InstanceId, joined: bool, now: Time) {
+        let Some(peer) = self.peer_mut(id) else { return };
+        if !std::mem::replace(&mut peer.joined, joined) && joined {
+            self.await_agreement(id.clone(), now);
+        }
+    }
+
+    /// Does not count a member for now; one that has not joined has no duties that could change too
+    /// early, and follows the others at once.
+    fn await_agreement(&mut self, id: InstanceId, now: Time) {
+        if self.me.joined {
+            self.pending.insert(id, now);
+        }
+    }
+
+    /// Hash of this instance and the peers in reach; equal for instances that see the same.
+    #[must_use]
+    pub fn view(&self) -> u64 {
+        let hash = |member: &Member| {
+            let life = member.incarnation.wrapping_mul(2) + u64::from(member.joined);
+            mix(text_hash(member.id.as_str()) ^ mix(life))
+        };
+        self.peers.iter().chain([&self.me]).map(hash).fold(0, u64::wrapping_add)
+    }
+
+    /// Learns which instances a peer reaches.
+    pub fn sees(&mut self, id: &InstanceId, view: u64) {
+        if self.find(id).is_ok() {
+            self.views.insert(id.clone(), view);
+        }
+    }
+
+    /// Whether this instance counts as one that takes duties.
+    #[must_use]
+    pub fn counts_me(&self) -> bool {
+        self.me.joined && !self.pending.contains(&self.me.id)
+    }
+
+    /// Whether all peers reach the same instances as this one.
+    #[must_use]
+    pub fn is_agreed(&self) -> bool {
+        let view = self.view();
+        self.peers.iter().all(|peer| self.views.get(&peer.id) == Some(&view))
+    }
+
+    /// Counts the members that came up or joined, once all have agreed for a while or had the time to;
+    /// how many there were.
+    pub fn count(&mut self, now: Time) -> usize {
+        if !self.is_agreed() {
+            self.agreed = None;
+        }
+        let agreed = self.is_agreed().then(|| *self.agreed.get_or_insert(now));
+        let before = self.pending.len();
+        if agreed.is_some_and(|since| now.since(since) >= AGREED_FOR) {
+            self.pending = VecMap::default();
+        } else {
+            self.pending.retain(|_, since| now.since(*since) < AGREE_LIMIT);
+        }
+        before - self.pending.len()
+    }
+
     /// A peer.
     #[must_use]
     pub fn peer(&self, id: &InstanceId) -> Option<&Member> {
@@ -126,9 +218,10 @@
         Owners { owners }
     }
 
-    /// Members that take duties; those that are stopping only if there are no others.
+    /// Members that count and take duties; those that are stopping only if there are no others.
     fn on_duty(&self) -> impl Iterator<Item = &Member> {
-        let all = || self.peers.iter().chain([&self.me]);
+        let counted = |member: &&Member| !self.pending.contains(&member.id);
+        let all = move || self.peers.iter().chain([&self.me]).filter(counted);
         let stays = all().any(Member::takes_duties);
         all().filter(move |member| member.joined && !(stays && member.draining))
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -17,7 +17,7 @@
 const BEATS_MISSED: u64 = 4;
 /// Silence after which a peer with duties counts as out of reach.
 pub const PEER_TIMEOUT: Span = Span::from_ms(600);
-/// Time that an instance has to find its peers before it takes duties.
+/// Longest time that an instance has to find the registered instances before it takes duties.
 const JOIN_TIME: Span = Span::from_ms(600);
 /// Time between two checks which workers this instance should own.
 const ASSIGN_EVERY: Span = Span::from_ms(500);
@@ -57,8 +57,11 @@
     settings: (u64, Bytes),
     settings_at: Time,
     started: Time,
-    // What the last signs of life said of this instance.
+    // What the last signs of life said of this instance, and of the instances in reach.
     said: (bool, bool, u64),
+    view_said: u64,
+    // Registered instances, once the register was read.
+    registered: Vec<InstanceId>,
     assigned_at: Time,
     doubt_until: Time,
     ticked: Time,
@@ -86,6 +89,8 @@
             settings_at: now,
             started: now,
             said: (false, false, 0),
+            view_said: 0,
+            registered: Vec::new(),
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             ticked: now,
@@ -145,7 +150,7 @@
                 sign: Time::ZERO,
             },
         );
-        self.members.up(peer);
+        self.members.up(peer, now);
         self.meet();
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
         self.send_beats(now, out);
@@ -260,11 +265,12 @@
             heard.sign = Time::from_ms(beat.sent_ms);
         }
         self.owner.seen_by(from, Time::from_ms(beat.seen_ms), now);
+        self.members.sees(from, beat.view);
         let Some(peer) = self.members.peer_mut(from) else { return };
         let changed = peer.draining != beat.draining || peer.joined != beat.joined;
         peer.draining = beat.draining;
-        peer.joined = beat.joined;
         peer.version = beat.version;
+        self.members.peer_joined(from, beat.joined, now);
         if beat.version < self.settings.0 && now.since(self.settings_at) >= SETTINGS_GRACE {
             let (version, body) = (self.settings.0, self.settings.1.to_vec());
             out.send(from, Body::Settings(Settings { version, body }));
@@ -295,10 +301,15 @@
         self.settle(now, false, out);
     }
 
+    /// Learns which instances are registered.
+    pub fn registered(&mut self, instances: Vec<InstanceId>) {
+        self.registered = instances;
+    }
+
     fn assign(&mut self, wall_ms: u64, now: Time) {
         self.assigned_at = now;
         self.owners = self.members.owners(self.listing.all().len());
-        if self.members.me().joined && now >= self.doubt_until {
+        if self.members.counts_me() && now >= self.doubt_until {
             self.owner.assign(&self.listing, &self.owners, wall_ms, now);
         }
     }
@@ -368,6 +379,7 @@
             self.doubt_until = now + DOUBT;
         }
         self.check_peers(now, out);
+        self.count_members(now, out);
         self.join(now, out);
         if now.since(self.assigned_at) >= ASSIGN_EVERY {
             self.assign(wall_ms, now);
@@ -385,12 +397,34 @@
         self.settle(now, true, out);
     }
 
+    /// Tells all which instances are in reach when that changed, and counts those that all agree on.
+    fn count_members(&mut self, now: Time, out: &mut Output) {
+        let view = self.members.view();
+        if std::mem::replace(&mut self.view_said, view) != view {
+            self.heard.iter_mut().for_each(|(_, heard)| heard.told = Time::ZERO);
+        }
+        let counted = self.members.count(now);
+        if counted > 0 {
+            let agreed = self.members.is_agreed();
+            out.note(Note::MembersCounted { counted, peers: self.members.peers().len(), agreed });
+            self.scheduler.await_reports(now);
+            self.duties(now, out);
+        }
+    }
+
     fn join(&mut self, now: Time, out: &mut Output) {
         let listed = self.listing.read_at > Time::ZERO;
-        if self.members.me().joined || !listed || now.since(self.started) < JOIN_TIME {
+        if self.members.me().joined || !listed {
+            return;
+        }
+        // An instance that sees nobody may be the first of several.
+        let alone = self.members.peers().is_empty();
+        let all = self.registered.iter().all(|id| self.members.reaches(id));
+        let complete = !alone && !self.registered.is_empty() && all && self.members.is_agreed();
+        if !complete && now.since(self.started) < JOIN_TIME {
             return;
         }
-        self.members.me_mut().joined = true;
+        self.members.join(now);
         self.send_beats(now, out);
         self.duties(now, out);
     }
@@ -420,7 +454,8 @@
             let (draining, joined, version) = said;
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
-            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms };
+            let view = self.view_said;
+            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view };
             out.send(id, Body::Beat(beat));
         }
     }
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -76,6 +76,22 @@
         /// Time since the job arrived.
         age: Span,
     },
+    /// A worker that did not answer can be reached again.
+    WorkerReached {
+        /// The worker.
+        worker: WorkerId,
+        /// Time until it is opened, if it is this instance's then.
+        opens_in: Span,
+    },
+    /// Peers that came up count for duties from now on.
+    MembersCounted {
+        /// How many.
+        counted: usize,
+        /// Peers in reach.
+        peers: usize,
+        /// Whether all peers reach the same instances; otherwise the time limit passed.
+        agreed: bool,
+    },
     /// The scheduler granted room.
     Granted {
         /// The job.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -27,8 +27,11 @@
 const LOST_STOP_AGAIN: Span = Span::from_ms(60);
 /// Time that fronts have to claim runs that a new owner found.
 const CLAIM_WAIT: Span = Span::from_ms(300);
-/// Time between two tries to open a worker that does not answer.
-const OPEN_AGAIN: Span = Span::from_ms(500);
+/// Time between two looks under no token at a worker that does not answer.
+const PROBE_AGAIN: Span = Span::from_ms(300);
+/// Time from the first answer of a worker that did not answer before until it is opened: the way to
+/// the instances behind it is back too, and links to them come up and are counted.
+const REUNION: Span = Span::from_ms(1_000);
 /// Time between two reports of all workers to the scheduler.
 const REPORT_EVERY: Span = Span::from_ms(1_000);
 /// Time for which a worker that another instance took is left alone.
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -4,9 +4,7 @@
 use cranberryhatch_types::{Time, WorkerId};
 
 use super::{Owner, REPORT_EVERY, STOP_AGAIN, push_stop};
-use crate::{
-    Held, Listing, Output, RunKey, held::Stage, members::Owners, note::DropCause, worker::Charge,
-};
+use crate::{Held, Listing, Output, RunKey, held::Stage, members::Owners, note::DropCause};
 
 impl Owner {
     /// Sends what is due: looks, stops, tries to open, reports.
@@ -71,7 +69,7 @@
             return;
         }
         let unlisted = listing.get(id).is_none();
-        let idle = matches!(worker.charge, Charge::Opening { .. }) || worker.dark;
+        let idle = worker.is_unopened() || worker.dark;
         let others = owners.of(id, &worker.listed.zone).is_some_and(|owner| *owner != self.me);
         if unlisted || (idle && others && now >= worker.lease_end) {
             self.drop_worker(id, DropCause::Unlisted, now, out);
@@ -91,7 +89,7 @@
         let rooms: Vec<Room> = self
             .workers
             .iter()
-            .filter(|(id, worker)| wanted(id) && !matches!(worker.charge, Charge::Opening { .. }))
+            .filter(|(id, worker)| wanted(id) && !worker.is_unopened())
             .map(|(id, worker)| Room {
                 worker: id.to_string(),
                 token: worker.token,
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{Span, Time, WorkerId};
 
-use super::{DARK_LOOK, IDLE_LOOK, OPEN_AGAIN, Owner, how, push_stop};
+use super::{DARK_LOOK, IDLE_LOOK, Owner, PROBE_AGAIN, how, push_stop};
 use crate::{
     Command, LookAnswer, Looked, Members, Output, Seen,
     held::Stage,
@@ -21,6 +21,9 @@
             return;
         }
         worker.looking = None;
+        if matches!(worker.charge, Charge::Probing { .. }) {
+            return self.probed(id, &answer, now, out);
+        }
         match answer {
             LookAnswer::Seen(seen) => {
                 worker.set_clock(seen.clock, now);
@@ -29,6 +32,7 @@
                     self.changed.push(id.clone());
                 }
                 match worker.charge {
+                    Charge::Probing { .. } => {}
                     Charge::Opening { .. } => self.opened(id, &seen, members, now, out),
                     Charge::Claiming { .. } | Charge::Open => self.seen(id, asked, &seen, now, out),
                 }
@@ -112,8 +116,9 @@
     pub(super) fn lost(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.lost_at = Some(now);
-        if let Charge::Opening { at } = &mut worker.charge {
-            *at = now + OPEN_AGAIN;
+        if worker.is_unopened() {
+            worker.charge = Charge::Probing { at: now + PROBE_AGAIN };
+            worker.token = 0;
             return;
         }
         if !worker.dark {
@@ -137,7 +142,7 @@
             }
             let busy = !worker.held.is_empty();
             let due = match worker.charge {
-                Charge::Opening { at } => now >= at,
+                Charge::Probing { at } | Charge::Opening { at } => now >= at,
                 // A lease must not be extended for runs that nobody claims.
                 Charge::Claiming { .. } => false,
                 Charge::Open => busy || worker.dark || now.since(worker.looked) >= IDLE_LOOK,
@@ -146,7 +151,7 @@
                 continue;
             }
             // A worker whose last look got no answer must be able to let the lease end.
-            let leases = busy && !worker.dark && !matches!(worker.charge, Charge::Opening { .. });
+            let leases = busy && !worker.dark && !worker.is_unopened();
             let lease = if leases { worker.lease(now) } else { None };
             let wait = if leases { worker.look_wait(now) } else { Span::ZERO };
             worker.looking = Some(now);
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -3,9 +3,11 @@
 use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use super::{CLAIM_WAIT, Owner, REFUSED_PAUSE, STRAY_LIMIT, ended_message, how, push_stop};
+use super::{
+    CLAIM_WAIT, Owner, REFUSED_PAUSE, REUNION, STRAY_LIMIT, ended_message, how, push_stop,
+};
 use crate::{
-    End, Held, Members, Need, Output, RunKey, Seen,
+    End, Held, LookAnswer, Members, Need, Output, RunKey, Seen,
     held::Stage,
     note::{DropCause, Note},
     output::Message,
@@ -14,6 +16,27 @@
 };
 
 impl Owner {
+    /// A worker that was out of reach answered, or did not again.
+    pub(super) fn probed(
+        &mut self,
+        id: &WorkerId,
+        answer: &LookAnswer,
+        now: Time,
+        out: &mut Output,
+    ) {
+        match answer {
+            LookAnswer::OtherLife => self.drop_worker(id, DropCause::OtherLife, now, out),
+            LookAnswer::Lost => self.lost(id, now, out),
+            LookAnswer::Seen(_) | LookAnswer::Fenced => {
+                let token = self.next_token(0);
+                let Some(worker) = self.workers.get_mut(id) else { return };
+                worker.token = token;
+                worker.charge = Charge::Opening { at: now + REUNION };
+                out.note(Note::WorkerReached { worker: id.clone(), opens_in: REUNION });
+            }
+        }
+    }
+
     /// A worker obeys this instance from now on.
     pub(super) fn opened(
         &mut self,
@@ -99,7 +122,7 @@
     /// Another instance owns a worker now; it reports what runs there.
     pub(super) fn fenced(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if matches!(worker.charge, Charge::Opening { .. }) {
+        if worker.is_unopened() {
             // The worker may know a token from a clock that is ahead of ours.
             worker.refusals += 1;
             worker.charge = Charge::Opening { at: now + REFUSED_PAUSE };
@@ -134,7 +157,7 @@
             let strays = worker.held.iter().filter(|held| under_way(held)).cloned();
             self.strays.extend(strays.map(|held| (id.clone(), held)));
             self.strays.retain(|(_, held)| now.since(held.sent) < STRAY_LIMIT);
-        } else if !matches!(worker.charge, Charge::Opening { .. }) {
+        } else if !worker.is_unopened() {
             // A worker that never obeyed this instance may be another's.
             let room = Room { worker: id.to_string(), token: worker.token, ..Room::default() };
             self.report_to_scheduler(vec![room], out);
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -12,8 +12,9 @@
 const SUSPECTS: usize = 1_000;
 /// Share by which the longest task of a step outlasts the expected one, in thousandths.
 const LONGEST: u64 = 1_150;
-/// Time in which owners report their workers after an election; nothing is refused before its end.
-/// They report every 140 ms, and open their workers within 250 ms after all of them restarted.
+/// Longest time in which owners report their workers after an election or after further members count;
+/// nothing is refused before its end, unless all listed workers are known.
+/// They report at once, and open their workers within 250 ms after all of them restarted.
 const REPORTS: Span = Span::from_ms(400);
 /// Time in which other instances take over the workers when all were lost with their owners: the
 /// time until a silent instance counts as gone, and a report.
@@ -28,8 +29,10 @@
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
     dirty: bool,
-    // When this instance began to schedule.
+    // When owners were last expected to report all their workers; none while another instance schedules.
     since: Option<Time>,
+    // Whether all listed workers have been reported since then.
+    complete: bool,
     // When it last knew of a worker that takes tasks.
     room_known: Time,
 }
@@ -95,6 +98,15 @@
         self.sites = VecMap::default();
         self.suspects = VecMap::default();
         self.since = None;
+        self.complete = false;
+    }
+
+    /// Owners that were out of reach report their workers from now on.
+    pub fn await_reports(&mut self, now: Time) {
+        if self.since.is_some() {
+            self.since = Some(now);
+            self.complete = false;
+        }
     }
 
     /// Gives back a place that was not used, or that the owner refused.
@@ -129,6 +141,7 @@
             site.report(held.collect(), now);
             self.dirty = true;
         }
+        self.complete = self.complete || self.knows(listing);
     }
 
     /// Takes a new list of workers.
@@ -190,11 +203,17 @@
         self.dirty = false;
         self.backlog.age(now);
         self.grant(now, out);
-        if now.since(*self.since.get_or_insert(now)) >= REPORTS {
+        if self.complete || now.since(*self.since.get_or_insert(now)) >= REPORTS {
             self.refuse(now, out);
         }
     }
 
+    /// Whether the room of all listed workers is known.
+    fn knows(&self, listing: &Listing) -> bool {
+        let listed = listing.all();
+        !listed.is_empty() && listed.iter().all(|listed| self.sites.contains(&listed.id))
+    }
+
     fn grant(&mut self, now: Time, out: &mut Output) {
         let mut largest = self.largest_room(now);
         for waiting in self.backlog.iter_mut() {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -35,6 +35,11 @@
 /// Whether this instance is in charge of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Charge {
+    /// The worker did not answer; it is asked under no token, which takes it from nobody.
+    Probing {
+        /// When to ask, unless an answer is awaited.
+        at: Time,
+    },
     /// The worker is asked whether it obeys; the next try is due at this time.
     Opening {
         /// When to ask, unless an answer is awaited.
@@ -105,6 +110,12 @@
         }
     }
 
+    /// Whether the worker has not obeyed this instance yet.
+    #[must_use]
+    pub const fn is_unopened(&self) -> bool {
+        matches!(self.charge, Charge::Probing { .. } | Charge::Opening { .. })
+    }
+
     /// Whether it takes starts.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -81,18 +81,17 @@
 
 /// Load: all instances have just restarted, and callers have sent five times what the workers can
 /// run within the callers' limit.
-#[test]
-fn a_new_scheduler_tells_callers_soon_that_they_cannot_be_served() {
-    // Guards against callers of an overload that are held for a second after an election and then
-    // refused, and against refusals before the owners have reported their workers.
+fn plays_a_restart_under_overload(late: bool) {
     let front = "e-1".parse().expect("a name");
     let mut listing = Listing::default();
-    listing.replace(vec![listed("w-1", "a", 32_000)], Time::ZERO);
+    let listed = vec![listed("w-1", "a", 32_000), listed("w-2", "b", 32_000)];
+    listing.replace(listed, Time::ZERO);
     let mut scheduler = Scheduler::default();
-    let mut refused_after = |ms: u64| {
+    let mut refused_after = |reported: &[&str], ms: u64| {
         let now = Time::from_ms(ms);
-        let room = Room { worker: "w-1".into(), token: 1, held: vec![], open: true };
-        scheduler.rooms(&front, Rooms { rooms: vec![room] }, &listing, now);
+        let room = |id: &&str| Room { worker: (*id).into(), token: 1, held: vec![], open: true };
+        let rooms = reported.iter().map(room).collect();
+        scheduler.rooms(&front, Rooms { rooms }, &listing, now);
         if ms == 0 {
             for job in 0..100 {
                 let ask = Ask {
@@ -116,7 +115,23 @@
         };
         out.commands.iter().filter(refusal).count()
     };
-    assert_eq!(refused_after(0), 0, "other owners may still report");
-    assert_eq!(refused_after(300), 0, "other owners may still report");
-    assert!(refused_after(500) >= 60, "half a second is enough to know the room");
+    assert_eq!(refused_after(&["w-1"], 0), 0, "other owners may still report");
+    assert_eq!(refused_after(&["w-1"], 300), 0, "other owners may still report");
+    if late {
+        assert!(refused_after(&["w-1"], 500) >= 60, "half a second is enough to know the room");
+    } else {
+        assert!(refused_after(&["w-1", "w-2"], 310) >= 60, "all rooms are known");
+    }
+}
+
+#[test]
+fn a_new_scheduler_tells_callers_soon_that_they_cannot_be_served() {
+    // Guards against callers of an overload that are held for a second after an election and then
+    // refused, and against refusals before the owners have reported their workers.
+    plays_a_restart_under_overload(true);
+}
+
+#[test]
+fn a_new_scheduler_that_knows_all_workers_does_not_wait_to_refuse() {
+    plays_a_restart_under_overload(false);
 }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -14,8 +14,8 @@
 };
 
 use cranberryhatch_fleet::{
-    Command, Job, Listed, LookAnswer, Looked, Member, Message, Need, Node, Outcome, Output, Policy,
-    RunKey, StartAnswer, Step,
+    Command, DropCause, Job, Listed, LookAnswer, Looked, Member, Message, Need, Node, Note,
+    Outcome, Output, Policy, RunKey, StartAnswer, Step,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
 
@@ -208,6 +208,9 @@
     pub workers: Vec<FakeWorker>,
     pub cut_workers: Vec<usize>,
     pub cut_zones: Vec<usize>,
+    zones: usize,
+    /// When a worker was taken from an instance that lives.
+    pub fences: Vec<u64>,
     pub requests: Vec<Request>,
     pub odds: Odds,
     pub starts: Vec<RunKey>,
@@ -283,6 +286,8 @@
             workers,
             cut_workers: Vec::new(),
             cut_zones: Vec::new(),
+            zones,
+            fences: Vec::new(),
             requests: Vec::new(),
             odds: Odds::default(),
             starts: Vec::new(),
@@ -405,7 +410,7 @@
             }
             Happening::Stop { node, life, worker, token, run, answered } => {
                 let now = self.now;
-                let accepted = self.reach(&worker).is_some_and(|w| w.stop(token, &run, now));
+                let accepted = self.reach(node, &worker).is_some_and(|w| w.stop(token, &run, now));
                 if answered {
                     self.later(Happening::StopAnswer { node, life, worker, run, accepted });
                 }
@@ -451,9 +456,13 @@
         a == b || !(self.cut_zones.contains(&a) || self.cut_zones.contains(&b))
     }
 
-    fn reach(&mut self, id: &WorkerId) -> Option<&mut FakeWorker> {
+    fn reach(&mut self, node: usize, id: &WorkerId) -> Option<&mut FakeWorker> {
         let place = self.workers.iter().position(|worker| worker.listed.id == *id)?;
-        if self.cut_workers.contains(&place) || !self.workers[place].up {
+        let zone = place % self.zones;
+        let cut = zone != self.instances[node].zone
+            && (self.cut_zones.contains(&zone)
+                || self.cut_zones.contains(&self.instances[node].zone));
+        if cut || self.cut_workers.contains(&place) || !self.workers[place].up {
             return None;
         }
         Some(&mut self.workers[place])
@@ -505,7 +514,7 @@
                     until,
                 };
                 // What a look would do late is overtaken by later ones.
-                if self.roll(self.odds.order_late) || self.loses(&look.worker) {
+                if self.roll(self.odds.order_late) || self.loses(node, &look.worker) {
                     let at = until + patience.as_ms();
                     let (worker, asked) = (look.worker, look.asked);
                     let answer = LookAnswer::Lost;
@@ -518,7 +527,7 @@
             Command::StartRun { worker, token, patience, run, lease, .. } => {
                 let worker = worker.id;
                 let late = self.roll(self.odds.order_late);
-                let lost = late || self.loses(&worker);
+                let lost = late || self.loses(node, &worker);
                 let order = Happening::Start {
                     node,
                     life,
@@ -542,7 +551,7 @@
             }
             Command::StopRun { worker, token, patience, run } => {
                 let worker = worker.id;
-                let lost = self.loses(&worker);
+                let lost = self.loses(node, &worker);
                 let late = self.roll(self.odds.order_late);
                 let answered = !lost && !late;
                 let order = Happening::Stop {
@@ -565,6 +574,9 @@
                 }
             }
             Command::Note(note) => {
+                if matches!(note, Note::WorkerDropped { cause: DropCause::Fenced, .. }) {
+                    self.fences.push(self.now);
+                }
                 if self.verbose {
                     println!("{} e-{node} {note:?}", self.now);
                 }
@@ -577,13 +589,13 @@
         self.rng.u32(0..1_000) < odds
     }
 
-    fn loses(&mut self, worker: &WorkerId) -> bool {
-        self.reach(worker).is_none() || self.roll(self.odds.answer_lost)
+    fn loses(&mut self, node: usize, worker: &WorkerId) -> bool {
+        self.reach(node, worker).is_none() || self.roll(self.odds.answer_lost)
     }
 
     fn look(&mut self, node: usize, life: u64, look: Look) {
         let now = self.now;
-        let Some(worker) = self.reach(&look.worker) else {
+        let Some(worker) = self.reach(node, &look.worker) else {
             let Look { worker, token, asked, .. } = look;
             let answer = LookAnswer::Lost;
             let looked = Looked { worker, token, asked: Time::from_ms(asked), answer };
@@ -630,7 +642,7 @@
             fails,
             stopped: None,
         };
-        let Some(fake) = self.reach(worker) else {
+        let Some(fake) = self.reach(node, worker) else {
             if answered {
                 let (worker, answer, clock) = (worker.clone(), StartAnswer::Lost, None);
                 let at = now + ANSWER_LIMIT;
@@ -662,6 +674,8 @@
         let life = instance.life;
         let wall = self.wall(node);
         self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
+        let all = (0..self.instances.len()).map(|node| self.id(node)).collect();
+        self.decide(node, |n, _, _| n.registered(all));
         self.at(self.now + 1, Happening::Tick { node, life });
         for peer in 0..self.instances.len() {
             if peer != node {
