--- a/crates/fleet/src/placing.rs
+++ b/crates/fleet/src/placing.rs
@@ -11,7 +11,7 @@
 /// Room that a worker in another zone must save to be chosen, in thousandths of a core.
 ///
 /// A tenth of a small worker; a hop between zones costs a millisecond and bytes that are paid for.
-const OTHER_ZONE: u32 = 15_000;
+const OTHER_ZONE: u32 = 3_000;
 /// Like [`OTHER_ZONE`], for a worker away from the rack of the data: a run there takes twice as long
 /// or more.
 const OTHER_RACK: u32 = 30_000;
