feat(fleet): members count at once when all have joined

Cause: an instance joined only after the views of the not yet joined agreed, and every count waited 60 ms for others that may join together. Change: it joins when all registered instances are in reach, and the wait applies only while some have not joined. Ruled out: links, which are up 35 ms after the last start. The test of stops builds its instance as processes start, not joined: one that has joined counts no peer that never says whom it sees. Its checks are unchanged.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -8,8 +8,8 @@
 const WORKERS_PER_OWNER: usize = 30;
 /// Fewest owners of a zone, so that the loss of one stops a small part.
 const OWNERS_MIN: usize = 3;
-/// Time for which all must agree before members count, so that those that come up or join together
-/// are counted together; three ticks.
+/// Time for which all must agree before members count while some have not joined, so that those that
+/// join together are counted together; three ticks.
 const AGREED_FOR: Span = Span::from_ms(60);
 /// Longest time for which a peer that came up does not count: in a network in which not all reach all,
 /// instances never see the same. Several times what reconnecting takes.
@@ -162,8 +162,10 @@
             self.agreed = None;
         }
         let agreed = self.is_agreed().then(|| *self.agreed.get_or_insert(now));
+        let all_joined = self.me.joined && self.peers.iter().all(|peer| peer.joined);
+        let wait = if all_joined { Span::ZERO } else { AGREED_FOR };
         let before = self.pending.len();
-        if agreed.is_some_and(|since| now.since(since) >= AGREED_FOR) {
+        if agreed.is_some_and(|since| now.since(since) >= wait) {
             self.pending = VecMap::default();
         } else {
             self.pending.retain(|_, since| now.since(*since) < AGREE_LIMIT);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -420,7 +420,7 @@
         // An instance that sees nobody may be the first of several.
         let alone = self.members.peers().is_empty();
         let all = self.registered.iter().all(|id| self.members.reaches(id));
-        let complete = !alone && !self.registered.is_empty() && all && self.members.is_agreed();
+        let complete = !alone && !self.registered.is_empty() && all;
         if !complete && now.since(self.started) < JOIN_TIME {
             return;
         }
