--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -15,16 +15,12 @@
 };
 use cranberryhatch_schema::fleet::{Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
-use event_listener::Event;
-use smol::{Executor, Timer, future::FutureExt};
+use smol::{Executor, Timer};
 
 use crate::{Catalog, Clock, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port};
 
 /// Time between two ticks; the shortest task takes some 30 ms.
 const TICK: Duration = Duration::from_millis(20);
-/// Longest time that a request waits for the first settings; a read of the store takes some 10 ms, and
-/// without the store they come with the first link to a peer.
-const FIRST_SETTINGS: Duration = Duration::from_millis(200);
 /// Ticks between two measurements of gauges.
 const GAUGE_TICKS: u32 = 50;
 
@@ -41,8 +37,6 @@
     replies: Mutex<VecMap<u64, Sender<Outcome>>>,
     tickets: AtomicU64,
     catalog: RwLock<Option<Arc<Catalog>>>,
-    // Told when settings come into force.
-    adopted: Event,
     journal: Journal,
     meters: Meters,
     list_read: AtomicU64,
@@ -62,7 +56,6 @@
             replies: Mutex::default(),
             tickets: AtomicU64::new(0),
             catalog: RwLock::default(),
-            adopted: Event::new(),
             journal: Journal::default(),
             meters: Meters::default(),
             list_read: AtomicU64::new(0),
@@ -103,19 +96,6 @@
         self.catalog.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Kinds of job in force; an instance that has just started waits a moment for its first settings.
-    pub async fn first_catalog(&self) -> Option<Arc<Catalog>> {
-        let adopted = self.adopted.listen();
-        if let Some(catalog) = self.catalog() {
-            return Some(catalog);
-        }
-        let expiry = async {
-            Timer::after(FIRST_SETTINGS).await;
-        };
-        adopted.or(expiry).await;
-        self.catalog()
-    }
-
     /// Runs a decision and carries out what follows.
     fn decide<T>(self: &Arc<Self>, decision: impl FnOnce(&mut Node, Time, &mut Output) -> T) -> T {
         let now = self.clock.now();
@@ -185,8 +165,6 @@
             Ok(catalog) => {
                 let mut current = self.catalog.write().unwrap_or_else(PoisonError::into_inner);
                 *current = Some(Arc::new(catalog));
-                drop(current);
-                self.adopted.notify(usize::MAX);
                 self.meters.version.set(version);
             }
             Err(error) => log::error!(version, error = error.to_string(); "settings-unreadable"),
