fix(fleet): an instance that stood still says that it does not schedule

Cause: after a pause the scheduler held itself for silent for 1 s, while the others, whose link to it was new, followed it; nobody granted room in that second. Ruled out: agreement (the model agrees within 100 ms). Change: the rest after a pause is a field of the signs of life; the others keep no time of their own, and a silence that only the network caused ends with the first message.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -15,10 +15,6 @@
 /// instances never see the same. Several times what reconnecting takes.
 const AGREE_LIMIT: Span = Span::from_ms(1_200);
 
-/// Time after its last long silence for which an instance does not schedule, so that one that stands
-/// still again and again does not take the room of all along each time.
-const SILENCE_KEPT: Span = Span::from_ms(1_000);
-
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -69,8 +65,8 @@
     views: VecMap<InstanceId, u64>,
     // Since when all agree.
     agreed_at: Option<Time>,
-    // Members that said nothing for long, and when that was last seen.
-    silent: VecMap<InstanceId, Time>,
+    // Members that say nothing or rest, sorted.
+    quiet: Vec<InstanceId>,
 }
 
 impl Members {
@@ -83,7 +79,7 @@
             pending: VecMap::default(),
             views: VecMap::default(),
             agreed_at: None,
-            silent: VecMap::default(),
+            quiet: Vec::new(),
         }
     }
 
@@ -135,8 +131,10 @@
         }
     }
 
-    /// Does not count a member for now; one that has not joined has no duties that could change too
-    /// early, and follows the others at once.
+    /// Does not count a member for now.
+    ///
+    /// An instance that has not joined follows the others at once: it has no duties that could change too
+    /// early.
     fn await_agreement(&mut self, id: InstanceId, now: Time) {
         if self.me.joined {
             self.pending.insert(id, now);
@@ -208,23 +206,19 @@
         self.me.id == *id || self.find(id).is_ok()
     }
 
-    /// Learns that a member, or this instance, said nothing for long.
-    pub fn note_silence(&mut self, id: &InstanceId, now: Time) {
-        self.silent.insert(id.clone(), now);
-    }
-
-    /// Forgets silences that are over.
-    pub fn forget_silences(&mut self, now: Time) {
-        self.silent.retain(|_, at| now.since(*at) < SILENCE_KEPT);
+    /// Learns which members, this instance included, say nothing or rest.
+    pub fn set_quiet(&mut self, mut quiet: Vec<InstanceId>) {
+        quiet.sort();
+        self.quiet = quiet;
     }
 
-    /// The instance that grants room: the one with the largest processor that was not silent lately.
+    /// The instance that grants room: the one with the largest processor that is not quiet.
     ///
     /// Nothing is lost when it changes, so it changes long before a silent peer counts as out of reach.
     #[must_use]
     pub fn scheduler(&self) -> Option<&InstanceId> {
         let rank = |member: &&Member| {
-            let speaks = !self.silent.contains(&member.id);
+            let speaks = self.quiet.binary_search(&member.id).is_err();
             (speaks, member.cores, weight("scheduler", &member.id))
         };
         self.on_duty().max_by_key(rank).map(|member| &member.id)
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -24,6 +24,9 @@
 /// Time without new duties after most peers were lost at once: it is more likely that this instance
 /// is cut off or was paused than that all others are gone.
 const DOUBT: Span = Span::from_ms(800);
+/// Time after a pause for which an instance does not schedule, so that one that stands still again and
+/// again does not hold up the jobs of all each time.
+const REST: Span = Span::from_ms(1_000);
 /// Gap between two ticks that counts as a pause of this process.
 const PAUSE: Span = Span::from_ms(400);
 /// Time after which a peer with older settings gets them from here; it usually has them by then.
@@ -39,6 +42,8 @@
     next: Span,
     // Latest sign of life that was read from it, by its own clock.
     sign: Time,
+    // Whether it said that it stood still lately.
+    rests: bool,
 }
 
 /// Decisions of one instance: callers' jobs, its workers, and room if it schedules.
@@ -58,12 +63,14 @@
     settings_at: Time,
     started: Time,
     // What the last signs of life said of this instance, and of the instances in reach.
-    said: (bool, bool, u64),
+    said: (bool, bool, bool, u64),
     view_said: u64,
     // Registered instances, once the register was read.
     registered: Vec<InstanceId>,
     assigned_at: Time,
     doubt_until: Time,
+    // Until when this instance does not schedule after a pause.
+    rests_until: Time,
     ticked: Time,
     stop: Option<Stop>,
     // Whether the stop is over and all callers have their answers.
@@ -88,11 +95,12 @@
             settings: (0, Bytes::new()),
             settings_at: now,
             started: now,
-            said: (false, false, 0),
+            said: (false, false, false, 0),
             view_said: 0,
             registered: Vec::new(),
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
+            rests_until: Time::ZERO,
             ticked: now,
             stop: None,
             stopped: false,
@@ -148,6 +156,7 @@
                 told: Time::ZERO,
                 next: Span::ZERO,
                 sign: Time::ZERO,
+                rests: false,
             },
         );
         self.members.up(peer, now);
@@ -263,6 +272,7 @@
             let limit = u64::from(beat.next_ms) * BEATS_MISSED;
             heard.limit = Span::from_ms(limit).max(PEER_TIMEOUT);
             heard.sign = Time::from_ms(beat.sent_ms);
+            heard.rests = beat.rests;
         }
         self.owner.seen_by(from, Time::from_ms(beat.seen_ms), now);
         self.members.sees(from, beat.view);
@@ -401,15 +411,14 @@
     /// Has another instance schedule while the one that did says nothing, and starts nothing at owners
     /// that say nothing.
     fn watch_silences(&mut self, gap: Span, now: Time, out: &mut Output) {
-        self.members.forget_silences(now);
-        let me = self.members.me().id.clone();
-        // Half of the silence after which peers count as out of reach.
-        let paused = (gap >= PEER_TIMEOUT / 2).then_some(&me);
-        let is_silent = |heard: &Heard| now.since(heard.at) >= heard.limit / 2;
-        let silent = self.heard.iter().filter(|(_, heard)| is_silent(heard)).map(|(id, _)| id);
-        for id in silent.chain(paused) {
-            self.members.note_silence(id, now);
+        if gap >= PEER_TIMEOUT / 2 {
+            self.rests_until = now + REST;
         }
+        // Half of the silence after which peers count as out of reach.
+        let is_quiet = |heard: &Heard| heard.rests || now.since(heard.at) >= heard.limit / 2;
+        let quiet = self.heard.iter().filter(|(_, heard)| is_quiet(heard)).map(|(id, _)| id);
+        let me = Some(&self.members.me().id).filter(|_| now < self.rests_until);
+        self.members.set_quiet(quiet.chain(me).cloned().collect());
         if self.members.scheduler() != self.elected.as_ref() {
             self.duties(now, out);
         }
@@ -456,7 +465,8 @@
     /// Sends signs of life that are due, and one to all when this instance's state changed.
     fn send_beats(&mut self, now: Time, out: &mut Output) {
         let me = self.members.me();
-        let said = (me.draining, me.joined, self.settings.0);
+        let rests = now < self.rests_until;
+        let said = (me.draining, me.joined, rests, self.settings.0);
         let all = std::mem::replace(&mut self.said, said) != said;
         let (runs_at, runs_of) = (self.front.owners(), self.owner.fronts());
         for (id, heard) in self.heard.iter_mut() {
@@ -475,11 +485,11 @@
             }
             heard.told = now;
             heard.next = every;
-            let (draining, joined, version) = said;
+            let (draining, joined, rests, version) = said;
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
             let view = self.view_said;
-            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view };
+            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests };
             out.send(id, Body::Beat(beat));
         }
     }
