fix(fleet): an instance that comes back alone follows the others at once

Change: an instance whose peers were all out of reach counts them as their links come up, until all agree once; the others took its workers already. Ruled out: a longer patience for silent peers, which would keep runs that nobody extends.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -63,6 +63,8 @@
     pending: VecMap<InstanceId, Time>,
     // Hash of the instances that each peer reaches, as it last said.
     views: VecMap<InstanceId, u64>,
+    // Whether all peers were out of reach and not all agree again.
+    returning: bool,
     // Since when all agree.
     agreed_at: Option<Time>,
     // Members that say nothing or rest, sorted.
@@ -78,6 +80,7 @@
             peers: Vec::new(),
             pending: VecMap::default(),
             views: VecMap::default(),
+            returning: false,
             agreed_at: None,
             quiet: Vec::new(),
         }
@@ -114,7 +117,9 @@
         self.pending.remove(id);
         self.views.remove(id);
         let place = self.find(id);
-        place.map(|place| self.peers.remove(place)).is_ok()
+        let known = place.map(|place| self.peers.remove(place)).is_ok();
+        self.returning |= known && self.peers.is_empty();
+        known
     }
 
     /// This instance takes duties once all agree that it does.
@@ -133,10 +138,10 @@
 
     /// Does not count a member for now.
     ///
-    /// An instance that has not joined follows the others at once: it has no duties that could change too
-    /// early.
+    /// An instance that has not joined, or that comes back alone, follows the others at once: it has no
+    /// duties that could change too early.
     fn await_agreement(&mut self, id: InstanceId, now: Time) {
-        if self.me.joined {
+        if self.me.joined && !self.returning {
             self.pending.insert(id, now);
         }
     }
@@ -181,6 +186,7 @@
         let all_joined = self.me.joined && self.peers.iter().all(|peer| peer.joined);
         let wait = if all_joined { Span::ZERO } else { AGREED_FOR };
         let settled = agreed && now.since(*self.agreed_at.get_or_insert(now)) >= wait;
+        self.returning &= !settled || self.peers.is_empty();
         let before = self.pending.len();
         let waited = self.pending.iter().map(|(_, since)| now.since(*since)).max();
         self.pending.retain(|_, since| !settled && now.since(*since) < AGREE_LIMIT);
