refactor(fleet): contact with the peers is a module of its own

Signs of life, silences, the count of members and the join move to node/contact.rs; the two parts of the silence have names. No change of behaviour: the tests of the crate pass as before.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,6 +1,9 @@
 //! All decisions of one instance.
 
+mod contact;
+
 use bytes::Bytes;
+use contact::Heard;
 use cranberryhatch_schema::fleet::{Beat, Settings, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -11,41 +14,20 @@
 
 /// Time between two signs of life where one side has duties for the other.
 pub const BEAT_EVERY: Span = Span::from_ms(140);
-/// Time between two signs of life of instances that do nothing for each other.
-const SLOW_BEAT_EVERY: Span = Span::from_ms(700);
 /// Signs of life in a row that may be missing or late before a peer counts as out of reach.
 const BEATS_MISSED: u64 = 4;
 /// Silence after which a peer with duties counts as out of reach.
 pub const PEER_TIMEOUT: Span = Span::from_ms(600);
-/// Longest time that an instance has to find the registered instances before it takes duties.
-const JOIN_TIME: Span = Span::from_ms(600);
 /// Time between two checks which workers this instance should own.
 const ASSIGN_EVERY: Span = Span::from_ms(500);
 /// Time without new duties after most peers were lost at once: it is more likely that this instance
 /// is cut off or was paused than that all others are gone.
 const DOUBT: Span = Span::from_ms(800);
-/// Time after a pause for which an instance does not schedule, so that one that stands still again and
-/// again does not hold up the jobs of all each time.
-const REST: Span = Span::from_ms(1_000);
 /// Gap between two ticks that counts as a pause of this process.
 const PAUSE: Span = Span::from_ms(400);
 /// Time after which a peer with older settings gets them from here; it usually has them by then.
 const SETTINGS_GRACE: Span = Span::from_ms(250);
 
-/// Last sign of life of a peer, and how long it may be silent.
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    at: Time,
-    limit: Span,
-    // When this instance last sent a sign of life to it, and when it said that the next one comes.
-    told: Time,
-    next: Span,
-    // Latest sign of life that was read from it, by its own clock.
-    sign: Time,
-    // Whether it said that it stood still lately.
-    rests: bool,
-}
-
 /// Decisions of one instance: callers' jobs, its workers, and room if it schedules.
 ///
 /// It does no I/O. Every method takes the time and leaves what is to be done in the output.
@@ -408,106 +390,6 @@
         self.settle(now, true, out);
     }
 
-    /// Has another instance schedule while the one that did says nothing, and starts nothing at owners
-    /// that say nothing.
-    fn watch_silences(&mut self, gap: Span, now: Time, out: &mut Output) {
-        if gap >= PEER_TIMEOUT / 2 {
-            self.rests_until = now + REST;
-        }
-        // Half of the silence after which peers count as out of reach.
-        let is_quiet = |heard: &Heard| heard.rests || now.since(heard.at) >= heard.limit / 2;
-        let quiet = self.heard.iter().filter(|(_, heard)| is_quiet(heard)).map(|(id, _)| id);
-        let me = Some(&self.members.me().id).filter(|_| now < self.rests_until);
-        self.members.set_quiet(quiet.chain(me).cloned().collect());
-        if self.members.scheduler() != self.elected.as_ref() {
-            self.duties(now, out);
-        }
-        if self.is_scheduler() {
-            // An owner that works for this scheduler says more than its signs of life.
-            let quiet = |heard: &Heard| now.since(heard.at) >= heard.limit / 3;
-            let quiet = self.heard.iter().filter(|(_, heard)| quiet(heard));
-            let quiet: Vec<InstanceId> = quiet.map(|(id, _)| id.clone()).collect();
-            self.scheduler.mute(&quiet);
-        }
-    }
-
-    /// Tells all which instances are in reach when that changed, and counts those that all agree on.
-    fn count_members(&mut self, now: Time, out: &mut Output) {
-        let view = self.members.view();
-        if std::mem::replace(&mut self.view_said, view) != view {
-            self.heard.iter_mut().for_each(|(_, heard)| heard.told = Time::ZERO);
-        }
-        if let Some(counted) = self.members.count(now) {
-            let peers = self.members.peers().len();
-            out.note(Note::MembersCounted { counted, peers });
-            self.scheduler.await_reports(now);
-            self.duties(now, out);
-        }
-    }
-
-    fn join(&mut self, now: Time, out: &mut Output) {
-        let listed = self.listing.read_at > Time::ZERO;
-        if self.members.me().joined || !listed {
-            return;
-        }
-        // An instance that sees nobody may be the first of several.
-        let alone = self.members.peers().is_empty();
-        let all = self.registered.iter().all(|id| self.members.reaches(id));
-        let complete = !alone && !self.registered.is_empty() && all;
-        if !complete && now.since(self.started) < JOIN_TIME {
-            return;
-        }
-        self.members.join(now);
-        self.send_beats(now, out);
-        self.duties(now, out);
-    }
-
-    /// Sends signs of life that are due, and one to all when this instance's state changed.
-    fn send_beats(&mut self, now: Time, out: &mut Output) {
-        let me = self.members.me();
-        let rests = now < self.rests_until;
-        let said = (me.draining, me.joined, rests, self.settings.0);
-        let all = std::mem::replace(&mut self.said, said) != said;
-        let (runs_at, runs_of) = (self.front.owners(), self.owner.fronts());
-        for (id, heard) in self.heard.iter_mut() {
-            let every = if self.owners.contains(&me.id)
-                || self.owners.contains(id)
-                || runs_at.binary_search(id).is_ok()
-                || runs_of.binary_search(id).is_ok()
-                || self.elected.as_ref().is_some_and(|elected| elected == id || *elected == me.id)
-            {
-                BEAT_EVERY
-            } else {
-                SLOW_BEAT_EVERY
-            };
-            if !all && now.since(heard.told) < every.min(heard.next) {
-                continue;
-            }
-            heard.told = now;
-            heard.next = every;
-            let (draining, joined, rests, version) = said;
-            let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
-            let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
-            let view = self.view_said;
-            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests };
-            out.send(id, Body::Beat(beat));
-        }
-    }
-
-    fn check_peers(&mut self, now: Time, out: &mut Output) {
-        let silent = |heard: &Heard| now.since(heard.at) >= heard.limit;
-        let lost: Vec<InstanceId> = self
-            .heard
-            .iter()
-            .filter(|(_, heard)| silent(heard))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for peer in lost {
-            out.commands.push(Command::Unlink { peer: peer.clone() });
-            self.link_down(&peer, now, out);
-        }
-    }
-
     /// Whether callers should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- /dev/null
+++ b/crates/fleet/src/node/contact.rs
@@ -0,0 +1,143 @@
+//! Contact with the peers: signs of life, silences, and which members count.
+
+use cranberryhatch_schema::fleet::{Beat, frame::Body};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use super::{BEAT_EVERY, Node, PEER_TIMEOUT};
+use crate::{Command, Output, note::Note};
+
+/// Time between two signs of life of instances that do nothing for each other.
+const SLOW_BEAT_EVERY: Span = Span::from_ms(700);
+/// Longest time that an instance has to find the registered instances before it takes duties.
+const JOIN_TIME: Span = Span::from_ms(600);
+/// Time after a pause for which an instance does not schedule, so that one that stands still again and
+/// again does not hold up the jobs of all each time.
+const REST: Span = Span::from_ms(1_000);
+
+/// Part of the silence that ends a link after which an instance does not schedule; two signs of life are
+/// missing then.
+const QUIET_PART: u64 = 2;
+/// Part of that silence after which an owner gets no starts; one that works says more than its signs of
+/// life.
+const MUTED_PART: u64 = 3;
+
+/// Last sign of life of a peer, and how long it may be silent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Heard {
+    pub(super) at: Time,
+    pub(super) limit: Span,
+    // When this instance last sent a sign of life to it, and when it said that the next one comes.
+    pub(super) told: Time,
+    pub(super) next: Span,
+    // Latest sign of life that was read from it, by its own clock.
+    pub(super) sign: Time,
+    // Whether it said that it stood still lately.
+    pub(super) rests: bool,
+}
+
+impl Heard {
+    /// Whether the peer has said nothing for a part of the silence that ends the link.
+    fn is_silent_for(&self, part: u64, now: Time) -> bool {
+        now.since(self.at) >= self.limit / part
+    }
+}
+
+impl Node {
+    /// Has another instance schedule while the one that did says nothing, and starts nothing at owners
+    /// that say nothing.
+    pub(super) fn watch_silences(&mut self, gap: Span, now: Time, out: &mut Output) {
+        if gap >= PEER_TIMEOUT / QUIET_PART {
+            self.rests_until = now + REST;
+        }
+        let is_quiet = |heard: &Heard| heard.rests || heard.is_silent_for(QUIET_PART, now);
+        let quiet = self.heard.iter().filter(|(_, heard)| is_quiet(heard)).map(|(id, _)| id);
+        let me = Some(&self.members.me().id).filter(|_| now < self.rests_until);
+        self.members.set_quiet(quiet.chain(me).cloned().collect());
+        if self.members.scheduler() != self.elected.as_ref() {
+            self.duties(now, out);
+        }
+        if self.is_scheduler() {
+            let is_muted = |heard: &Heard| heard.is_silent_for(MUTED_PART, now);
+            let muted = self.heard.iter().filter(|(_, heard)| is_muted(heard));
+            let muted: Vec<InstanceId> = muted.map(|(id, _)| id.clone()).collect();
+            self.scheduler.mute(&muted);
+        }
+    }
+
+    /// Tells all which instances are in reach when that changed, and counts those that all agree on.
+    pub(super) fn count_members(&mut self, now: Time, out: &mut Output) {
+        let view = self.members.view();
+        if std::mem::replace(&mut self.view_said, view) != view {
+            self.heard.iter_mut().for_each(|(_, heard)| heard.told = Time::ZERO);
+        }
+        if let Some(counted) = self.members.count(now) {
+            let peers = self.members.peers().len();
+            out.note(Note::MembersCounted { counted, peers });
+            self.scheduler.await_reports(now);
+            self.duties(now, out);
+        }
+    }
+
+    pub(super) fn join(&mut self, now: Time, out: &mut Output) {
+        let listed = self.listing.read_at > Time::ZERO;
+        if self.members.me().joined || !listed {
+            return;
+        }
+        // An instance that sees nobody may be the first of several.
+        let alone = self.members.peers().is_empty();
+        let all = self.registered.iter().all(|id| self.members.reaches(id));
+        let complete = !alone && !self.registered.is_empty() && all;
+        if !complete && now.since(self.started) < JOIN_TIME {
+            return;
+        }
+        self.members.join(now);
+        self.send_beats(now, out);
+        self.duties(now, out);
+    }
+
+    /// Sends signs of life that are due, and one to all when this instance's state changed.
+    pub(super) fn send_beats(&mut self, now: Time, out: &mut Output) {
+        let me = self.members.me();
+        let rests = now < self.rests_until;
+        let said = (me.draining, me.joined, rests, self.settings.0);
+        let all = std::mem::replace(&mut self.said, said) != said;
+        let (runs_at, runs_of) = (self.front.owners(), self.owner.fronts());
+        for (id, heard) in self.heard.iter_mut() {
+            let every = if self.owners.contains(&me.id)
+                || self.owners.contains(id)
+                || runs_at.binary_search(id).is_ok()
+                || runs_of.binary_search(id).is_ok()
+                || self.elected.as_ref().is_some_and(|elected| elected == id || *elected == me.id)
+            {
+                BEAT_EVERY
+            } else {
+                SLOW_BEAT_EVERY
+            };
+            if !all && now.since(heard.told) < every.min(heard.next) {
+                continue;
+            }
+            heard.told = now;
+            heard.next = every;
+            let (draining, joined, rests, version) = said;
+            let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
+            let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
+            let view = self.view_said;
+            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests };
+            out.send(id, Body::Beat(beat));
+        }
+    }
+
+    pub(super) fn check_peers(&mut self, now: Time, out: &mut Output) {
+        let silent = |heard: &Heard| now.since(heard.at) >= heard.limit;
+        let lost: Vec<InstanceId> = self
+            .heard
+            .iter()
+            .filter(|(_, heard)| silent(heard))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for peer in lost {
+            out.commands.push(Command::Unlink { peer: peer.clone() });
+            self.link_down(&peer, now, out);
+        }
+    }
+}
