fix(xtask): the README's commands bring cmake where they may

What users saw: on a machine with Rust only, cargo xtask demo ended with 'Error: cmake is missing' and a backtrace. Weighed: a build dependency that carries cmake (none is kept for Rust; the registry has it for Python only); nng out of the default path (the entry instance, which the demo shows, links with it); Debian's package manager where this process may install. Where that does not work: one line and exit code 2, without a backtrace for any error of a chore.

--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -8,7 +8,7 @@
 use anyhow::{Context, Result, ensure};
 
 use crate::{
-    demo,
+    demo, setup,
     soak::{self, SoakArgs},
 };
 
@@ -25,6 +25,7 @@
 /// # Errors
 /// When a check fails.
 pub fn run(root: &Path) -> Result<()> {
+    setup::prepare()?;
     cargo(root, &["fmt", "--all", "--check"])?;
     generate(root, true)?;
     cargo(root, &["clippy", "--workspace", "--all-targets", "--", "-D", "warnings"])?;
@@ -50,9 +51,9 @@
 /// Runs all tests and a short soak whose verdict does not depend on the speed of the machine.
 ///
 /// # Errors
-/// When `cmake` is missing or a test fails.
+/// When something is missing that cannot be installed, or a test fails.
 pub fn test(root: &Path) -> Result<()> {
-    require_cmake()?;
+    setup::prepare()?;
     let red = known_red(root)?;
     if !red.is_empty() {
         println!("known to fail ({KNOWN_RED}), passed over: {}", red.join(", "));
@@ -84,22 +85,12 @@
     Ok(names.map(|name| name.trim().to_owned()).collect())
 }
 
-/// Checks for `cmake`, which the build of `nng` needs.
-///
-/// # Errors
-/// When `cmake` is not installed.
-pub fn require_cmake() -> Result<()> {
-    let found = Command::new("cmake").arg("--version").output().is_ok();
-    ensure!(found, "cmake is missing: install it, for example with apt-get install cmake");
-    Ok(())
-}
-
 /// Builds all binaries, optimised or not, and returns their folder.
 ///
 /// # Errors
-/// When `cmake` is missing or the build fails.
+/// When something is missing that cannot be installed, or the build fails.
 pub fn build(root: &Path, release: bool) -> Result<PathBuf> {
-    require_cmake()?;
+    setup::prepare()?;
     let mut args = vec!["build", "--quiet", "--workspace", "--bins"];
     args.extend(release.then_some("--release"));
     cargo(root, &args)?;
--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -20,6 +20,7 @@
 mod operator;
 mod process;
 mod report;
+pub mod setup;
 pub mod soak;
 mod statsd;
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,13 @@
 //! Chores of the workspace: `cargo xtask <chore>`.
 
-use std::path::{Path, PathBuf};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
-use xtask::{capacity, ci, demo, experiment, fuzz, soak};
+use xtask::{capacity, ci, demo, experiment, fuzz, setup, soak};
 
 /// Chores of the workspace.
 #[derive(Parser)]
@@ -47,7 +50,14 @@
     Ci,
 }
 
-fn main() -> Result<()> {
+fn main() -> ExitCode {
+    let Err(error) = run() else { return ExitCode::SUCCESS };
+    // A backtrace is of no use to a user of a chore.
+    eprintln!("error: {error:#}");
+    if error.is::<setup::SetupError>() { setup::EXIT_CODE.into() } else { ExitCode::FAILURE }
+}
+
+fn run() -> Result<()> {
     let root = workspace_root()?;
     match Args::parse().chore {
         Chore::Generate { check } => ci::generate(&root, check),
