--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -28,8 +28,7 @@
 
 use crate::frames::{FrameReader, encode};
 
-/// Longest time for a connection to be made; a round trip takes a few milliseconds, and what was sent
-/// before the way was back is not answered.
+/// Longest time for a connection to be made; a round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that a peer may take to read on.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -180,18 +179,20 @@
     ) {
         let mut pause = RETRY;
         loop {
+            let called = async { Some(self.call(addr).await) };
             let knocked = async {
-                // The sender lives as long as this task.
+                // Its sender lives as long as this task.
                 let _ = knocks.recv().await;
-                Err(io::ErrorKind::Interrupted.into())
+                None
             };
-            match self.call(addr).or(knocked).await {
-                Ok((hello, call)) if hello.instance == id.as_str() => {
+            match called.or(knocked).await {
+                // What was sent before the peer could be reached is not answered.
+                None => continue,
+                Some(Ok((hello, call))) if hello.instance == id.as_str() => {
                     pause = RETRY;
                     self.run(&events, &id, hello, call).await;
                 }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Ok(_) | Err(_) => {}
+                Some(Ok(_) | Err(_)) => {}
             }
             let knocked = async {
                 let _ = knocks.recv().await;
