test(fleet): cases for members that come up, join, come back alone or say nothing

The rule that an instance which comes back alone follows the others at once had no test: the model agrees too fast to show it. The limit of 1.2 s without agreement had none either.

--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,100 @@
+//! Guards against duties that change with each link, and against members that never count.
+
+use cranberryhatch_fleet::{Counted, Member, Members};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+const START: Time = Time::from_ms(10_000);
+
+fn id(name: &str) -> InstanceId {
+    name.parse().expect("a name")
+}
+
+/// A member that schedules if it counts: the one with the most cores does.
+fn member(name: &str, cores: u32, joined: bool) -> Member {
+    let zone = "a".parse().expect("a zone");
+    Member { id: id(name), incarnation: 1, zone, cores, draining: false, joined, version: 0 }
+}
+
+/// An instance that has joined and counts itself and a peer.
+fn settled() -> Members {
+    let mut members = Members::new(member("me", 200, false));
+    members.up(member("old", 100, true), START);
+    members.join(START);
+    let view = members.view();
+    members.sees(&id("old"), view);
+    assert!(members.count(START).is_some());
+    members
+}
+
+fn scheduler(members: &Members) -> String {
+    members.scheduler().map(ToString::to_string).unwrap_or_default()
+}
+
+struct Case {
+    name: &'static str,
+    /// Which peers say that they see the same.
+    agree: &'static [&'static str],
+    /// Whether the new peer has joined.
+    joined: bool,
+    /// Time since it came up, or since all agree.
+    after: u64,
+    /// Who schedules then; the new peer is the largest.
+    scheduler: &'static str,
+}
+
+#[test]
+fn a_peer_that_comes_up_counts_when_all_agree_or_have_had_the_time_to() {
+    let all: &[_] = &["old", "new"];
+    let cases = [
+        Case { name: "all agree", agree: all, joined: true, after: 0, scheduler: "new" },
+        Case { name: "only it agrees", agree: &["new"], joined: true, after: 0, scheduler: "me" },
+        Case { name: "not yet", agree: &["old"], joined: true, after: 1_000, scheduler: "me" },
+        Case { name: "never agreed", agree: &[], joined: true, after: 1_200, scheduler: "new" },
+        Case { name: "it has not joined", agree: all, joined: false, after: 60, scheduler: "me" },
+    ];
+    for Case { name, agree, joined, after, scheduler: expected } in cases {
+        let mut members = settled();
+        members.up(member("new", 300, joined), START);
+        let view = members.view();
+        agree.iter().for_each(|peer| members.sees(&id(peer), view));
+        members.count(START);
+        members.count(START + Span::from_ms(after));
+        assert_eq!(scheduler(&members), expected, "{name}");
+    }
+}
+
+#[test]
+fn members_that_join_together_are_counted_together() {
+    let mut members = settled();
+    members.up(member("new", 300, false), START);
+    let view = members.view();
+    ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
+    assert_eq!(members.count(START), None, "one may join in a moment");
+    let joined = START + Span::from_ms(40);
+    members.peer_joined(&id("new"), true, joined);
+    assert_eq!(members.count(joined), None, "the others may not know that it joined");
+    let view = members.view();
+    ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
+    let counted = Counted { members: 1, waited: Span::ZERO, agreed: true };
+    assert_eq!(members.count(joined), Some(counted));
+    assert_eq!(scheduler(&members), "new");
+}
+
+#[test]
+fn an_instance_that_comes_back_alone_follows_the_others_at_once() {
+    let mut members = settled();
+    members.down(&id("old"));
+    assert_eq!(scheduler(&members), "me");
+    members.up(member("new", 300, true), START);
+    members.up(member("newer", 400, true), START);
+    assert_eq!(scheduler(&members), "newer", "nobody has agreed yet");
+}
+
+#[test]
+fn a_quiet_member_schedules_only_if_all_are_quiet() {
+    let mut members = settled();
+    members.set_quiet(vec![id("me")]);
+    assert_eq!(scheduler(&members), "old");
+    members.set_quiet(vec![id("old"), id("me")]);
+    assert_eq!(scheduler(&members), "me");
+}
