--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -10,7 +10,7 @@
 
 /// Share of all cores that does work when everything is busy, in thousandths.
 ///
-/// Tasks of about 14 cores fill 28 of 32 cores of a worker; the sizes are those of both users.
+/// Two tasks of 14 cores fill 28 of 32 cores of a worker.
 const PACKED: u64 = 850;
 /// Shortest time that a refused caller is asked to stay away.
 const RETRY_MIN: Span = Span::from_ms(100);
