test(fleet): a seed that needs the mended report of a former owner in the changed model

Cause: with members that are counted by agreement and cut zones that take their workers along, seeds 6642 and 200934 play other worlds and pass without the code that they guarded (both taken out on a scratch copy). Seed 3010461 fails without the first (two runs of one task at 10,850 ms) and passes with it. The second is guarded by a_run_is_not_reported_as_ended_while_a_former_owners_lease_may_hold, which fails without it. No seed was removed.

--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -126,7 +126,7 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 4] = [
+const REGRESSIONS: [Regression; 5] = [
     Regression {
         seed: 1435,
         cause: "each stop that was sent again put the end of a doubtful run off, for ever",
@@ -139,6 +139,10 @@
         seed: 6642,
         cause: "a former owner reported a run as ended that a later owner held",
     },
+    Regression {
+        seed: 3_010_461,
+        cause: "a former owner reported a run as ended that a later owner held",
+    },
     Regression {
         seed: 200_934,
         cause: "a new owner reported a run as ended whose lease was the former owner's",
