fix(fleet): a task that was granted at an owner out of reach is asked for again

The new test of the front fails before the change: no message asks for the task again, and its job waits until its time limit. Cause: a front that got a grant at an owner to which it has no link gave the place back, and left the task as asked for. The scheduler had removed it from its backlog with the grant. Ruled out: an answer of the scheduler to the place that came back; it only frees the room. Change: the task waits again and is asked for at once.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -161,6 +161,7 @@
             let key = TaskKey { job: grant.job.clone(), step: grant.step, task: place.task };
             let owner = place.owner.parse::<InstanceId>().ok();
             let owner = owner.and_then(|owner| sign(&owner).map(|sign| (owner, sign)));
+            let out_of_reach = owner.is_none();
             let worker = place.worker.parse::<WorkerId>().ok();
             let started = owner.zip(worker).is_some_and(|((owner, seen), worker)| {
                 let expected = Span::from_ms(place.run_ms.into());
@@ -168,16 +169,29 @@
                 let placed = Placed { owner, token, worker, expected, since: now, lost: None };
                 self.start(&key, placed, seen, now, out)
             });
-            if !started {
-                let TaskKey { job, step, task } = key;
-                let refused = false;
-                let unused = Unused { worker: place.worker, job, step, task, refused };
-                out.send(from, Message::Unused(unused));
+            if started {
+                continue;
+            }
+            if out_of_reach {
+                self.wait_again(&key);
             }
+            let TaskKey { job, step, task } = key;
+            // Refused, so that the same place is not granted again at once.
+            let refused = out_of_reach;
+            let unused = Unused { worker: place.worker, job, step, task, refused };
+            out.send(from, Message::Unused(unused));
         }
         self.ask(&grant.job, now, out);
     }
 
+    /// A task that was granted room has to be asked for again.
+    fn wait_again(&mut self, key: &TaskKey) {
+        let state = self.jobs.get_mut(&key.job).and_then(|active| active.task(key));
+        if let Some(state) = state.filter(|state| state.phase == Phase::Asked) {
+            state.phase = Phase::Ready;
+        }
+    }
+
     /// Whether the task was waiting and its run was ordered.
     fn start(
         &mut self,
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -43,11 +43,17 @@
     }
 }
 
-/// A front whose only task was ordered at `SENT` on worker `w` of owner `o` under token 7.
-fn placed(out: &mut Output) -> Front {
+/// A front that has asked for room for its only task.
+fn waiting(out: &mut Output) -> Front {
     let mut front = Front::new(id("me"), "a".to_owned());
     front.follow(Some(id("s")), SENT, out);
     front.submit(1, job(60_000), SENT, out);
+    front
+}
+
+/// A front whose only task was ordered at `SENT` on worker `w` of owner `o` under token 7.
+fn placed(out: &mut Output) -> Front {
+    let mut front = waiting(out);
     grant(&mut front, 7, SENT, out);
     out.commands.clear();
     front
@@ -60,6 +66,13 @@
     front.granted(&id("s"), grant, |_| Some(now), now, out);
 }
 
+/// A grant of room at an owner that is out of reach of the front.
+fn grant_out_of_reach(front: &mut Front, now: Time, out: &mut Output) {
+    let place = Place { worker: "w".to_owned(), owner: "o".to_owned(), ..Place::default() };
+    let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
+    front.granted(&id("s"), grant, |_| None, now, out);
+}
+
 fn asks(out: &Output) -> usize {
     let is_ask =
         |command: &&Command| matches!(command, Command::Send { message: Message::Ask(_), .. });
@@ -89,6 +102,21 @@
     Run { job: "j".to_owned(), step: 0, task: 0, run: 1 }
 }
 
+#[test]
+fn a_task_that_was_granted_at_an_owner_out_of_reach_is_asked_for_again() {
+    let mut out = Output::default();
+    let mut front = waiting(&mut out);
+    out.commands.clear();
+    grant_out_of_reach(&mut front, SENT, &mut out);
+    assert_eq!(asks(&out), 1);
+    let given_back = out.commands.iter().any(|command| {
+        let Command::Send { message: Message::Unused(unused), .. } = command else { return false };
+        // The same place would be granted again at once.
+        unused.refused
+    });
+    assert!(given_back);
+}
+
 #[test]
 fn a_lost_run_counts_as_gone_from_the_later_of_its_order_and_the_owners_last_sign() {
     struct Case {
