perf(fleet): workers that run nothing are announced together

Cause: each worker that an owner opened was announced to all instances in a message of its own, and each instance answered it with a claim, also where nothing ran on the worker and no claim was awaited: workers times instances times two. Ruled out: signs of life; they are the smaller half of a start. Change: workers on which nothing runs are announced with the next tick, all in one message, and are not answered. A worker on which something runs is announced at once, as before.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -64,8 +64,10 @@
                 ends.push((run, said.map_or(How::Stopped, Ended::how)));
             }
         }
-        let claim = Claim { worker: found.worker.clone(), runs: claims };
-        out.send(from, Message::Claim(claim));
+        if !running.is_empty() {
+            let claim = Claim { worker: found.worker.clone(), runs: claims };
+            out.send(from, Message::Claim(claim));
+        }
         for (run, how) in ends {
             self.end(&run, &found.worker, how, now, out);
         }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use contact::Heard;
-use cranberryhatch_schema::fleet::{Beat, Settings, frame::Body};
+use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
@@ -206,11 +206,11 @@
             }
             Body::Refusal(refusal) => self.front.refused(&refusal, now, out),
             Body::Ended(ended) => self.front.ended(from, &ended, now, out),
-            Body::Takeover(found) => {
-                self.owner.learn_token(found.token);
-                let me = &self.members.me().id;
-                let seen = sign_of(me, &self.heard, from, now).unwrap_or(Time::ZERO);
-                self.front.takeover(from, &found, seen, now, out);
+            Body::Takeover(found) => self.takeover(from, &found, now, out),
+            Body::Takeovers(takeovers) => {
+                for found in &takeovers.found {
+                    self.takeover(from, found, now, out);
+                }
             }
             Body::Start(start) => self.owner.start(from, start, now, out),
             Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
@@ -218,6 +218,13 @@
         }
     }
 
+    fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
+        self.owner.learn_token(found.token);
+        let me = &self.members.me().id;
+        let seen = sign_of(me, &self.heard, from, now).unwrap_or(Time::ZERO);
+        self.front.takeover(from, found, seen, now, out);
+    }
+
     /// Handles what this instance sends to itself, and grants room once for all that happened.
     pub fn settle(&mut self, now: Time, tick: bool, out: &mut Output) {
         let mut tick = tick;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -5,7 +5,7 @@
 mod orders;
 mod takeover;
 
-use cranberryhatch_schema::fleet::{Ended, Freed, How, Room, Rooms};
+use cranberryhatch_schema::fleet::{Ended, Freed, How, Room, Rooms, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
@@ -69,6 +69,8 @@
     fenced: VecMap<WorkerId, Time>,
     // Starts that were under way when their worker was given up.
     strays: Vec<(WorkerId, Held)>,
+    // Opened workers that run nothing, of which the fronts do not know yet.
+    found_idle: Vec<Takeover>,
 }
 
 impl Owner {
@@ -86,6 +88,7 @@
             wall_ms: 0,
             fenced: VecMap::default(),
             strays: Vec::new(),
+            found_idle: Vec::new(),
         }
     }
 
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -1,6 +1,6 @@
 //! How a worker comes to this instance, and how it goes.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover};
+use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover, Takeovers};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
@@ -54,19 +54,20 @@
             ended: seen.ended.iter().map(|end| found_end(id, end)).collect(),
             token: worker.token,
         };
-        let peers: Vec<InstanceId> = members.peers().iter().map(|peer| peer.id.clone()).collect();
-        let mut waits_for = peers.clone();
-        waits_for.push(self.me.clone());
-        for peer in &waits_for {
-            out.send(peer, Message::Takeover(message.clone()));
-        }
         if seen.running.is_empty() {
+            self.found_idle.push(message);
             worker.charge = Charge::Open;
             let token = worker.token;
             out.note(Note::WorkerOpened { worker: id.clone(), token, found: 0, kept: 0 });
             self.changed.push(id.clone());
             return;
         }
+        let mut waits_for: Vec<InstanceId> =
+            members.peers().iter().map(|peer| peer.id.clone()).collect();
+        waits_for.push(self.me.clone());
+        for peer in &waits_for {
+            out.send(peer, Message::Takeover(message.clone()));
+        }
         let found = seen.running.len();
         worker.charge = Charge::Claiming { until: now + CLAIM_WAIT, waits_for, found };
         // What runs may still have a lease of the earlier owner.
@@ -76,6 +77,20 @@
             seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
     }
 
+    /// Tells all instances of the workers that were opened since the last tick and run nothing: starts of
+    /// earlier owners do not run there any more.
+    ///
+    /// They come in one message: a start of all opens hundreds of workers within a few ticks.
+    pub(super) fn tell_idle(&mut self, out: &mut Output) {
+        if self.found_idle.is_empty() {
+            return;
+        }
+        let takeovers = Takeovers { found: std::mem::take(&mut self.found_idle) };
+        for peer in self.peers.iter().chain([&self.me]) {
+            out.send(peer, Message::Takeovers(takeovers.clone()));
+        }
+    }
+
     /// Takes a front's claim of runs that were found on a worker.
     pub fn claimed(&mut self, front: &InstanceId, claim: &Claim, now: Time, out: &mut Output) {
         let Ok(id) = claim.worker.parse::<WorkerId>() else { return };
