perf(fleet): links by need, and owners by the size of their processors

Cause: each instance kept a link to each other one. Each link that came up changed the view, which was told to all, and 40 owners exchanged signs of life with all every 140 ms, whether or not they had runs for each other. Weighed: (a) all pairs, with slower signs of life: 10,731 connections stay, and the ratio of idle messages stays the ratio of the fleets; (b) a core to which the others are linked; (c) membership by gossip, which needs many rounds until all agree, while duties change within one round trip today. Change: the core of a zone are its largest instances, as many as its workers need by processor share and two spare ones. All are linked to the owners of all zones and to the core of their own; only the core takes duties and has to agree. When one of the core is out of reach, the next one of its zone takes its place; a zone that is cut off finds its core among itself. Workers are shared out by processor share. Signs of life go out every 140 ms only where one side has runs at the other or schedules.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, Job, Listed, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
+    Command, Job, Known, Listed, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
 };
 use cranberryhatch_schema::fleet::{Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -118,6 +118,7 @@
                 }
             }
             Command::Send { to, message } => self.links.send(self, &to, message),
+            Command::Links { peers } => self.links.want(peers),
             Command::Unlink { peer } => self.links.down(&Arc::new(Quiet), &peer),
             Command::Look { worker, token, patience, acked, lease, wait, fresh } => {
                 let look = LookOrder { acked, lease, wait, fresh };
@@ -289,7 +290,7 @@
     }
 
     /// Learns which instances are registered on the platform.
-    pub fn registered(&self, instances: Vec<InstanceId>) {
+    pub fn registered(&self, instances: Vec<Known>) {
         self.node().registered(instances);
     }
 
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cranberryhatch_fleet::{Listed, VecMap};
+use cranberryhatch_fleet::{Known, Listed, VecMap};
 use cranberryhatch_schema::fleet::Hello;
 use cranberryhatch_types::{Span, Time};
 use prost::Message as _;
@@ -231,7 +231,7 @@
                 for value in rows.rows.into_iter().filter_map(|row| row.value) {
                     match Hello::decode(value) {
                         Ok(hello) => {
-                            instances.extend(hello.instance.parse());
+                            instances.extend(crate::links::member(&hello).map(|m| Known::from(&m)));
                             edge.links().learn(&edge, hello);
                         }
                         Err(error) => {
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -208,6 +208,7 @@
         Note::WorkerReached { worker, opens_in } => {
             log::info!(worker = worker.as_str(), opens_in_ms = opens_in.as_ms(); "{name}");
         }
+        Note::CoreEntered { links } => log::info!(links; "{name}"),
         Note::MembersCounted { counted, peers } => {
             let (waited_ms, agreed) = (counted.waited.as_ms(), counted.agreed);
             log::info!(members = counted.members, waited_ms, agreed, peers; "{name}");
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -95,6 +95,10 @@
     lines: AtomicU64,
     // Ends the pauses between tries to connect: a link that comes up may be one of several.
     came_up: Event,
+    // Peers to which this instance keeps a link open, sorted.
+    wanted: Mutex<Vec<InstanceId>>,
+    // Told when the wanted peers change, and when a link is down.
+    changed: Event,
 }
 
 impl Links {
@@ -107,6 +111,8 @@
             peers: Mutex::default(),
             lines: AtomicU64::new(0),
             came_up: Event::new(),
+            wanted: Mutex::default(),
+            changed: Event::new(),
         }
     }
 
@@ -142,7 +148,30 @@
         self.executor.spawn(async move { links.end(&events, &to, number) }).detach();
     }
 
-    /// Learns of a peer and keeps a link to it open.
+    /// Keeps links open to these peers, which are sorted, and to others only as long as they last.
+    pub fn want(&self, peers: Vec<InstanceId>) {
+        *self.wanted.lock().unwrap_or_else(PoisonError::into_inner) = peers;
+        self.changed.notify(usize::MAX);
+    }
+
+    fn is_wanted(&self, id: &InstanceId) -> bool {
+        let wanted = self.wanted.lock().unwrap_or_else(PoisonError::into_inner);
+        wanted.binary_search(id).is_ok()
+    }
+
+    /// Waits until a link to a peer is wanted and missing.
+    async fn until_missing(&self, id: &InstanceId) {
+        loop {
+            let changed = self.changed.listen();
+            let is_down = self.peers().get(id).is_some_and(|peer| peer.line.is_none());
+            if is_down && self.is_wanted(id) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Learns of a peer, to which a link is kept open if it is wanted on either side.
     pub fn learn<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, hello: Hello) {
         let Ok(addr) = hello.addr.parse::<SocketAddr>() else { return };
         let Ok(id) = hello.instance.parse::<InstanceId>() else { return };
@@ -179,20 +208,27 @@
     ) {
         let mut pause = RETRY;
         loop {
-            let called = async { Some(self.call(addr).await) };
             let knocked = async {
                 // Its sender lives as long as this task.
                 let _ = knocks.recv().await;
-                None
             };
-            match called.or(knocked).await {
-                // What was sent before the peer could be reached is not answered.
-                None => continue,
-                Some(Ok((hello, call))) if hello.instance == id.as_str() => {
-                    pause = RETRY;
-                    self.run(&events, &id, hello, call).await;
+            self.until_missing(&id).or(knocked).await;
+            loop {
+                let called = async { Some(self.call(addr).await) };
+                let knocked = async {
+                    let _ = knocks.recv().await;
+                    None
+                };
+                match called.or(knocked).await {
+                    // What was sent before the peer could be reached is not answered.
+                    None => continue,
+                    Some(Ok((hello, call))) if hello.instance == id.as_str() => {
+                        pause = RETRY;
+                        self.run(&events, &id, hello, call).await;
+                    }
+                    Some(Ok(_) | Err(_)) => {}
                 }
-                Some(Ok(_) | Err(_)) => {}
+                break;
             }
             let knocked = async {
                 let _ = knocks.recv().await;
@@ -226,9 +262,8 @@
     /// Tells a peer that opens the connections where this instance is, while there is no link.
     async fn keep_introducing(self: Arc<Self>, id: InstanceId, addr: SocketAddr) {
         loop {
-            if self.peers().get(&id).is_some_and(|peer| peer.line.is_none()) {
-                self.introduce(addr).await;
-            }
+            self.until_missing(&id).await;
+            self.introduce(addr).await;
             self.pause(RETRY_MAX).await;
         }
     }
@@ -342,6 +377,7 @@
         let line = self.peers().get_mut(id).and_then(|peer| peer.line.take());
         if let Some(line) = line {
             line.queue.close();
+            self.changed.notify(usize::MAX);
             events.link_down(id);
         }
     }
@@ -358,13 +394,14 @@
 }
 
 /// What a peer says of itself; none if it cannot be read.
-fn member(hello: &Hello) -> Option<Member> {
+pub(crate) fn member(hello: &Hello) -> Option<Member> {
     Some(Member {
         id: hello.instance.parse().ok()?,
         incarnation: hello.incarnation,
         zone: hello.zone.parse().ok()?,
         cores: hello.cores,
         draining: false,
+        core: false,
         joined: false,
         version: 0,
     })
--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -106,6 +106,8 @@
         for earlier in &all {
             links.learn(&ends, earlier.links.me().clone());
         }
+        let ids = all.iter().map(|end| end.links.me().instance.parse().expect("a name"));
+        links.want(ids.collect());
         all.push(End { links, ends });
     }
     all
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //!     zone: "a".parse().expect("a zone"),
 //!     cores: 250,
 //!     draining: false,
+//!     core: false,
 //!     joined: false,
 //!     version: 0,
 //! };
@@ -37,6 +38,7 @@
 mod owner;
 mod placing;
 mod refusing;
+mod roster;
 mod run_key;
 mod run_life;
 mod run_times;
@@ -63,6 +65,7 @@
 pub use owner::Owner;
 pub use placing::choose;
 pub use refusing::{Hopeless, hopeless};
+pub use roster::{Known, Roster, Standing};
 pub use run_key::{RunKey, TaskKey};
 pub use run_life::{LEASE, RUN_LIFE, lease_length};
 pub use run_times::RunTimes;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,11 +1,16 @@
 //! Instances that are in contact, and the duties that follow from them.
 
+use std::cmp::Reverse;
+
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId, ZoneId};
 
 use crate::VecMap;
 
-/// Workers for which one owner is enough; it starts and ends some ten tasks a second on each.
-const WORKERS_PER_OWNER: usize = 30;
+/// Workers for each core of their owners' processors; an owner starts and ends some ten tasks a second on
+/// each.
+const WORKERS_PER_CORE: usize = 160;
+/// Thousandths of a core in a core.
+const CORE: usize = 1_000;
 /// Fewest owners of a zone, so that the loss of one stops a small part.
 const OWNERS_MIN: usize = 3;
 /// Time for which all must agree before members count while some have not joined, so that those that
@@ -28,7 +33,9 @@
     pub cores: u32,
     /// Whether it is stopping.
     pub draining: bool,
-    /// Whether it knows its peers and the workers.
+    /// Whether it takes duties, now or once it has joined.
+    pub core: bool,
+    /// Whether it takes duties: it belongs to the core, and knows its peers and the workers.
     pub joined: bool,
     /// Version of its settings; 0 for none.
     pub version: u64,
@@ -105,7 +112,9 @@
 
     /// Adds a peer, or replaces what it said before.
     pub fn up(&mut self, member: Member, now: Time) {
-        self.await_agreement(member.id.clone(), now);
+        if member.joined {
+            self.await_agreement(member.id.clone(), now);
+        }
         match self.find(&member.id) {
             Ok(place) => self.peers[place] = member,
             Err(place) => self.peers.insert(place, member),
@@ -128,9 +137,10 @@
         self.await_agreement(self.me.id.clone(), now);
     }
 
-    /// Learns that a peer takes duties, or does so no more.
-    pub fn peer_joined(&mut self, id: &InstanceId, joined: bool, now: Time) {
+    /// Learns that a peer takes duties, or does so no more, and whether it will.
+    pub fn peer_joined(&mut self, id: &InstanceId, core: bool, joined: bool, now: Time) {
         let Some(peer) = self.peer_mut(id) else { return };
+        peer.core = core;
         if !std::mem::replace(&mut peer.joined, joined) && joined {
             self.await_agreement(id.clone(), now);
         }
@@ -146,14 +156,20 @@
         }
     }
 
-    /// Hash of this instance and the peers in reach; equal for instances that see the same.
+    /// Hash of the members of the core in reach, this instance included; equal for instances that see the
+    /// same.
     #[must_use]
     pub fn view(&self) -> u64 {
         let hash = |member: &Member| {
             let life = member.incarnation.wrapping_mul(2) + u64::from(member.joined);
             mix(text_hash(member.id.as_str()) ^ mix(life))
         };
-        self.peers.iter().chain([&self.me]).map(hash).fold(0, u64::wrapping_add)
+        let core = self.core_peers().chain([&self.me].into_iter().filter(|me| me.core));
+        core.map(hash).fold(0, u64::wrapping_add)
+    }
+
+    fn core_peers(&self) -> impl Iterator<Item = &Member> {
+        self.peers.iter().filter(|peer| peer.core)
     }
 
     /// Learns which instances a peer reaches.
@@ -169,11 +185,11 @@
         self.me.joined && !self.pending.contains(&self.me.id)
     }
 
-    /// Whether all peers reach the same instances as this one.
+    /// Whether all of the core reach the same instances of the core as this one.
     #[must_use]
     pub fn is_agreed(&self) -> bool {
         let view = self.view();
-        self.peers.iter().all(|peer| self.views.get(&peer.id) == Some(&view))
+        self.core_peers().all(|peer| self.views.get(&peer.id) == Some(&view))
     }
 
     /// Counts the members that came up or joined, once all have agreed for a while or had the time to;
@@ -183,7 +199,7 @@
         if !agreed {
             self.agreed_at = None;
         }
-        let all_joined = self.me.joined && self.peers.iter().all(|peer| peer.joined);
+        let all_joined = self.me.joined && self.core_peers().all(|peer| peer.joined);
         let wait = if all_joined { Span::ZERO } else { AGREED_FOR };
         let settled = agreed && now.since(*self.agreed_at.get_or_insert(now)) >= wait;
         self.returning &= !settled || self.peers.is_empty();
@@ -220,35 +236,47 @@
 
     /// The instance that grants room: the one with the largest processor that is not quiet.
     ///
-    /// Nothing is lost when it changes, so it changes long before a silent peer counts as out of reach.
+    /// Nothing is lost when it changes, so it changes long before a silent peer counts as out of reach. It
+    /// is one of the first of its zone, to which all instances are linked.
     #[must_use]
     pub fn scheduler(&self) -> Option<&InstanceId> {
         let rank = |member: &&Member| {
             let speaks = self.quiet.binary_search(&member.id).is_err();
             (speaks, member.cores, weight("scheduler", &member.id))
         };
-        self.on_duty().max_by_key(rank).map(|member| &member.id)
+        let members = self.by_rank();
+        let zones = members.chunk_by(|a, b| a.zone == b.zone);
+        let first = zones.flat_map(|zone| zone.iter().take(OWNERS_MIN).copied());
+        first.max_by_key(rank).map(|member| &member.id)
     }
 
-    /// Instances that own workers: some of each zone, the largest first.
-    ///
-    /// With all instances as owners, each would exchange signs of life with each.
+    /// Members on duty by zone, the first to own workers first.
+    fn by_rank(&self) -> Vec<&Member> {
+        let mut members: Vec<(&Member, _)> = self
+            .on_duty()
+            .map(|member| (member, Reverse(owner_rank(member.cores, &member.id))))
+            .collect();
+        members.sort_by(|(a, first), (b, second)| (&a.zone, first).cmp(&(&b.zone, second)));
+        members.into_iter().map(|(member, _)| member).collect()
+    }
+
+    /// Instances that own workers: the largest of each zone, as many as its workers need.
     #[must_use]
     pub fn owners(&self, workers: usize) -> Owners {
-        let mut zones: Vec<&str> = self.on_duty().map(|member| member.zone.as_str()).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        let per_zone = workers.div_ceil(zones.len().max(1)).div_ceil(WORKERS_PER_OWNER);
-        let per_zone = per_zone.max(OWNERS_MIN);
+        let members = self.by_rank();
+        let zones: Vec<&[&Member]> = members.chunk_by(|a, b| a.zone == b.zone).collect();
+        let in_zone = workers.div_ceil(zones.len().max(1));
         let mut owners = Vec::new();
         for zone in zones {
-            let mut members: Vec<&Member> =
-                self.on_duty().filter(|member| member.zone.as_str() == zone).collect();
-            members.sort_by_key(|member| (member.cores, weight("owner", &member.id)));
-            let chosen = members.iter().rev().take(per_zone);
-            owners.extend(chosen.map(|member| (member.id.clone(), zone.to_owned())));
+            let count = owners_needed(zone.iter().map(|member| member.cores), in_zone);
+            owners.extend(zone.iter().take(count).map(|member| Share {
+                id: member.id.clone(),
+                zone: member.zone.to_string(),
+                hash: text_hash(member.id.as_str()),
+                cores: member.cores,
+            }));
         }
-        owners.sort();
+        owners.sort_by(|a, b| a.id.cmp(&b.id));
         Owners { owners }
     }
 
@@ -265,27 +293,69 @@
     }
 }
 
-/// Instances that own workers, with their zones.
+/// Order in which instances of a zone become owners; the largest comes first.
+pub(crate) fn owner_rank(cores: u32, id: &InstanceId) -> (u32, u64) {
+    (cores, weight("owner", id))
+}
+
+/// How many instances of a zone own its workers, of those with these processor shares in the order of
+/// their rank.
+pub(crate) fn owners_needed(cores: impl Iterator<Item = u32>, workers: usize) -> usize {
+    let mut carried = 0;
+    let lacks = |cores: &u32| {
+        let lacks = carried < workers * CORE;
+        carried += *cores as usize * WORKERS_PER_CORE;
+        lacks
+    };
+    cores.take_while(lacks).count().max(OWNERS_MIN)
+}
+
+/// One owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Share {
+    id: InstanceId,
+    zone: String,
+    // Hash of the name.
+    hash: u64,
+    cores: u32,
+}
+
+/// Instances that own workers, with their zones and sizes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Owners {
-    owners: Vec<(InstanceId, String)>,
+    owners: Vec<Share>,
 }
 
 impl Owners {
     /// The instance that owns a worker: one of the worker's zone, if that zone has any.
+    ///
+    /// An instance owns workers in proportion to its size, and a change of the owners moves only those
+    /// of the owners that changed (weighted rendezvous hashing).
     #[must_use]
     pub fn of(&self, worker: &WorkerId, zone: &str) -> Option<&InstanceId> {
-        let rank = |(id, of): &&(InstanceId, String)| (of == zone, weight(worker.as_str(), id));
-        self.owners.iter().max_by_key(rank).map(|(id, _)| id)
+        let hash = text_hash(worker.as_str());
+        let near = |share: &&Share| share.zone == zone;
+        let any_near = self.owners.iter().any(|share| near(&share));
+        let candidates = self.owners.iter().filter(|share| !any_near || near(share));
+        let rank = |share: &Share| f64::from(share.cores.max(1)) / -unit(mix(hash ^ share.hash)).ln();
+        let best = candidates.max_by(|a, b| rank(a).total_cmp(&rank(b)));
+        best.map(|share| &share.id)
     }
 
     /// Whether an instance owns workers.
     #[must_use]
     pub fn contains(&self, id: &InstanceId) -> bool {
-        self.owners.binary_search_by(|(known, _)| known.cmp(id)).is_ok()
+        self.owners.binary_search_by(|share| share.id.cmp(id)).is_ok()
     }
 }
 
+/// A hash as a number between 0 and 1, without both.
+fn unit(hash: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "only 52 bits are left")]
+    let bits = (hash >> 12) as f64;
+    (bits + 0.5) / (1_u64 << 52) as f64
+}
+
 /// Rendezvous weight of an instance for a name; the largest wins.
 fn weight(name: &str, id: &InstanceId) -> u64 {
     mix(fnv(fnv(FNV_OFFSET, name.as_bytes()), id.as_str().as_bytes()))
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -3,13 +3,13 @@
 mod contact;
 
 use bytes::Bytes;
-use contact::Heard;
+use contact::{Heard, Said};
 use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
-    Refusal, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap, note::Note,
+    Command, Front, Job, Known, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
+    Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -45,10 +45,13 @@
     settings_at: Time,
     started: Time,
     // What the last signs of life said of this instance, and of the instances in reach.
-    said: (bool, bool, bool, u64),
+    said: Said,
     view_said: u64,
-    // Registered instances, once the register was read.
-    registered: Vec<InstanceId>,
+    roster: Roster,
+    // Whether the register was read.
+    registered: bool,
+    // When the roster was last reviewed; zero if it changed since.
+    reviewed: Time,
     assigned_at: Time,
     doubt_until: Time,
     // Until when this instance does not schedule after a pause.
@@ -65,6 +68,7 @@
     pub fn new(me: Member, now: Time) -> Self {
         let front = Front::new(me.id.clone(), me.zone.to_string());
         let owner = Owner::new(me.id.clone());
+        let roster = Roster::new(Known::from(&me));
         Self {
             members: Members::new(me),
             listing: Listing::default(),
@@ -77,9 +81,11 @@
             settings: (0, Bytes::new()),
             settings_at: now,
             started: now,
-            said: (false, false, false, 0),
+            said: Said::default(),
             view_said: 0,
-            registered: Vec::new(),
+            roster,
+            registered: false,
+            reviewed: Time::ZERO,
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
             rests_until: Time::ZERO,
@@ -135,12 +141,16 @@
             Heard {
                 at: now,
                 limit: PEER_TIMEOUT,
+                busy: None,
                 told: Time::ZERO,
                 next: Span::ZERO,
                 sign: Time::ZERO,
+                named: Time::ZERO,
                 rests: false,
             },
         );
+        self.roster.learn(Known::from(&peer));
+        self.reviewed = Time::ZERO;
         self.members.up(peer, now);
         self.meet();
         out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
@@ -156,6 +166,7 @@
             return;
         }
         self.meet();
+        self.reviewed = Time::ZERO;
         let heard = self.heard.remove(peer).map_or(now, |heard| heard.at);
         let peers = self.members.peers().len();
         out.note(Note::PeerDown { peer: peer.clone(), silence: now.since(heard), peers });
@@ -175,7 +186,7 @@
             heard.at = now;
             if matches!(message, Body::Start(_)) {
                 // What this instance does for the peer ends soon after the peer's last sign of life.
-                heard.limit = PEER_TIMEOUT;
+                heard.busy = Some(now);
             }
         }
         self.take(from, message, now, out);
@@ -266,10 +277,10 @@
         self.owner.seen_by(from, Time::from_ms(beat.seen_ms), now);
         self.members.sees(from, beat.view);
         let Some(peer) = self.members.peer_mut(from) else { return };
-        let changed = peer.draining != beat.draining || peer.joined != beat.joined;
+        let changed = (peer.draining, peer.joined) != (beat.draining, beat.joined);
         peer.draining = beat.draining;
         peer.version = beat.version;
-        self.members.peer_joined(from, beat.joined, now);
+        self.members.peer_joined(from, beat.core, beat.joined, now);
         if beat.version < self.settings.0 && now.since(self.settings_at) >= SETTINGS_GRACE {
             let (version, body) = (self.settings.0, self.settings.1.to_vec());
             out.send(from, Body::Settings(Settings { version, body }));
@@ -301,8 +312,11 @@
     }
 
     /// Learns which instances are registered.
-    pub fn registered(&mut self, instances: Vec<InstanceId>) {
-        self.registered = instances;
+    pub fn registered(&mut self, instances: Vec<Known>) {
+        let linked = self.members.peers().iter().map(Known::from);
+        self.roster.replace(instances, linked);
+        self.registered = true;
+        self.reviewed = Time::ZERO;
     }
 
     fn assign(&mut self, wall_ms: u64, now: Time) {
@@ -378,6 +392,7 @@
             self.doubt_until = now + DOUBT;
         }
         self.check_peers(now, out);
+        self.review(now, out);
         self.watch_silences(gap, now, out);
         self.count_members(now, out);
         self.join(now, out);
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -6,8 +6,11 @@
 use super::{BEAT_EVERY, Node, PEER_TIMEOUT};
 use crate::{Command, Output, note::Note};
 
-/// Time between two signs of life of instances that do nothing for each other.
+/// Time between two signs of life of the core to instances that do nothing for it; a front that sends a
+/// start names one that is not older.
 const SLOW_BEAT_EVERY: Span = Span::from_ms(700);
+/// Time between two signs of life of an instance without duties to those that do nothing for it.
+const IDLE_BEAT_EVERY: Span = Span::from_ms(1_400);
 /// Longest time that an instance has to find the registered instances before it takes duties.
 const JOIN_TIME: Span = Span::from_ms(600);
 /// Time after a pause for which an instance does not schedule, so that one that stands still again and
@@ -21,16 +24,36 @@
 /// life.
 const MUTED_PART: u64 = 3;
 
+/// Time between two signs of a peer after which the later one is named to it at once.
+const UNNAMED: Span = Span::from_ms(280);
+/// Time between two reviews of the links that this instance needs.
+const REVIEW_EVERY: Span = Span::from_ms(100);
+
+/// What signs of life say of an instance itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Said {
+    draining: bool,
+    core: bool,
+    joined: bool,
+    rests: bool,
+    version: u64,
+}
+
 /// Last sign of life of a peer, and how long it may be silent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Heard {
     pub(super) at: Time,
+    // Silence that its last sign of life announced.
     pub(super) limit: Span,
+    // Since when one side has runs at the other.
+    pub(super) busy: Option<Time>,
     // When this instance last sent a sign of life to it, and when it said that the next one comes.
     pub(super) told: Time,
     pub(super) next: Span,
     // Latest sign of life that was read from it, by its own clock.
     pub(super) sign: Time,
+    // The one that this instance last named to it.
+    pub(super) named: Time,
     // Whether it said that it stood still lately.
     pub(super) rests: bool,
 }
@@ -38,7 +61,17 @@
 impl Heard {
     /// Whether the peer has said nothing for a part of the silence that ends the link.
     fn is_silent_for(&self, part: u64, now: Time) -> bool {
-        now.since(self.at) >= self.limit / part
+        match self.busy {
+            Some(since) => now.since(self.at.max(since)) >= self.limit.min(PEER_TIMEOUT) / part,
+            None => now.since(self.at) >= self.limit / part,
+        }
+    }
+
+    /// Whether a sign of life is due that is sent every so often.
+    fn is_due(&self, every: Span, now: Time) -> bool {
+        // A lease lasts no longer than the signs of its owner that its front has named.
+        let unnamed = self.busy.is_some() && self.sign.since(self.named) >= UNNAMED;
+        unnamed || now.since(self.told) >= every.min(self.next)
     }
 }
 
@@ -78,15 +111,39 @@
         }
     }
 
+    /// Works out which links this instance needs, and whether it takes duties.
+    pub(super) fn review(&mut self, now: Time, out: &mut Output) {
+        // An instance that has not read the register does not know who is larger.
+        let known = self.registered || now.since(self.started) >= JOIN_TIME;
+        if !known || now.since(self.reviewed) < REVIEW_EVERY {
+            return;
+        }
+        self.reviewed = now;
+        let members = &self.members;
+        let is_linked = |id: &InstanceId| members.peer(id).is_some();
+        let before = self.roster.standing().core;
+        let owns = self.owners.contains(&members.me().id);
+        if !self.roster.review(is_linked, self.listing.all().len(), owns, now) {
+            return;
+        }
+        let standing = self.roster.standing();
+        if standing.core != before {
+            out.note(Note::CoreEntered { links: standing.links.len() });
+        }
+        self.members.me_mut().core = standing.core;
+        out.commands.push(Command::Links { peers: standing.links.clone() });
+    }
+
     pub(super) fn join(&mut self, now: Time, out: &mut Output) {
         let listed = self.listing.read_at > Time::ZERO;
-        if self.members.me().joined || !listed {
+        let me = self.members.me();
+        if me.joined || !me.core || !listed {
             return;
         }
         // An instance that sees nobody may be the first of several.
         let alone = self.members.peers().is_empty();
-        let all = self.registered.iter().all(|id| self.members.reaches(id));
-        let complete = !alone && !self.registered.is_empty() && all;
+        let all = self.roster.standing().links.iter().all(|id| self.members.reaches(id));
+        let complete = !alone && self.registered && all;
         if !complete && now.since(self.started) < JOIN_TIME {
             return;
         }
@@ -99,36 +156,38 @@
     pub(super) fn send_beats(&mut self, now: Time, out: &mut Output) {
         let me = self.members.me();
         let rests = now < self.rests_until;
-        let said = (me.draining, me.joined, rests, self.settings.0);
+        let (draining, core, joined) = (me.draining, me.core, me.joined);
+        let version = self.settings.0;
+        let said = Said { draining, core, joined, rests, version };
         let all = std::mem::replace(&mut self.said, said) != said;
         let (runs_at, runs_of) = (self.front.owners(), self.owner.fronts());
+        let elected = self.elected.as_ref();
         for (id, heard) in self.heard.iter_mut() {
-            let every = if self.owners.contains(&me.id)
-                || self.owners.contains(id)
-                || runs_at.binary_search(id).is_ok()
-                || runs_of.binary_search(id).is_ok()
-                || self.elected.as_ref().is_some_and(|elected| elected == id || *elected == me.id)
-            {
-                BEAT_EVERY
-            } else {
-                SLOW_BEAT_EVERY
+            let has_runs = runs_at.binary_search(id).is_ok() || runs_of.binary_search(id).is_ok();
+            heard.busy = has_runs.then(|| heard.busy.unwrap_or(now));
+            let schedules = elected == Some(id) || elected == Some(&me.id);
+            let every = match (has_runs || schedules, core) {
+                (true, _) => BEAT_EVERY,
+                (false, true) => SLOW_BEAT_EVERY,
+                (false, false) => IDLE_BEAT_EVERY,
             };
-            if !all && now.since(heard.told) < every.min(heard.next) {
+            if !all && !heard.is_due(every, now) {
                 continue;
             }
             heard.told = now;
             heard.next = every;
-            let (draining, joined, rests, version) = said;
+            heard.named = heard.sign;
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
             let view = self.view_said;
-            let beat = Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests };
+            let beat =
+                Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests, core };
             out.send(id, Body::Beat(beat));
         }
     }
 
     pub(super) fn check_peers(&mut self, now: Time, out: &mut Output) {
-        let silent = |heard: &Heard| now.since(heard.at) >= heard.limit;
+        let silent = |heard: &Heard| heard.is_silent_for(1, now);
         let lost: Vec<InstanceId> = self
             .heard
             .iter()
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -83,6 +83,11 @@
         /// Time until it is opened, if it is this instance's then.
         opens_in: Span,
     },
+    /// This instance belongs to the core from now on: it takes duties and is linked to all.
+    CoreEntered {
+        /// Links that it keeps open.
+        links: usize,
+    },
     /// Members that came up or joined count for duties from now on.
     MembersCounted {
         /// Which, and why now.
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -33,6 +33,11 @@
         /// The message.
         message: Message,
     },
+    /// Keep links open to these peers and to no others that do not ask for it.
+    Links {
+        /// The peers, sorted.
+        peers: Vec<InstanceId>,
+    },
     /// Close the link to a peer that is silent, and open a new one.
     Unlink {
         /// The peer.
--- /dev/null
+++ b/crates/fleet/src/roster.rs
@@ -0,0 +1,150 @@
+//! Known instances, those of them that take duties, and the links that this instance needs.
+//!
+//! The *core* of a zone are its first instances by rank: those that own its workers, and some spare
+//! ones. Every instance is linked to the owners of all zones and to the core of its own, and the core of
+//! all zones to each other, so the links of an instance grow with the core and not with the fleet. If the
+//! core of a zone is out of reach, the next instances of that zone take its place.
+
+use cranberryhatch_types::{InstanceId, Span, Time, ZoneId};
+
+use crate::{
+    Member, VecMap,
+    members::{owner_rank, owners_needed},
+};
+
+/// Instances of the core of a zone beyond those that own workers, which take over without new links.
+const SPARE: usize = 2;
+/// Time without a link after which the next instance of the zone takes the place of one of the core;
+/// a process is started again within a second.
+const ABSENT: Span = Span::from_ms(1_500);
+
+/// An instance that is known, in reach or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// Name.
+    pub id: InstanceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Processor share in thousandths of a core.
+    pub cores: u32,
+}
+
+impl From<&Member> for Known {
+    fn from(member: &Member) -> Self {
+        Self { id: member.id.clone(), zone: member.zone.clone(), cores: member.cores }
+    }
+}
+
+/// Links that an instance needs, and whether it belongs to the core.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it belongs to the core; it does so until its process ends.
+    pub core: bool,
+    /// Peers to which it keeps a link open, sorted.
+    pub links: Vec<InstanceId>,
+}
+
+/// All known instances.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: Known,
+    // By zone, and by rank within it.
+    known: Vec<Known>,
+    // Instances of the core without a link, and since when.
+    absent: VecMap<InstanceId, Time>,
+    standing: Standing,
+}
+
+impl Roster {
+    /// Only this instance.
+    #[must_use]
+    pub fn new(me: Known) -> Self {
+        let known = vec![me.clone()];
+        Self { me, known, absent: VecMap::default(), standing: Standing::default() }
+    }
+
+    /// Learns of an instance.
+    pub fn learn(&mut self, known: Known) {
+        self.known.retain(|other| other.id != known.id);
+        self.known.push(known);
+        self.sort();
+    }
+
+    /// Takes the registered instances; `linked` are in reach and may not be registered.
+    pub fn replace(&mut self, registered: Vec<Known>, linked: impl Iterator<Item = Known>) {
+        self.known = registered;
+        for known in linked.chain([self.me.clone()]) {
+            self.known.retain(|other| other.id != known.id);
+            self.known.push(known);
+        }
+        self.sort();
+    }
+
+    fn sort(&mut self) {
+        let rank = |known: &Known| owner_rank(known.cores, &known.id);
+        self.known.sort_by(|a, b| a.zone.cmp(&b.zone).then_with(|| rank(b).cmp(&rank(a))));
+    }
+
+    /// What this instance is and needs.
+    #[must_use]
+    pub const fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// Works out the standing; whether it changed.
+    ///
+    /// `owns` tells whether this instance owns workers.
+    pub fn review(
+        &mut self,
+        is_linked: impl Fn(&InstanceId) -> bool,
+        workers: usize,
+        owns: bool,
+        now: Time,
+    ) -> bool {
+        let mut owners = Vec::new();
+        let mut spares = Vec::new();
+        let mut absent = VecMap::default();
+        let zones: Vec<&[Known]> = self.known.chunk_by(|a, b| a.zone == b.zone).collect();
+        let in_zone = workers.div_ceil(zones.len());
+        for zone in zones {
+            let needed = owners_needed(zone.iter().map(|known| known.cores), in_zone);
+            let mut counted = 0;
+            for known in zone {
+                if counted == needed + SPARE {
+                    break;
+                }
+                let rank = if counted < needed { &mut owners } else { &mut spares };
+                rank.push(known);
+                counted += 1;
+                if known.id == self.me.id || is_linked(&known.id) {
+                    continue;
+                }
+                let since = *self.absent.get(&known.id).unwrap_or(&now);
+                absent.insert(known.id.clone(), since);
+                // Those that take the place of an instance of another zone introduce themselves here.
+                if known.zone == self.me.zone && now.since(since) >= ABSENT {
+                    counted -= 1;
+                }
+            }
+        }
+        let is_me = |known: &&Known| known.id == self.me.id;
+        let is_near = |known: &&Known| known.zone == self.me.zone;
+        let owns = owns || owners.iter().any(|known| is_me(known));
+        let core = owns || self.standing.core || spares.iter().any(|known| is_me(known));
+        let mut needed: Vec<&Known> = if owns {
+            self.known.iter().collect()
+        } else if core {
+            let near = self.known.iter().filter(is_near);
+            near.chain(owners).chain(spares).collect()
+        } else {
+            owners.into_iter().chain(spares.into_iter().filter(is_near)).collect()
+        };
+        needed.retain(|known| !is_me(known));
+        let mut links: Vec<InstanceId> = needed.into_iter().map(|known| known.id.clone()).collect();
+        links.sort();
+        links.dedup();
+        self.absent = absent;
+        let standing = Standing { core, links };
+        std::mem::replace(&mut self.standing, standing.clone()) != standing
+    }
+}
--- a/crates/fleet/tests/beats.rs
+++ b/crates/fleet/tests/beats.rs
@@ -19,6 +19,7 @@
         zone: "a".parse().expect("a zone"),
         cores,
         draining: false,
+        core: true,
         joined: number > 0,
         version: 0,
     }
@@ -39,7 +40,7 @@
     for at in (START..START + 4_000).step_by(20) {
         let now = Time::from_ms(at);
         for peer in &peers {
-            let beat = Beat { joined: true, next_ms: 140, ..Beat::default() };
+            let beat = Beat { core: true, joined: true, next_ms: 140, ..Beat::default() };
             node.message(&peer.id, Message::Beat(beat), now, &mut out);
         }
         if at == START + drained {
@@ -79,7 +80,7 @@
     let mut count = vec![0; PEERS];
     for at in (START..START + 7_000).step_by(20) {
         for peer in &peers {
-            let beat = Beat { joined: true, next_ms: 140, ..Beat::default() };
+            let beat = Beat { core: true, joined: true, next_ms: 140, ..Beat::default() };
             node.message(peer, Message::Beat(beat), Time::from_ms(at), &mut out);
         }
         node.tick(0, Time::from_ms(at), &mut out);
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -86,6 +86,7 @@
         zone: "a".parse().expect("a zone"),
         cores: 250,
         draining: false,
+        core: true,
         joined,
         version: 0,
     }
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -12,7 +12,16 @@
 /// A member that schedules if it counts: the one with the most cores does.
 fn member(name: &str, cores: u32, joined: bool) -> Member {
     let zone = "a".parse().expect("a zone");
-    Member { id: id(name), incarnation: 1, zone, cores, draining: false, joined, version: 0 }
+    Member {
+        id: id(name),
+        incarnation: 1,
+        zone,
+        cores,
+        draining: false,
+        core: true,
+        joined,
+        version: 0,
+    }
 }
 
 /// An instance that has joined and counts itself and a peer.
@@ -71,7 +80,7 @@
     ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
     assert_eq!(members.count(START), None, "one may join in a moment");
     let joined = START + Span::from_ms(40);
-    members.peer_joined(&id("new"), true, joined);
+    members.peer_joined(&id("new"), true, true, joined);
     assert_eq!(members.count(joined), None, "the others may not know that it joined");
     let view = members.view();
     ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -31,6 +31,7 @@
             zone: "a".parse().expect("a zone"),
             cores: 250,
             draining: false,
+            core: true,
             joined: true,
             version: 0,
         };
--- a/crates/fleet/tests/stopping.rs
+++ b/crates/fleet/tests/stopping.rs
@@ -24,7 +24,16 @@
 
 fn member(name: &str, cores: u32) -> Member {
     let (id, zone) = (id(name), "a".parse().expect("a zone"));
-    Member { id, incarnation: 1, zone, cores, draining: false, joined: true, version: 0 }
+    Member {
+        id,
+        incarnation: 1,
+        zone,
+        cores,
+        draining: false,
+        core: true,
+        joined: true,
+        version: 0,
+    }
 }
 
 fn job(name: &str, declared: &[(u64, Vec<u32>)], limit: Span) -> Job {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -14,7 +14,7 @@
 };
 
 use cranberryhatch_fleet::{
-    Command, DropCause, Job, Listed, LookAnswer, Looked, Member, Message, Need, Node, Note,
+    Command, DropCause, Job, Known, Listed, LookAnswer, Looked, Member, Message, Need, Node, Note,
     Outcome, Output, Policy, RunKey, StartAnswer, Step,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
@@ -168,6 +168,8 @@
     /// How far its time of day is ahead, in milliseconds.
     pub ahead: u64,
     member: Member,
+    // Peers to which it keeps links open.
+    wanted: Vec<InstanceId>,
     waiting: VecDeque<Happening>,
 }
 
@@ -214,6 +216,10 @@
     pub requests: Vec<Request>,
     pub odds: Odds,
     pub starts: Vec<RunKey>,
+    /// Messages between instances that arrived.
+    pub messages: u64,
+    /// Workers that were opened, and when.
+    pub opened: Vec<(u64, WorkerId)>,
     /// Prints decisions.
     pub verbose: bool,
     /// Broken promises.
@@ -245,8 +251,14 @@
 }
 
 impl World {
-    /// Instances and workers, spread evenly over zones, that have joined.
+    /// Instances of one size and workers, spread evenly over zones, that have joined.
     pub fn new(seed: u64, zones: usize, instances: usize, workers: usize) -> Self {
+        Self::with_cores(seed, zones, &vec![250; instances], workers)
+    }
+
+    /// The same with the processor share of each instance, in thousandths of a core.
+    pub fn with_cores(seed: u64, zones: usize, cores: &[u32], workers: usize) -> Self {
+        let instances = cores.len();
         let mut rng = fastrand::Rng::with_seed(seed);
         let workers = (0..workers)
             .map(|index| {
@@ -272,11 +284,13 @@
                 id: format!("e-{index}").parse().expect("an id"),
                 incarnation: 1,
                 zone: format!("z{}", index % zones).parse().expect("a zone"),
-                cores: 250,
+                cores: cores[index],
                 draining: false,
+                core: false,
                 joined: false,
                 version: 0,
             },
+            wanted: Vec::new(),
             waiting: VecDeque::new(),
         });
         let mut world = Self {
@@ -291,6 +305,8 @@
             requests: Vec::new(),
             odds: Odds::default(),
             starts: Vec::new(),
+            messages: 0,
+            opened: Vec::new(),
             verbose: std::env::var_os("FUZZ_VERBOSE").is_some(),
             faults: Vec::new(),
             sessions: vec![vec![0; instances]; instances],
@@ -383,6 +399,7 @@
             Happening::Deliver { from, to, session, message } => {
                 // A process reads what has arrived until it notices the end of the link.
                 if self.read_from[to][from] == session {
+                    self.messages += 1;
                     let id = self.id(from);
                     self.decide(to, |n, now, out| {
                         n.message(&id, *message, now, out);
@@ -498,6 +515,13 @@
                     self.at(at, Happening::Deliver { from: node, to, session, message });
                 }
             }
+            Command::Links { peers } => {
+                let known = std::mem::replace(&mut self.instances[node].wanted, peers.clone());
+                for peer in peers.iter().filter(|peer| known.binary_search(peer).is_err()) {
+                    let b = self.index(peer);
+                    self.later(Happening::Connect { a: node, b });
+                }
+            }
             Command::Unlink { peer } => {
                 let peer = self.index(&peer);
                 self.read_from[node][peer] = 0;
@@ -577,6 +601,9 @@
                 if matches!(note, Note::WorkerDropped { cause: DropCause::Fenced, .. }) {
                     self.fences.push(self.now);
                 }
+                if let Note::WorkerOpened { worker, .. } = &note {
+                    self.opened.push((self.now, worker.clone()));
+                }
                 if self.verbose {
                     println!("{} e-{node} {note:?}", self.now);
                 }
@@ -674,14 +701,10 @@
         let life = instance.life;
         let wall = self.wall(node);
         self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
-        let all = (0..self.instances.len()).map(|node| self.id(node)).collect();
+        let all = self.instances.iter().map(|instance| Known::from(&instance.member)).collect();
         self.decide(node, |n, _, _| n.registered(all));
         self.at(self.now + 1, Happening::Tick { node, life });
-        for peer in 0..self.instances.len() {
-            if peer != node {
-                self.later(Happening::Connect { a: node, b: peer });
-            }
-        }
+        self.instances[node].wanted.clear();
     }
 
     fn wall(&self, node: usize) -> u64 {
@@ -700,11 +723,15 @@
         }
     }
 
+    fn wants(&self, node: usize, peer: usize) -> bool {
+        self.instances[node].wanted.binary_search(&self.instances[peer].member.id).is_ok()
+    }
+
     fn connect(&mut self, a: usize, b: usize) {
         let alive = |i: &Instance| i.node.is_some() && !i.frozen;
         let both = alive(&self.instances[a]) && alive(&self.instances[b]);
         let (there, back) = (self.sessions[a][b], self.sessions[b][a]);
-        if there > 0 && there == back {
+        if there > 0 && there == back || !(self.wants(a, b) || self.wants(b, a)) {
             return;
         }
         if !both || !self.linked(a, b) {
