perf(edge): one instance of a zone reads the list of workers for the others

Cause: each instance read the changes of all 1,100 entries twice a second; each entry changes its sequence number every 1.5 s. Ruled out: the first whole list, some 60 MB for all instances. Change: the largest member of the core of a zone reads for its zone. It passes on only what changed for us, with the version and a digest of the whole list. An instance that has lately heard of the same list does not read; one whose list differs, or that hears nothing for a second, reads the store as before. Entries that are kept for a grace after an outage are passed on when they are back. Other instances wait up to 3 s for settings, which ends at once when they change.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,19 +11,23 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, Job, Known, Listed, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
+    Command, Job, Known, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
 };
-use cranberryhatch_schema::fleet::{Hello, frame::Body};
+use cranberryhatch_schema::fleet::{self, Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
 use smol::{Executor, Timer};
 
-use crate::{Catalog, Clock, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port};
+use crate::{Catalog, Clock, Entries, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port};
 
 /// Time between two ticks; the shortest task takes some 30 ms.
 const TICK: Duration = Duration::from_millis(20);
 /// Ticks between two measurements of gauges.
 const GAUGE_TICKS: u32 = 50;
 
+/// Time after a message of the reader of the zone in which the store is not read; it speaks twice a
+/// second, and a worker that leaves must get no starts 2 s after it says so.
+const TOLD_FOR: Span = Span::from_ms(1_000);
+
 /// Characters of a rejected request's path in a log line; names of jobs have 16.
 const REQUEST_SHOWN: usize = 64;
 
@@ -39,7 +43,10 @@
     catalog: RwLock<Option<Arc<Catalog>>>,
     journal: Journal,
     meters: Meters,
+    entries: Mutex<Entries>,
     list_read: AtomicU64,
+    // When the reader of the zone last told of the same workers that are known here.
+    told: AtomicU64,
 }
 
 impl<P: Port> Edge<P> {
@@ -58,7 +65,9 @@
             catalog: RwLock::default(),
             journal: Journal::default(),
             meters: Meters::default(),
+            entries: Mutex::default(),
             list_read: AtomicU64::new(0),
+            told: AtomicU64::new(0),
         }
     }
 
@@ -282,10 +291,47 @@
         self.decide(|node, now, out| node.settings(version, body, now, out));
     }
 
-    /// Takes a list of workers that was read from the platform.
-    pub fn listed(self: &Arc<Self>, workers: Vec<Listed>) {
-        let wall = self.clock.wall_ms();
+    /// Entries of workers.
+    pub fn entries(&self) -> MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this instance reads the store for its zone, or does not know who does.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.node().is_reader()
+    }
+
+    /// Whether the reader of the zone has lately told of the same workers that are known here.
+    #[must_use]
+    pub fn is_told_of_workers(&self) -> bool {
+        let told = Time::from_ms(self.told.load(Ordering::Relaxed));
+        told > Time::ZERO && self.clock.now().since(told) < TOLD_FOR && !self.is_reader()
+    }
+
+    /// Passes changes of workers on to the instances of the zone, if this one reads for them.
+    pub fn pass_on_workers(self: &Arc<Self>) {
         self.list_read.store(self.clock.now().as_ms(), Ordering::Relaxed);
+        let workers = self.entries().pass_on();
+        self.decide(|node, _, out| node.pass_on(&workers, out));
+    }
+
+    fn told(self: &Arc<Self>, workers: fleet::Workers) {
+        let (changed, same) = self.entries().told(workers);
+        if same {
+            let now = self.clock.now().as_ms();
+            self.told.store(now, Ordering::Relaxed);
+            self.list_read.store(now, Ordering::Relaxed);
+        }
+        if changed {
+            self.listed();
+        }
+    }
+
+    /// Takes the workers as the entries are now.
+    pub fn listed(self: &Arc<Self>) {
+        let wall = self.clock.wall_ms();
+        let workers = self.entries().list();
         self.decide(|node, now, out| node.listed(workers, wall, now, out));
     }
 
@@ -337,7 +383,12 @@
         self.decide(|node, now, out| node.link_down(peer, now, out));
     }
 
-    fn messages(self: &Arc<Self>, peer: &InstanceId, messages: Vec<Body>) {
+    fn messages(self: &Arc<Self>, peer: &InstanceId, mut messages: Vec<Body>) {
+        for message in &mut messages {
+            if let Body::Workers(workers) = message {
+                self.told(std::mem::take(workers));
+            }
+        }
         self.decide(|node, now, out| {
             for message in messages {
                 node.message(peer, message, now, out);
--- /dev/null
+++ b/crates/edge/src/entries.rs
@@ -0,0 +1,183 @@
+//! Entries of workers, as the store or the reader of the zone tells them.
+
+use cranberryhatch_fleet::{Listed, Need, VecMap, text_hash};
+use cranberryhatch_schema::fleet;
+use cranberryhatch_types::{Time, WorkerId};
+
+/// A change of an entry; no worker if it is gone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    /// Id of the worker.
+    pub key: String,
+    /// The worker.
+    pub listed: Option<Listed>,
+}
+
+/// Entries of workers, with those that vanished while the store was away.
+#[derive(Debug, Default)]
+pub struct Entries {
+    workers: VecMap<String, Listed>,
+    // When an entry that is missing after an outage counts as gone.
+    missing: VecMap<String, Time>,
+    // Version up to which they are complete; none before a whole list was read.
+    version: Option<u64>,
+    // Sum of the hashes of all workers.
+    digest: u64,
+    // Entries that changed since they were last passed on.
+    changed: Vec<String>,
+}
+
+impl Entries {
+    /// Version up to which they are complete; none before a whole list was read.
+    #[must_use]
+    pub const fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// Reads the whole list again the next time.
+    pub const fn forget_version(&mut self) {
+        self.version = None;
+    }
+
+    /// Takes a whole list or changes that were read from the store; whether any worker changed.
+    ///
+    /// Workers that are missing from the store are kept until `grace`, if there is one.
+    pub fn read(
+        &mut self,
+        whole: bool,
+        changes: Vec<Change>,
+        version: u64,
+        grace: Option<Time>,
+    ) -> bool {
+        if self.version.is_some_and(|known| known > version) {
+            // The reader of the zone has told of a later version while the answer was under way.
+            return false;
+        }
+        self.version = Some(version);
+        let mut changed = false;
+        if whole {
+            let mut listed: Vec<&str> = changes.iter().map(|change| change.key.as_str()).collect();
+            listed.sort_unstable();
+            let is_gone = |key: &&String| listed.binary_search(&key.as_str()).is_err();
+            let gone: Vec<String> =
+                self.workers.iter().map(|(key, _)| key).filter(is_gone).cloned().collect();
+            for key in gone {
+                changed |= self.remove(key, grace);
+            }
+        }
+        for Change { key, listed } in changes {
+            changed |= match listed {
+                Some(listed) => self.put(key, listed),
+                None => self.remove(key, grace),
+            };
+        }
+        changed
+    }
+
+    fn put(&mut self, key: String, listed: Listed) -> bool {
+        let returned = self.missing.remove(&key).is_some();
+        if self.workers.get(&key) == Some(&listed) {
+            if returned {
+                self.changed.push(key);
+            }
+            return false;
+        }
+        self.digest = self.digest.wrapping_add(hash(&listed));
+        if let Some(before) = self.workers.insert(key.clone(), listed) {
+            self.digest = self.digest.wrapping_sub(hash(&before));
+        }
+        self.changed.push(key);
+        true
+    }
+
+    fn remove(&mut self, key: String, grace: Option<Time>) -> bool {
+        if let Some(until) = grace {
+            if self.workers.contains(&key) {
+                self.missing.entry(key, || until);
+            }
+            return false;
+        }
+        self.missing.remove(&key);
+        let Some(before) = self.workers.remove(&key) else { return false };
+        self.digest = self.digest.wrapping_sub(hash(&before));
+        self.changed.push(key);
+        true
+    }
+
+    /// Removes workers whose grace is over; whether there were any.
+    pub fn expire(&mut self, now: Time) -> bool {
+        let due = self.missing.iter().filter(|(_, until)| now >= **until);
+        let gone: Vec<String> = due.map(|(key, _)| key.clone()).collect();
+        gone.into_iter().fold(false, |changed, key| self.remove(key, None) || changed)
+    }
+
+    /// Changes since the last call, for the instances that do not read the store.
+    pub fn pass_on(&mut self) -> fleet::Workers {
+        let mut keys = std::mem::take(&mut self.changed);
+        keys.sort();
+        keys.dedup();
+        let entry = |id: String| {
+            let listed = self.workers.get(&id).map(to_wire);
+            fleet::Entry { id, listed }
+        };
+        let changes = keys.into_iter().map(entry).collect();
+        fleet::Workers { version: self.version.unwrap_or_default(), digest: self.digest, changes }
+    }
+
+    /// Takes what the reader of the zone says; whether any worker changed, and whether all of the list
+    /// is as the reader has it.
+    pub fn told(&mut self, workers: fleet::Workers) -> (bool, bool) {
+        let Some(known) = self.version else { return (false, false) };
+        let mut changed = false;
+        if workers.version >= known {
+            for fleet::Entry { id, listed } in workers.changes {
+                changed |= match listed.map(|listed| from_wire(&id, listed)) {
+                    Some(Some(listed)) => self.put(id, listed),
+                    // Unreadable: the digests differ then, and the store is read.
+                    Some(None) => false,
+                    None => self.remove(id, None),
+                };
+            }
+        }
+        // Only a reader passes changes on, and it starts with the next one that it reads.
+        self.changed.clear();
+        let same = self.digest == workers.digest;
+        if same {
+            self.version = Some(known.max(workers.version));
+        }
+        (changed, same)
+    }
+
+    /// All workers.
+    #[must_use]
+    pub fn list(&self) -> Vec<Listed> {
+        self.workers.iter().map(|(_, listed)| listed.clone()).collect()
+    }
+}
+
+fn hash(listed: &Listed) -> u64 {
+    text_hash(&format!("{listed:?}"))
+}
+
+fn to_wire(listed: &Listed) -> fleet::Listed {
+    fleet::Listed {
+        service: listed.service.clone(),
+        addr: listed.addr.to_string(),
+        zone: listed.zone.clone(),
+        labels: listed.labels.clone(),
+        room: Some((&listed.room).into()),
+        draining: listed.draining,
+    }
+}
+
+fn from_wire(id: &str, listed: fleet::Listed) -> Option<Listed> {
+    Some(Listed {
+        id: id.parse::<WorkerId>().ok()?,
+        service: listed.service,
+        addr: listed.addr.parse().ok()?,
+        zone: listed.zone,
+        labels: listed.labels,
+        room: Need::from(&listed.room?),
+        draining: listed.draining,
+    })
+}
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,21 +2,25 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cranberryhatch_fleet::{Known, Listed, VecMap};
+use cranberryhatch_fleet::Known;
 use cranberryhatch_schema::fleet::Hello;
 use cranberryhatch_types::{Span, Time};
 use prost::Message as _;
 use smol::Timer;
 
-use crate::{Edge, List, Meters, Port, Rows, StoreError};
+use crate::{Edge, List, Meters, Port, Row, Rows, StoreError, entries::Change};
 
 /// Longest time that the store may wait for a change of the settings.
 ///
 /// Short, so that a connection that went silent is noticed long before settings must be in force.
 const SETTINGS_WAIT: Span = Span::from_ms(1_000);
+/// The same where another instance of the zone waits for that time: what it reads comes here too.
+const SETTINGS_WAIT_LONG: Span = Span::from_ms(3_000);
 /// Time between two reads of the changes of the workers; each worker changes its entry every 1.5 s,
 /// and must get no starts 2 s after it says that it leaves.
 const WORKERS_EVERY: Duration = Duration::from_millis(500);
+/// Time between two checks whether the reader of the zone still speaks.
+const TOLD_CHECK: Duration = Duration::from_millis(100);
 /// Time between two reads of the instances; instances that start introduce themselves.
 const INSTANCES_EVERY: Duration = Duration::from_secs(10);
 /// First time between two tries after a failure.
@@ -78,7 +82,8 @@
     let mut backoff = Backoff::new();
     let mut after = None;
     loop {
-        match step(&edge, List::Settings, after, SETTINGS_WAIT).await {
+        let wait = if edge.is_reader() { SETTINGS_WAIT } else { SETTINGS_WAIT_LONG };
+        match step(&edge, List::Settings, after, wait).await {
             Ok(rows) => {
                 backoff.succeeded(List::Settings);
                 after = Some(rows.version);
@@ -97,92 +102,36 @@
     }
 }
 
-/// Entries of workers, with those that vanished while the store was away.
-#[derive(Default)]
-struct Entries {
-    workers: VecMap<String, Listed>,
-    // When an entry that is missing after an outage counts as gone.
-    missing: VecMap<String, Time>,
-}
-
-impl Entries {
-    fn put<P: Port>(&mut self, edge: &Edge<P>, key: String, value: &[u8]) -> bool {
-        self.missing.remove(&key);
-        match edge.port().decode_worker(&key, value) {
-            Ok(listed) => {
-                let changed = self.workers.get(&key) != Some(&listed);
-                self.workers.insert(key, listed);
-                changed
-            }
+/// Reads the entries of rows; those that cannot be read name no worker.
+fn decode<P: Port>(edge: &Edge<P>, rows: Vec<Row>) -> Vec<Change> {
+    let decode = |Row { key, value }: Row| {
+        let listed = value.and_then(|value| match edge.port().decode_worker(&key, &value) {
+            Ok(listed) => Some(listed),
             Err(error) => {
-                let known = self.workers.remove(&key).is_some();
-                if known {
-                    log::warn!(worker = key, error = error.to_string(); "worker-unreadable");
-                }
-                known
+                log::warn!(worker = key, error = error.to_string(); "worker-unreadable");
+                None
             }
-        }
-    }
-
-    fn apply<P: Port>(&mut self, edge: &Edge<P>, rows: Rows, grace: Option<Time>) -> bool {
-        let mut changed = false;
-        for row in rows.rows {
-            match (row.value, grace) {
-                (Some(value), _) => changed |= self.put(edge, row.key, &value),
-                (None, Some(until)) if self.workers.contains(&row.key) => {
-                    self.missing.insert(row.key, until);
-                }
-                (None, _) => changed |= self.workers.remove(&row.key).is_some(),
-            }
-        }
-        changed
-    }
-
-    /// Takes a whole list; entries that are missing from it are gone.
-    fn replace<P: Port>(&mut self, edge: &Edge<P>, rows: Rows, grace: Option<Time>) -> bool {
-        let listed: Vec<String> = rows.rows.iter().map(|row| row.key.clone()).collect();
-        let missing = |key: &String| !listed.contains(key);
-        let gone: Vec<String> =
-            self.workers.iter().map(|(key, _)| key.clone()).filter(missing).collect();
-        let mut changed = self.apply(edge, rows, None);
-        for key in gone {
-            match grace {
-                Some(until) => {
-                    self.missing.entry(key, || until);
-                }
-                None => changed |= self.workers.remove(&key).is_some(),
-            }
-        }
-        changed
-    }
-
-    fn expire(&mut self, now: Time) -> bool {
-        let due = |until: &Time| now >= *until;
-        let gone: Vec<String> = self
-            .missing
-            .iter()
-            .filter(|(_, until)| due(until))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in &gone {
-            self.missing.remove(key);
-            self.workers.remove(key);
-        }
-        !gone.is_empty()
-    }
-
-    fn list(&self) -> Vec<Listed> {
-        self.workers.iter().map(|(_, listed)| listed.clone()).collect()
-    }
+        });
+        Change { key, listed }
+    };
+    rows.into_iter().map(decode).collect()
 }
 
-/// Follows the entries of workers.
+/// Follows the entries of workers: from the store, or by what the reader of the zone says.
 pub async fn follow_workers<P: Port>(edge: Arc<Edge<P>>) {
     let mut backoff = Backoff::new();
-    let mut entries = Entries::default();
-    let mut after: Option<u64> = None;
     let mut grace_until = Time::ZERO;
+    let mut was_told = false;
     loop {
+        let told = edge.is_told_of_workers();
+        if std::mem::replace(&mut was_told, told) != told {
+            log::info!(reader = told; "workers-source");
+        }
+        if told {
+            Timer::after(TOLD_CHECK).await;
+            continue;
+        }
+        let after = edge.entries().version();
         match step(&edge, List::Workers, after, Span::ZERO).await {
             Ok(rows) => {
                 let now = edge.clock().now();
@@ -191,19 +140,19 @@
                 }
                 let grace = (now < grace_until).then_some(grace_until);
                 let whole = after.is_none();
-                after = Some(rows.version);
-                let mut changed = if whole {
-                    entries.replace(&edge, rows, grace)
-                } else {
-                    entries.apply(&edge, rows, grace)
+                let changes = decode(&edge, rows.rows);
+                let changed = {
+                    let mut entries = edge.entries();
+                    let changed = entries.read(whole, changes, rows.version, grace);
+                    entries.expire(now) || changed
                 };
-                changed |= entries.expire(now);
                 if changed || whole {
-                    edge.listed(entries.list());
+                    edge.listed();
                 }
+                edge.pass_on_workers();
                 Timer::after(WORKERS_EVERY).await;
             }
-            Err(StoreError::HistoryGone) => after = None,
+            Err(StoreError::HistoryGone) => edge.entries().forget_version(),
             Err(error) => backoff.failed(&edge, List::Workers, &error).await,
         }
     }
--- /dev/null
+++ b/crates/edge/tests/entries.rs
@@ -0,0 +1,116 @@
+//! Guards against workers that an instance does not see leave because another one reads the store.
+
+use cranberryhatch_edge::{Change, Entries};
+use cranberryhatch_fleet::{Listed, Need};
+use cranberryhatch_types::{Accels, Cores, Count, Time};
+
+const NOW: Time = Time::from_ms(10_000);
+const GRACE: Time = Time::from_ms(12_500);
+
+fn worker(name: &str, draining: bool) -> Change {
+    let listed = Listed {
+        id: name.parse().expect("an id"),
+        service: "svc".to_owned(),
+        addr: ([10, 0, 0, 1], 80).into(),
+        zone: "a".to_owned(),
+        labels: vec!["kind-a".to_owned()],
+        room: Need { cores: Cores::new(32_000), memory: Count::new(64), accels: Accels::new(0) },
+        draining,
+    };
+    Change { key: name.to_owned(), listed: Some(listed) }
+}
+
+fn gone(name: &str) -> Change {
+    Change { key: name.to_owned(), listed: None }
+}
+
+/// A reader and an instance that it tells, which have read the same list.
+fn pair() -> (Entries, Entries) {
+    let (mut reader, mut told) = (Entries::default(), Entries::default());
+    for entries in [&mut reader, &mut told] {
+        assert!(entries.read(true, vec![worker("v", false), worker("w", false)], 1, None));
+    }
+    reader.pass_on();
+    (reader, told)
+}
+
+struct Case {
+    name: &'static str,
+    /// What the reader reads.
+    read: Vec<Change>,
+    /// Whether entries may be missing because the store was away.
+    grace: bool,
+    /// Whether the other instance sees a change.
+    changed: bool,
+}
+
+#[test]
+fn what_the_reader_sees_is_what_the_others_see() {
+    let cases = [
+        Case { name: "nothing", read: Vec::new(), grace: false, changed: false },
+        Case { name: "a sequence number", read: vec![worker("w", false)], grace: false, changed: false },
+        Case { name: "it leaves", read: vec![worker("w", true)], grace: false, changed: true },
+        Case { name: "it is gone", read: vec![gone("w")], grace: false, changed: true },
+        Case { name: "it is missing", read: vec![gone("w")], grace: true, changed: false },
+        Case { name: "another comes", read: vec![worker("x", false)], grace: false, changed: true },
+    ];
+    for Case { name, read, grace, changed } in cases {
+        let (mut reader, mut told) = pair();
+        reader.read(false, read, 2, grace.then_some(GRACE));
+        assert_eq!(told.told(reader.pass_on()), (changed, true), "{name}");
+        assert_eq!(told.list(), reader.list(), "{name}");
+        assert_eq!(told.version(), Some(2), "{name}");
+    }
+}
+
+#[test]
+fn a_lost_message_shows_in_the_next_one() {
+    let (mut reader, mut told) = pair();
+    reader.read(false, vec![gone("w")], 2, None);
+    reader.pass_on();
+    reader.read(false, vec![worker("x", false)], 3, None);
+    assert_eq!(told.told(reader.pass_on()), (true, false), "the lists differ");
+    assert_eq!(told.version(), Some(1), "it reads the changes since then from the store");
+    told.read(false, vec![gone("w"), worker("x", false)], 3, None);
+    assert_eq!(told.told(reader.pass_on()), (false, true));
+}
+
+#[test]
+fn an_entry_that_is_back_in_time_is_passed_on() {
+    let (mut reader, mut told) = pair();
+    reader.read(false, vec![gone("w")], 2, Some(GRACE));
+    told.read(false, vec![gone("w")], 2, None);
+    assert_eq!(told.told(reader.pass_on()), (false, false), "one of them has dropped it");
+    reader.read(false, vec![worker("w", false)], 3, Some(GRACE));
+    assert_eq!(told.told(reader.pass_on()), (true, true));
+}
+
+#[test]
+fn an_entry_that_is_not_back_in_time_is_dropped_by_all() {
+    let (mut reader, mut told) = pair();
+    reader.read(false, vec![gone("w")], 2, Some(GRACE));
+    assert_eq!(told.told(reader.pass_on()), (false, true));
+    assert!(!reader.expire(NOW));
+    assert!(reader.expire(GRACE));
+    assert_eq!(told.told(reader.pass_on()), (true, true));
+    assert_eq!(told.list(), reader.list());
+}
+
+#[test]
+fn an_answer_of_the_store_does_not_undo_what_the_reader_told_meanwhile() {
+    let (mut reader, mut told) = pair();
+    reader.read(false, vec![worker("w", true)], 3, None);
+    told.told(reader.pass_on());
+    assert!(!told.read(false, vec![worker("w", false)], 2, None));
+    assert_eq!(told.list(), reader.list());
+}
+
+#[test]
+fn a_late_message_of_a_former_reader_does_not_undo_a_later_read() {
+    let (mut reader, mut told) = pair();
+    reader.read(false, vec![worker("w", false), worker("x", false)], 2, None);
+    let late = reader.pass_on();
+    told.read(false, vec![worker("w", true), gone("x")], 3, None);
+    assert_eq!(told.told(late), (false, false));
+    assert!(told.list().iter().any(|listed| listed.draining), "it still leaves");
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -260,6 +260,17 @@
         members.into_iter().map(|(member, _)| member).collect()
     }
 
+    /// The instance that reads the platform's lists for this one's zone: its largest that is not quiet;
+    /// none if no instance of the zone takes duties.
+    #[must_use]
+    pub fn reader(&self) -> Option<&InstanceId> {
+        let rank = |member: &&Member| {
+            (self.quiet.binary_search(&member.id).is_err(), owner_rank(member.cores, &member.id))
+        };
+        let near = self.on_duty().filter(|member| member.zone == self.me.zone);
+        near.max_by_key(rank).map(|member| &member.id)
+    }
+
     /// Instances that own workers: the largest of each zone, as many as its workers need.
     #[must_use]
     pub fn owners(&self, workers: usize) -> Owners {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use contact::{Heard, Said};
-use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, frame::Body};
+use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, Workers, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
@@ -194,7 +194,8 @@
 
     fn take(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
         match message {
-            Body::Hello(_) => {}
+            // The process takes the list of workers itself.
+            Body::Hello(_) | Body::Workers(_) => {}
             Body::Beat(beat) => self.beat_of(from, &beat, now, out),
             Body::Settings(settings) => {
                 self.settings(settings.version, settings.body.into(), now, out);
@@ -319,6 +320,22 @@
         self.reviewed = Time::ZERO;
     }
 
+    /// Whether this instance reads the platform's list of workers for its zone, or does not know who does.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
+        self.members.reader().is_none_or(|reader| *reader == self.members.me().id)
+    }
+
+    /// Passes changes of the list of workers on to the instances of this one's zone, if it reads for them.
+    pub fn pass_on(&self, workers: &Workers, out: &mut Output) {
+        let me = self.members.me();
+        if self.members.reader() != Some(&me.id) {
+            return;
+        }
+        let near = self.members.peers().iter().filter(|peer| peer.zone == me.zone);
+        near.for_each(|peer| out.send(&peer.id, Body::Workers(workers.clone())));
+    }
+
     fn assign(&mut self, wall_ms: u64, now: Time) {
         self.assigned_at = now;
         self.owners = self.members.owners(self.listing.all().len());
