fix(edge): the queue of a link takes memory for the messages that wait only

Cause: the queue of each link was a bounded channel, which reserves and initialises a place for each of its 8,192 messages: 256 KiB a link. Ruled out: copies of the list of workers (some 0.4 MB each) and connections to workers (two for each worker). Change: the channel is unbounded and a link is given up at the same number of waiting messages.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -136,7 +136,8 @@
     pub fn send<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, to: &InstanceId, message: Body) {
         let number = match self.peers().get(to) {
             Some(Peer { line: Some(line), .. }) => {
-                if line.queue.try_send(encode(message)).is_ok() {
+                let has_room = line.queue.len() < QUEUE;
+                if has_room && line.queue.try_send(encode(message)).is_ok() {
                     return;
                 }
                 line.number
@@ -321,7 +322,8 @@
         let Call { reader, writer, first } = call;
         let Some(member) = member(&hello) else { return };
         let number = self.lines.fetch_add(1, Ordering::Relaxed) + 1;
-        let (queue, messages) = async_channel::bounded(QUEUE);
+        // A bounded channel would take memory for all messages that may wait, for each link.
+        let (queue, messages) = async_channel::unbounded();
         // A new connection means that the peer has given the earlier one up.
         self.down(events, id);
         match self.peers().get_mut(id) {
--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -107,7 +107,9 @@
             links.learn(&ends, earlier.links.me().clone());
         }
         let ids = all.iter().map(|end| end.links.me().instance.parse().expect("a name"));
-        links.want(ids.collect());
+        let mut ids: Vec<InstanceId> = ids.collect();
+        ids.sort();
+        links.want(ids);
         all.push(End { links, ends });
     }
     all
@@ -179,3 +181,27 @@
         assert!(received().windows(2).all(|pair| pair[0] < pair[1]), "out of order");
     });
 }
+
+/// Memory of this process that is in use, in bytes.
+fn resident() -> usize {
+    const PAGE: usize = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("a process");
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok());
+    pages.expect("a number") * PAGE
+}
+
+#[test]
+fn an_idle_link_takes_its_share_of_an_instances_memory() {
+    /// What an instance that is linked to 146 others may take for all that it does, in bytes.
+    const INSTANCE: usize = 16 << 20;
+    const LINKED: usize = 146;
+    const INSTANCES: usize = 16;
+    play(async |executor| {
+        let before = resident();
+        let all = instances(&executor, INSTANCES).await;
+        until("all links up", || all_up(&all)).await;
+        let ends = INSTANCES * (INSTANCES - 1);
+        let each = resident().saturating_sub(before) / ends;
+        assert!(each <= INSTANCE / LINKED, "{each} bytes for each end of a link");
+    });
+}
