fix(fleet): a message with the largest numbers does not overflow the objective of a job

Damaged messages of a peer (crates/fleet/tests/malformed.rs, seed 1) end a build that checks overflows, and give a job a meaningless objective in a release build. Cause: the scheduler multiplied the stretch and the run time of an ask without a bound. Change: the product is bounded.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -47,7 +47,8 @@
         let need = Need::from(&ask.need.unwrap_or_default());
         let expected = self.times.expect(&ask.kind, Span::from_ms(ask.declared_ms.into()));
         let longest = Span::from_ms(expected.as_ms() * LONGEST / 1_000);
-        let objective = u64::from(ask.stretch) * longest.as_ms() / 1_000 + u64::from(ask.slack_ms);
+        let stretched = u64::from(ask.stretch).saturating_mul(longest.as_ms()) / 1_000;
+        let objective = stretched + u64::from(ask.slack_ms);
         let born = now - Span::from_ms(ask.age_ms.into());
         let limit = now + Span::from_ms(ask.left_ms.into());
         let (on_time, useful) = latest_starts(born, limit, Span::from_ms(objective), longest);
--- /dev/null
+++ b/crates/fleet/tests/malformed.rs
@@ -0,0 +1,216 @@
+//! Guards against one malformed message of a peer that ends the process.
+//!
+//! `MALFORMED_SEEDS=1..500 cargo test -p cranberryhatch-fleet --test malformed range` plays more seeds.
+
+mod common;
+
+use bytes::Bytes;
+use common::listed;
+use cranberryhatch_fleet::{Job, Member, Message, Need, Node, Output, Policy, Step};
+use cranberryhatch_schema::fleet::{
+    Ask, Beat, Claim, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size, Place,
+    Refusal, Room, Rooms, Run, Settings, Start, Stop, Takeover, Takeovers, Unused, Withdraw,
+    Workers,
+};
+use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time};
+use prost::Message as _;
+
+const START: Time = Time::from_ms(10_000);
+const WALL: u64 = 1_800_000_000_000;
+const MESSAGES: u64 = 2_000;
+
+fn member(name: &str, joined: bool) -> Member {
+    Member {
+        id: name.parse().expect("a name"),
+        incarnation: 1,
+        zone: "a".parse().expect("a zone"),
+        cores: 250,
+        draining: false,
+        core: true,
+        joined,
+        version: 0,
+    }
+}
+
+fn job() -> Job {
+    let policy = Policy {
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1_600,
+        slack: Span::from_ms(60),
+        timeout: Span::from_ms(1_500),
+    };
+    let need = Need { cores: Cores::new(14_000), memory: Count::new(64), accels: Accels::new(0) };
+    Job {
+        name: "j".to_owned(),
+        policy: std::sync::Arc::new(policy),
+        payload: "x".into(),
+        steps: vec![Step { tasks: 2, need, ..Step::default() }],
+        born: START,
+        limit: START + Span::from_secs(60),
+    }
+}
+
+/// One message of each kind about the job and the worker of the test; some of its numbers are the
+/// smallest or the largest ones.
+fn corpus(rng: &mut fastrand::Rng) -> Vec<Message> {
+    let rng = std::cell::RefCell::new(rng);
+    let any = |usual: u64, largest: u64| match rng.borrow_mut().usize(0..6) {
+        0 => 0,
+        1 => largest,
+        _ => usual,
+    };
+    let small = |usual: u32| {
+        let drawn = any(usual.into(), u32::MAX.into());
+        u32::try_from(drawn).expect("at most the largest")
+    };
+    let large = |usual: u64| any(usual, u64::MAX);
+    let run = || Some(Run { job: "j".to_owned(), step: small(0), task: small(0), run: small(1) });
+    let worker = || "w".to_owned();
+    let need = || Some(Size { cores: small(14_000), memory: small(64), accels: small(0) });
+    let job = || "j".to_owned();
+    let ended = Ended { run: run(), worker: worker(), how: 1, took_ms: small(5) };
+    let start = Start {
+        run: run(),
+        worker: worker(),
+        service: "svc".to_owned(),
+        need: need(),
+        run_ms: small(100),
+        payload: "x".to_owned(),
+        kind: "k".to_owned(),
+        stalls: small(1),
+        token: large(7),
+        seen_ms: large(9_990),
+    };
+    let takeover = Takeover {
+        worker: worker(),
+        running: run().into_iter().collect(),
+        ended: vec![ended.clone()],
+        token: large(9),
+    };
+    let ask = Ask {
+        job: job(),
+        tasks: vec![0, small(1)],
+        age_ms: small(5),
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        need: need(),
+        declared_ms: small(100),
+        left_ms: small(1_500),
+        stretch: small(1_600),
+        slack_ms: small(60),
+        spread: small(1),
+        zone: "a".to_owned(),
+        ..Ask::default()
+    };
+    let place = Place {
+        task: small(0),
+        worker: worker(),
+        owner: "p".to_owned(),
+        run_ms: small(100),
+        token: large(7),
+    };
+    let room = Room {
+        worker: worker(),
+        token: large(8),
+        held: vec![Held { run: run(), need: need() }],
+        open: true,
+    };
+    let entry = Entry { id: worker(), listed: Some(Listed::default()) };
+    vec![
+        Message::Beat(Beat {
+            version: large(1),
+            joined: true,
+            next_ms: small(140),
+            sent_ms: large(9_990),
+            ..Beat::default()
+        }),
+        Message::Settings(Settings { version: large(1), body: b"{}".to_vec() }),
+        Message::Ask(ask),
+        Message::Grant(Grant { job: job(), step: 0, places: vec![place] }),
+        Message::Refusal(Refusal { job: job(), retry_ms: small(100), ahead_ms: small(100) }),
+        Message::Withdraw(Withdraw { job: job() }),
+        Message::Unused(Unused {
+            worker: worker(),
+            job: job(),
+            refused: true,
+            ..Unused::default()
+        }),
+        Message::Start(start.clone()),
+        Message::Stop(Stop { run: run(), worker: worker() }),
+        Message::Ended(ended),
+        Message::Takeover(takeover.clone()),
+        Message::Takeovers(Takeovers { found: vec![takeover] }),
+        Message::Claim(Claim { worker: worker(), runs: vec![start] }),
+        Message::Rooms(Rooms { rooms: vec![room] }),
+        Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
+        Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
+    ]
+}
+
+/// The bytes of a frame with some of them replaced, cut out or put in; often the largest number.
+fn damage(rng: &mut fastrand::Rng, mut bytes: Vec<u8>) -> Vec<u8> {
+    const LARGEST: [u8; 10] = [0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01];
+    for _ in 0..rng.usize(1..4) {
+        let place = rng.usize(0..=bytes.len());
+        let end = (place + rng.usize(0..3)).min(bytes.len());
+        match rng.usize(0..3) {
+            0 => drop(bytes.splice(place..end, [rng.u8(..)])),
+            1 => drop(bytes.splice(place..end, [])),
+            _ => drop(bytes.splice(place..end, LARGEST)),
+        }
+    }
+    bytes
+}
+
+/// Plays damaged messages of a peer to an instance that schedules, owns a worker and has a job.
+fn play(seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut node = Node::new(member("me", false), START);
+    let mut out = Output::default();
+    node.settings(1, Bytes::from_static(b"{}"), START, &mut out);
+    node.listed(vec![listed("w", "a", 32_000)], WALL, START, &mut out);
+    let peer: InstanceId = "p".parse().expect("a name");
+    node.link_up(member("p", true), START, &mut out);
+    node.submit(1, job(), START, &mut out);
+    let (mut taken, mut scheduled) = (0, false);
+    for number in 0..MESSAGES {
+        let now = START + Span::from_ms(number);
+        let mut messages = corpus(&mut rng);
+        let body = Some(messages.swap_remove(rng.usize(0..messages.len())));
+        let mut bytes = Frame { body }.encode_to_vec();
+        if rng.bool() {
+            bytes = damage(&mut rng, bytes);
+        }
+        let Ok(Frame { body: Some(message) }) = Frame::decode(bytes.as_slice()) else { continue };
+        taken += 1;
+        node.message(&peer, message, now, &mut out);
+        node.settle(now, false, &mut out);
+        if number % 20 == 0 {
+            node.tick(WALL + number, now, &mut out);
+            scheduled |= node.load(now).is_some();
+        }
+        out.commands.clear();
+    }
+    assert!(taken > MESSAGES / 3 && scheduled, "seed {seed}: {taken} messages could be read");
+}
+
+#[test]
+fn damaged_messages_of_a_peer_do_not_end_the_process() {
+    for seed in 1..=20 {
+        println!("seed {seed}");
+        play(seed);
+    }
+}
+
+#[test]
+fn a_range_of_seeds_does_not_end_the_process() {
+    let Ok(range) = std::env::var("MALFORMED_SEEDS") else { return };
+    let (first, last) = range.split_once("..").expect("a range, as 1..500");
+    for seed in first.parse().expect("a number")..last.parse().expect("a number") {
+        println!("seed {seed}");
+        play(seed);
+    }
+}
