fix(edge): after a pause an instance reads the list of workers itself

Cause: an instance that does not read the store takes the list for fresh for 1 s after a message of its zone's reader. A message that waited while the process stood still counted as new when it was read, so that a worker that had left in between could get starts for as long as the pause and a second more. Ruled out: leases and starts, which are bound by the sign of life that they name. Change: a gap of 400 ms between two ticks makes the list stale for 1 s, in which the store is read. The cases are in crates/edge/tests/entries.rs; they test the new type and were not run against the code before.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -17,17 +17,15 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 use smol::{Executor, Timer};
 
-use crate::{Catalog, Clock, Entries, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port};
+use crate::{
+    Catalog, Clock, Entries, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port, Told,
+};
 
 /// Time between two ticks; the shortest task takes some 30 ms.
 const TICK: Duration = Duration::from_millis(20);
 /// Ticks between two measurements of gauges.
 const GAUGE_TICKS: u32 = 50;
 
-/// Time after a message of the reader of the zone in which the store is not read; it speaks twice a
-/// second, and a worker that leaves must get no starts 2 s after it says so.
-const TOLD_FOR: Span = Span::from_ms(1_000);
-
 /// Characters of a rejected request's path in a log line; names of jobs have 16.
 const REQUEST_SHOWN: usize = 64;
 
@@ -45,8 +43,7 @@
     meters: Meters,
     entries: Mutex<Entries>,
     list_read: AtomicU64,
-    // When the reader of the zone last told of the same workers that are known here.
-    told: AtomicU64,
+    told: Mutex<Told>,
 }
 
 impl<P: Port> Edge<P> {
@@ -67,7 +64,7 @@
             meters: Meters::default(),
             entries: Mutex::default(),
             list_read: AtomicU64::new(0),
-            told: AtomicU64::new(0),
+            told: Mutex::default(),
         }
     }
 
@@ -305,8 +302,9 @@
     /// Whether the reader of the zone has lately told of the same workers that are known here.
     #[must_use]
     pub fn is_told_of_workers(&self) -> bool {
-        let told = Time::from_ms(self.told.load(Ordering::Relaxed));
-        told > Time::ZERO && self.clock.now().since(told) < TOLD_FOR && !self.is_reader()
+        let now = self.clock.now();
+        let fresh = self.told.lock().unwrap_or_else(PoisonError::into_inner).is_fresh(now);
+        fresh && !self.is_reader()
     }
 
     /// Passes changes of workers on to the instances of the zone, if this one reads for them.
@@ -319,9 +317,9 @@
     fn told(self: &Arc<Self>, workers: fleet::Workers) {
         let (changed, same) = self.entries().told(workers);
         if same {
-            let now = self.clock.now().as_ms();
-            self.told.store(now, Ordering::Relaxed);
-            self.list_read.store(now, Ordering::Relaxed);
+            let now = self.clock.now();
+            self.told.lock().unwrap_or_else(PoisonError::into_inner).hear(now);
+            self.list_read.store(now.as_ms(), Ordering::Relaxed);
         }
         if changed {
             self.listed();
@@ -349,6 +347,8 @@
             let took = self.clock.now().since(before).as_ms();
             let lag = took.saturating_sub(u64::try_from(TICK.as_millis()).unwrap_or_default());
             Meters::observe(&self.meters.loop_lag, Span::from_ms(lag));
+            // Notices pauses, whatever it says.
+            let _ = self.is_told_of_workers();
             let wall = self.clock.wall_ms();
             self.decide(|node, now, out| node.tick(wall, now, out));
             count += 1;
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -2,7 +2,48 @@
 
 use cranberryhatch_fleet::{Listed, Need, VecMap, text_hash};
 use cranberryhatch_schema::fleet;
-use cranberryhatch_types::{Time, WorkerId};
+use cranberryhatch_types::{Span, Time, WorkerId};
+
+/// Time after a message of the reader of the zone in which the store is not read; it speaks twice a
+/// second, and a worker that leaves must get no starts 2 s after it says so.
+const TOLD_FOR: Span = Span::from_ms(1_000);
+/// Time after a pause of this process in which messages of the reader may have waited for it.
+const STALE_FOR: Span = Span::from_ms(1_000);
+/// Gap between two checks that counts as a pause.
+const PAUSE: Span = Span::from_ms(400);
+
+/// Whether the reader of the zone has lately told of the workers, so that the store is not read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    at: Option<Time>,
+    checked: Option<Time>,
+    stale_until: Time,
+}
+
+impl Told {
+    /// The reader has the same list as this instance.
+    pub fn hear(&mut self, now: Time) {
+        self.check(now);
+        if now >= self.stale_until {
+            self.at = Some(now);
+        }
+    }
+
+    /// Whether the list is fresh; a gap between two calls means that this process stood still, and that
+    /// what it reads then may be as old as the gap.
+    pub fn is_fresh(&mut self, now: Time) -> bool {
+        self.check(now);
+        self.at.is_some_and(|at| now.since(at) < TOLD_FOR)
+    }
+
+    fn check(&mut self, now: Time) {
+        if self.checked.is_some_and(|checked| now.since(checked) >= PAUSE) {
+            self.at = None;
+            self.stale_until = now + STALE_FOR;
+        }
+        self.checked = Some(now);
+    }
+}
 
 /// A change of an entry; no worker if it is gone.
 #[derive(Clone, Debug, PartialEq)]
@@ -108,7 +149,11 @@
     pub fn expire(&mut self, now: Time) -> bool {
         let due = self.missing.iter().filter(|(_, until)| now >= **until);
         let gone: Vec<String> = due.map(|(key, _)| key.clone()).collect();
-        gone.into_iter().fold(false, |changed, key| self.remove(key, None) || changed)
+        let any = !gone.is_empty();
+        for key in gone {
+            self.remove(key, None);
+        }
+        any
     }
 
     /// Changes since the last call, for the instances that do not read the store.
--- a/crates/edge/tests/entries.rs
+++ b/crates/edge/tests/entries.rs
@@ -1,8 +1,8 @@
 //! Guards against workers that an instance does not see leave because another one reads the store.
 
-use cranberryhatch_edge::{Change, Entries};
+use cranberryhatch_edge::{Change, Entries, Told};
 use cranberryhatch_fleet::{Listed, Need};
-use cranberryhatch_types::{Accels, Cores, Count, Time};
+use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 const NOW: Time = Time::from_ms(10_000);
 const GRACE: Time = Time::from_ms(12_500);
@@ -48,7 +48,12 @@
 fn what_the_reader_sees_is_what_the_others_see() {
     let cases = [
         Case { name: "nothing", read: Vec::new(), grace: false, changed: false },
-        Case { name: "a sequence number", read: vec![worker("w", false)], grace: false, changed: false },
+        Case {
+            name: "a sequence number",
+            read: vec![worker("w", false)],
+            grace: false,
+            changed: false,
+        },
         Case { name: "it leaves", read: vec![worker("w", true)], grace: false, changed: true },
         Case { name: "it is gone", read: vec![gone("w")], grace: false, changed: true },
         Case { name: "it is missing", read: vec![gone("w")], grace: true, changed: false },
@@ -114,3 +119,59 @@
     assert_eq!(told.told(late), (false, false));
     assert!(told.list().iter().any(|listed| listed.draining), "it still leaves");
 }
+
+/// What an instance hears of the reader, and whether it still reads the store after it.
+struct Hearing {
+    name: &'static str,
+    /// Times of messages, in milliseconds.
+    heard: &'static [u64],
+    /// When this process stood still.
+    pause: std::ops::Range<u64>,
+    at: u64,
+    fresh: bool,
+}
+
+#[test]
+fn the_list_is_fresh_only_while_the_reader_speaks_and_nothing_stood_still() {
+    let none = 0..0;
+    let cases = [
+        Hearing { name: "never", heard: &[], pause: none.clone(), at: 500, fresh: false },
+        Hearing { name: "just now", heard: &[500], pause: none.clone(), at: 500, fresh: true },
+        Hearing { name: "lately", heard: &[500], pause: none.clone(), at: 1_480, fresh: true },
+        Hearing { name: "long ago", heard: &[500], pause: none, at: 1_500, fresh: false },
+        Hearing {
+            name: "before a pause",
+            heard: &[500],
+            pause: 500..1_000,
+            at: 1_000,
+            fresh: false,
+        },
+        Hearing {
+            name: "waited in a pause",
+            heard: &[3_000],
+            pause: 500..3_000,
+            at: 3_020,
+            fresh: false,
+        },
+        Hearing {
+            name: "after a pause",
+            heard: &[4_100],
+            pause: 500..3_000,
+            at: 4_100,
+            fresh: true,
+        },
+    ];
+    for Hearing { name, heard, pause, at, fresh } in cases {
+        let mut told = Told::default();
+        for now in (0..at).step_by(20).filter(|now| !pause.contains(now)) {
+            if heard.contains(&now) {
+                told.hear(NOW + Span::from_ms(now));
+            }
+            told.is_fresh(NOW + Span::from_ms(now));
+        }
+        if heard.contains(&at) {
+            told.hear(NOW + Span::from_ms(at));
+        }
+        assert_eq!(told.is_fresh(NOW + Span::from_ms(at)), fresh, "{name}");
+    }
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -348,7 +348,8 @@
         let near = |share: &&Share| share.zone == zone;
         let any_near = self.owners.iter().any(|share| near(&share));
         let candidates = self.owners.iter().filter(|share| !any_near || near(share));
-        let rank = |share: &Share| f64::from(share.cores.max(1)) / -unit(mix(hash ^ share.hash)).ln();
+        let rank =
+            |share: &Share| f64::from(share.cores.max(1)) / -unit(mix(hash ^ share.hash)).ln();
         let best = candidates.max_by(|a, b| rank(a).total_cmp(&rank(b)));
         best.map(|share| &share.id)
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,8 +8,9 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Known, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner, Owners,
-    Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap, note::Note,
+    Command, Front, Job, Known, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner,
+    Owners, Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap,
+    note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -129,8 +129,8 @@
         }
         let is_me = |known: &&Known| known.id == self.me.id;
         let is_near = |known: &&Known| known.zone == self.me.zone;
-        let owns = owns || owners.iter().any(|known| is_me(known));
-        let core = owns || self.standing.core || spares.iter().any(|known| is_me(known));
+        let owns = owns || owners.iter().any(&is_me);
+        let core = owns || self.standing.core || spares.iter().any(&is_me);
         let mut needed: Vec<&Known> = if owns {
             self.known.iter().collect()
         } else if core {
