--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -17,11 +17,30 @@
 /// are played by hand with `FUZZ_SEEDS`.
 const SEEDS_FROM: u64 = 20_261_203;
 
-/// Breaks a world from a seed; what it found broken.
+/// Breaks a world of a few instances, which all take duties; what it found broken.
 fn play(seed: u64) -> Vec<String> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (zones, instances) = (rng.usize(1..4), rng.usize(1..7));
-    let mut world = World::new(seed, zones, instances, rng.usize(2..9));
+    let world = World::new(seed, zones, instances, rng.usize(2..9));
+    break_world(world, rng, zones, instances)
+}
+
+/// The same with zones of 6 to 13 instances of two sizes, so that most of them belong to no core.
+fn play_wide(seed: u64) -> Vec<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let zones = rng.usize(1..4);
+    let instances = zones * rng.usize(6..14);
+    let cores: Vec<u32> = (0..instances).map(|_| *rng.choice(&[120, 500]).expect("some")).collect();
+    let world = World::with_cores(seed, zones, &cores, rng.usize(4..13));
+    break_world(world, rng, zones, instances)
+}
+
+fn break_world(
+    mut world: World,
+    mut rng: fastrand::Rng,
+    zones: usize,
+    instances: usize,
+) -> Vec<String> {
     world.odds = Odds {
         answer_lost: *rng.choice(&[0, 0, 20, 100]).expect("some"),
         order_late: *rng.choice(&[0, 0, 50]).expect("some"),
@@ -88,34 +107,55 @@
     }
 }
 
+/// Whether nothing broke; prints the seed and what did.
+fn holds(seed: u64, faults: &[String]) -> bool {
+    if !faults.is_empty() {
+        println!("seed {seed}: {faults:#?}");
+    }
+    faults.is_empty()
+}
+
 #[test]
 fn nothing_breaks_from_random_seeds() {
-    fn holds(Seed(seed): Seed) -> bool {
-        let faults = play(seed);
-        if !faults.is_empty() {
-            println!("seed {seed}: {faults:#?}");
-        }
-        faults.is_empty()
+    fn property(Seed(seed): Seed) -> bool {
+        holds(seed, &play(seed))
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(SEEDS_SIZE, SEEDS_FROM))
         .tests(60)
-        .quickcheck(holds as fn(Seed) -> bool);
+        .quickcheck(property as fn(Seed) -> bool);
+}
+
+#[test]
+fn nothing_breaks_in_zones_with_more_instances_than_their_core() {
+    fn property(Seed(seed): Seed) -> bool {
+        holds(seed, &play_wide(seed))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SEEDS_SIZE, SEEDS_FROM))
+        .tests(12)
+        .quickcheck(property as fn(Seed) -> bool);
 }
 
 /// Many seeds in a row, for runs by hand: `FUZZ_SEEDS=1..2000 cargo test -p cranberryhatch-fleet`.
 #[test]
 fn nothing_breaks_from_a_range_of_seeds() {
-    let Ok(range) = std::env::var("FUZZ_SEEDS") else { return };
+    play_range("FUZZ_SEEDS", play);
+}
+
+/// The same for larger zones: `FUZZ_WIDE_SEEDS=1..200`.
+#[test]
+fn nothing_breaks_in_larger_zones_from_a_range_of_seeds() {
+    play_range("FUZZ_WIDE_SEEDS", play_wide);
+}
+
+fn play_range(variable: &str, play: impl Fn(u64) -> Vec<String>) {
+    let Ok(range) = std::env::var(variable) else { return };
     let (from, to) = range.split_once("..").expect("FROM..TO");
     let (from, to): (u64, u64) = (from.parse().expect("a seed"), to.parse().expect("a seed"));
     let mut broken = 0;
     for seed in from..to {
-        let faults = play(seed);
-        if !faults.is_empty() {
-            broken += 1;
-            println!("seed {seed}: {faults:#?}");
-        }
+        broken += u32::from(!holds(seed, &play(seed)));
     }
     assert_eq!(broken, 0, "seeds that broke a promise");
 }
