fix(fleet): a link that is reset costs no duty and no run

Cause: the end of a connection counted as the loss of the peer. Its workers were taken, its runs stopped, and what its callers waited for was started again. Ruled out: a restart of the peer; its life was the same in the greeting. Change: a peer whose link broke counts on for 300 ms, or until its address refuses connections. Links are tried again after 10 ms. When the link is back in the same life, the owner says first which runs of the front it holds and which ended in the last 3 s; the front confirms those that it wants, and the others end after 300 ms. Until it confirms, what the front says extends no lease.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -383,6 +383,10 @@
         self.decide(|node, now, out| node.link_down(peer, now, out));
     }
 
+    fn peer_gone(self: &Arc<Self>, peer: &InstanceId) {
+        self.decide(|node, now, out| node.peer_gone(peer, now, out));
+    }
+
     fn messages(self: &Arc<Self>, peer: &InstanceId, mut messages: Vec<Body>) {
         for message in &mut messages {
             if let Body::Workers(workers) = message {
@@ -404,6 +408,7 @@
 impl LinkEvents for Quiet {
     fn link_up(self: &Arc<Self>, _: Member) {}
     fn link_down(self: &Arc<Self>, _: &InstanceId) {}
+    fn peer_gone(self: &Arc<Self>, _: &InstanceId) {}
     fn messages(self: &Arc<Self>, _: &InstanceId, _: Vec<Body>) {}
 }
 
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -34,6 +34,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time until the first message on a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after the end of a link until the next try to connect; both sides may live.
+const RELINK: Duration = Duration::from_millis(10);
 /// First time between two tries to connect.
 const RETRY: Duration = Duration::from_millis(100);
 /// Longest time between two tries to connect.
@@ -47,6 +49,8 @@
     fn link_up(self: &Arc<Self>, peer: Member);
     /// A link went down.
     fn link_down(self: &Arc<Self>, peer: &InstanceId);
+    /// Nothing listens at the address of a peer whose link is down.
+    fn peer_gone(self: &Arc<Self>, peer: &InstanceId);
     /// Messages of a peer whose link is up.
     fn messages(self: &Arc<Self>, peer: &InstanceId, messages: Vec<Body>);
 }
@@ -189,7 +193,11 @@
         let keeper = if self.dials(&hello) {
             self.executor.spawn(Arc::clone(self).dial(Arc::clone(events), id.clone(), addr, knocks))
         } else {
-            self.executor.spawn(Arc::clone(self).keep_introducing(id.clone(), addr))
+            self.executor.spawn(Arc::clone(self).keep_introducing(
+                Arc::clone(events),
+                id.clone(),
+                addr,
+            ))
         };
         peers.insert(id, Peer { hello, addr, line: None, knock, _keeper: keeper });
     }
@@ -226,7 +234,10 @@
                     Some(Ok((hello, call))) if hello.instance == id.as_str() => {
                         pause = RETRY;
                         self.run(&events, &id, hello, call).await;
+                        Timer::after(RELINK).await;
+                        continue;
                     }
+                    Some(Err(error)) if is_refusal(&error) => events.peer_gone(&id),
                     Some(Ok(_) | Err(_)) => {}
                 }
                 break;
@@ -261,10 +272,17 @@
     }
 
     /// Tells a peer that opens the connections where this instance is, while there is no link.
-    async fn keep_introducing(self: Arc<Self>, id: InstanceId, addr: SocketAddr) {
+    async fn keep_introducing<E: LinkEvents>(
+        self: Arc<Self>,
+        events: Arc<E>,
+        id: InstanceId,
+        addr: SocketAddr,
+    ) {
         loop {
             self.until_missing(&id).await;
-            self.introduce(addr).await;
+            if self.call(addr).await.is_err_and(|error| is_refusal(&error)) {
+                events.peer_gone(&id);
+            }
             self.pause(RETRY_MAX).await;
         }
     }
@@ -395,6 +413,11 @@
     }
 }
 
+/// Whether nothing listens at an address: the process there has ended.
+fn is_refusal(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 /// What a peer says of itself; none if it cannot be read.
 pub(crate) fn member(hello: &Hello) -> Option<Member> {
     Some(Member {
--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -45,6 +45,7 @@
         self.changes.fetch_add(1, Ordering::SeqCst);
         self.up.lock().expect("up").retain(|known| known != peer);
     }
+    fn peer_gone(self: &Arc<Self>, _: &InstanceId) {}
 
     fn messages(self: &Arc<Self>, _: &InstanceId, messages: Vec<Body>) {
         for message in messages {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -166,7 +166,8 @@
             let started = owner.zip(worker).is_some_and(|((owner, seen), worker)| {
                 let expected = Span::from_ms(place.run_ms.into());
                 let token = place.token;
-                let placed = Placed { owner, token, worker, expected, since: now, lost: None };
+                let (since, lost, claimed) = (now, None, false);
+                let placed = Placed { owner, token, worker, expected, since, lost, claimed };
                 self.start(&key, placed, seen, now, out)
             });
             if started {
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -1,6 +1,6 @@
 //! Runs whose owner was lost or replaced.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, How, Takeover};
+use cranberryhatch_schema::fleet::{Claim, Confirm, Ended, How, Relinked, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Time};
 
 use super::{Front, start_message};
@@ -22,6 +22,58 @@
         }
     }
 
+    /// Takes what became of runs that were ordered on a link that broke and had come up at `since`.
+    ///
+    /// What the owner does not know was lost with the link, and nothing of an earlier link is handled on a
+    /// later one.
+    pub fn relinked(
+        &mut self,
+        from: &InstanceId,
+        relinked: &Relinked,
+        since: Time,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let running: Vec<RunKey> = relinked.running.iter().map(RunKey::from).collect();
+        let mut kept = Vec::new();
+        let mut ends = Vec::new();
+        for (_, active) in self.jobs.iter_mut() {
+            let wanted = active.closing.is_none() && now < active.job.limit;
+            let keys: Vec<TaskKey> = active.placed().map(|(key, _)| key).collect();
+            for key in keys {
+                let Some(state) = active.task(&key) else { continue };
+                let run = RunKey { task: key, run: state.run };
+                let Phase::Placed(place) = &mut state.phase else { continue };
+                if place.owner != *from || place.lost.is_none() {
+                    continue;
+                }
+                if running.contains(&run) {
+                    place.claimed = false;
+                    if wanted {
+                        place.lost = None;
+                        kept.push(Run::from(&run));
+                    }
+                    continue;
+                }
+                let said = relinked.ended.iter().find(|ended| {
+                    ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
+                });
+                // A run that the owner found goes on for a while if the claim was lost.
+                if said.is_none() && (place.claimed || place.since < since) {
+                    continue;
+                }
+                let worker = place.worker.to_string();
+                ends.push((run, worker, said.map_or(How::Stopped, Ended::how)));
+            }
+        }
+        if !kept.is_empty() {
+            out.send(from, Message::Confirm(Confirm { runs: kept }));
+        }
+        for (run, worker, how) in ends {
+            self.end(&run, &worker, how, now, out);
+        }
+    }
+
     /// Takes what a new owner found on a worker, and claims the runs that are still wanted; `seen` is
     /// the latest sign of life that was read from that owner.
     pub fn takeover(
@@ -51,6 +103,7 @@
                     place.owner = from.clone();
                     place.token = found.token;
                     place.lost = None;
+                    place.claimed = true;
                     if wanted {
                         claims.extend(start_message(&job, &key, state, seen));
                     }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// A link to a peer whose life is known is up again; it counts as before.
+    #[must_use]
+    pub fn is_back(&self, member: &Member) -> bool {
+        self.peer(&member.id).is_some_and(|peer| peer.incarnation == member.incarnation)
+    }
+
     /// Removes a peer; whether it was there.
     pub fn down(&mut self, id: &InstanceId) -> bool {
         self.pending.remove(id);
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,9 +1,10 @@
 //! All decisions of one instance.
 
 mod contact;
+mod link;
 
 use bytes::Bytes;
-use contact::{Heard, Said};
+use contact::{Heard, Said, Severed};
 use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, Workers, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -41,6 +42,8 @@
     scheduler: Scheduler,
     elected: Option<InstanceId>,
     heard: VecMap<InstanceId, Heard>,
+    // Peers whose link broke lately.
+    severed: VecMap<InstanceId, Severed>,
     owners: Owners,
     settings: (u64, Bytes),
     settings_at: Time,
@@ -49,8 +52,6 @@
     said: Said,
     view_said: u64,
     roster: Roster,
-    // Whether the register was read.
-    registered: bool,
     // When the roster was last reviewed; zero if it changed since.
     reviewed: Time,
     assigned_at: Time,
@@ -78,6 +79,7 @@
             scheduler: Scheduler::default(),
             elected: None,
             heard: VecMap::default(),
+            severed: VecMap::default(),
             owners: Owners::default(),
             settings: (0, Bytes::new()),
             settings_at: now,
@@ -85,7 +87,6 @@
             said: Said::default(),
             view_said: 0,
             roster,
-            registered: false,
             reviewed: Time::ZERO,
             assigned_at: Time::ZERO,
             doubt_until: Time::ZERO,
@@ -131,56 +132,6 @@
         self.owner.meet(peers.map(|peer| peer.id.clone()).collect());
     }
 
-    /// A link to a peer is up in both directions.
-    pub fn link_up(&mut self, peer: Member, now: Time, out: &mut Output) {
-        let id = peer.id.clone();
-        // The end of an earlier link may not have been noticed here, as after a pause; what this
-        // instance did for the peer then must end.
-        self.link_down(&id, now, out);
-        self.heard.insert(
-            id.clone(),
-            Heard {
-                at: now,
-                limit: PEER_TIMEOUT,
-                busy: None,
-                told: Time::ZERO,
-                next: Span::ZERO,
-                sign: Time::ZERO,
-                named: Time::ZERO,
-                rests: false,
-            },
-        );
-        self.roster.learn(Known::from(&peer));
-        self.reviewed = Time::ZERO;
-        self.members.up(peer, now);
-        self.meet();
-        out.note(Note::PeerUp { peer: id, peers: self.members.peers().len() });
-        self.send_beats(now, out);
-        self.duties(now, out);
-        self.settle(now, false, out);
-    }
-
-    /// The link to a peer is down; messages on it may be lost.
-    pub fn link_down(&mut self, peer: &InstanceId, now: Time, out: &mut Output) {
-        let before = self.members.peers().len();
-        if !self.members.down(peer) {
-            return;
-        }
-        self.meet();
-        self.reviewed = Time::ZERO;
-        let heard = self.heard.remove(peer).map_or(now, |heard| heard.at);
-        let peers = self.members.peers().len();
-        out.note(Note::PeerDown { peer: peer.clone(), silence: now.since(heard), peers });
-        if before > 1 && peers * 2 < before || peers == 0 {
-            self.doubt_until = now + DOUBT;
-        }
-        self.front.owner_lost(peer, heard, out);
-        self.owner.front_lost(peer, now, out);
-        self.scheduler.lose(peer);
-        self.duties(now, out);
-        self.settle(now, false, out);
-    }
-
     /// Takes a message of a peer whose link is up.
     pub fn message(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
         if let Some(heard) = self.heard.get_mut(from) {
@@ -228,6 +179,13 @@
             Body::Start(start) => self.owner.start(from, start, now, out),
             Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
             Body::Claim(claim) => self.owner.claimed(from, &claim, now, out),
+            Body::Relinked(relinked) => {
+                // Only runs that were ordered on the link that broke can be told of.
+                if let Some(since) = self.heard.get(from).and_then(|heard| heard.before) {
+                    self.front.relinked(from, &relinked, since, now, out);
+                }
+            }
+            Body::Confirm(confirm) => self.owner.confirmed(from, &confirm),
         }
     }
 
@@ -317,7 +275,6 @@
     pub fn registered(&mut self, instances: Vec<Known>) {
         let linked = self.members.peers().iter().map(Known::from);
         self.roster.replace(instances, linked);
-        self.registered = true;
         self.reviewed = Time::ZERO;
     }
 
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -42,6 +42,9 @@
 /// Last sign of life of a peer, and how long it may be silent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Heard {
+    // When the link came up, and when the one before it did if the peer counted all the while.
+    pub(super) up: Time,
+    pub(super) before: Option<Time>,
     pub(super) at: Time,
     // Silence that its last sign of life announced.
     pub(super) limit: Span,
@@ -58,9 +61,17 @@
     pub(super) rests: bool,
 }
 
+/// A peer whose link broke.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Severed {
+    pub(super) at: Time,
+    // When the link that broke had come up.
+    pub(super) up: Time,
+}
+
 impl Heard {
     /// Whether the peer has said nothing for a part of the silence that ends the link.
-    fn is_silent_for(&self, part: u64, now: Time) -> bool {
+    pub(super) fn is_silent_for(&self, part: u64, now: Time) -> bool {
         match self.busy {
             Some(since) => now.since(self.at.max(since)) >= self.limit.min(PEER_TIMEOUT) / part,
             None => now.since(self.at) >= self.limit / part,
@@ -114,7 +125,7 @@
     /// Works out which links this instance needs, and whether it takes duties.
     pub(super) fn review(&mut self, now: Time, out: &mut Output) {
         // An instance that has not read the register does not know who is larger.
-        let known = self.registered || now.since(self.started) >= JOIN_TIME;
+        let known = self.roster.is_registered() || now.since(self.started) >= JOIN_TIME;
         if !known || now.since(self.reviewed) < REVIEW_EVERY {
             return;
         }
@@ -143,7 +154,7 @@
         // An instance that sees nobody may be the first of several.
         let alone = self.members.peers().is_empty();
         let all = self.roster.standing().links.iter().all(|id| self.members.reaches(id));
-        let complete = !alone && self.registered && all;
+        let complete = !alone && self.roster.is_registered() && all;
         if !complete && now.since(self.started) < JOIN_TIME {
             return;
         }
@@ -185,18 +196,4 @@
             out.send(id, Body::Beat(beat));
         }
     }
-
-    pub(super) fn check_peers(&mut self, now: Time, out: &mut Output) {
-        let silent = |heard: &Heard| heard.is_silent_for(1, now);
-        let lost: Vec<InstanceId> = self
-            .heard
-            .iter()
-            .filter(|(_, heard)| silent(heard))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for peer in lost {
-            out.commands.push(Command::Unlink { peer: peer.clone() });
-            self.link_down(&peer, now, out);
-        }
-    }
 }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -3,11 +3,14 @@
 mod due;
 mod looks;
 mod orders;
+mod relink;
 mod takeover;
 
 use cranberryhatch_schema::fleet::{Ended, Freed, How, Room, Rooms, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
+use relink::Unsure;
+
 use crate::{
     Command, Held, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
     held::Stage,
@@ -71,6 +74,7 @@
     strays: Vec<(WorkerId, Held)>,
     // Opened workers that run nothing, of which the fronts do not know yet.
     found_idle: Vec<Takeover>,
+    unsure: Unsure,
 }
 
 impl Owner {
@@ -89,6 +93,7 @@
             fenced: VecMap::default(),
             strays: Vec::new(),
             found_idle: Vec::new(),
+            unsure: Unsure::default(),
         }
     }
 
@@ -163,6 +168,7 @@
             Stage::Starting | Stage::Doubtful { .. } => now.since(held.sent),
         };
         out.note(Note::RunEnded { run: run.clone(), worker: id.clone(), how, took });
+        self.unsure.report(&held.front, &ended_message(&held.run, id.as_str(), how, took), now);
         self.tell_end(&held, id.as_str(), how, took, out);
         self.free(&held, id.as_str(), how, took, out);
     }
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -24,6 +24,7 @@
             self.lapse(id, now, out);
             self.drop_unused(id, listing, owners, now, out);
         }
+        self.stop_unconfirmed(now, out);
         self.tell_idle(out);
         self.look(now, out);
         self.report(now, out);
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -50,6 +50,8 @@
     me: Known,
     // By zone, and by rank within it.
     known: Vec<Known>,
+    // Whether the register was read; before that, larger instances may not be known.
+    registered: bool,
     // Instances of the core without a link, and since when.
     absent: VecMap<InstanceId, Time>,
     standing: Standing,
@@ -60,7 +62,13 @@
     #[must_use]
     pub fn new(me: Known) -> Self {
         let known = vec![me.clone()];
-        Self { me, known, absent: VecMap::default(), standing: Standing::default() }
+        Self {
+            me,
+            known,
+            registered: false,
+            absent: VecMap::default(),
+            standing: Standing::default(),
+        }
     }
 
     /// Learns of an instance.
@@ -73,6 +81,7 @@
     /// Takes the registered instances; `linked` are in reach and may not be registered.
     pub fn replace(&mut self, registered: Vec<Known>, linked: impl Iterator<Item = Known>) {
         self.known = registered;
+        self.registered = true;
         for known in linked.chain([self.me.clone()]) {
             self.known.retain(|other| other.id != known.id);
             self.known.push(known);
@@ -85,6 +94,12 @@
         self.known.sort_by(|a, b| a.zone.cmp(&b.zone).then_with(|| rank(b).cmp(&rank(a))));
     }
 
+    /// Whether the register was read.
+    #[must_use]
+    pub const fn is_registered(&self) -> bool {
+        self.registered
+    }
+
     /// What this instance is and needs.
     #[must_use]
     pub const fn standing(&self) -> &Standing {
@@ -106,11 +121,12 @@
         let mut absent = VecMap::default();
         let zones: Vec<&[Known]> = self.known.chunk_by(|a, b| a.zone == b.zone).collect();
         let in_zone = workers.div_ceil(zones.len());
+        let spare = if self.registered { SPARE } else { 0 };
         for zone in zones {
             let needed = owners_needed(zone.iter().map(|known| known.cores), in_zone);
             let mut counted = 0;
             for known in zone {
-                if counted == needed + SPARE {
+                if counted == needed + spare {
                     break;
                 }
                 let rank = if counted < needed { &mut owners } else { &mut spares };
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -31,6 +31,8 @@
     pub since: Time,
     /// Last sign of the owner, if it is out of reach.
     pub lost: Option<Time>,
+    /// Whether this owner found the run on the worker and has not said that it got the claim.
+    pub claimed: bool,
 }
 
 /// One task of a job.
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -10,7 +10,7 @@
     RUN_GONE, Refusal, Step,
 };
 use cranberryhatch_schema::fleet::{
-    Beat, Ended, Grant, How, Place, Refusal as Refused, Run, Takeover,
+    Beat, Ended, Grant, How, Place, Refusal as Refused, Relinked, Run, Takeover,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -118,6 +118,71 @@
     assert!(given_back);
 }
 
+/// What an owner says of the run when its link is back.
+struct Relink {
+    name: &'static str,
+    running: bool,
+    ended: bool,
+    /// When the link that broke had come up.
+    up: u64,
+    /// Whether the owner found the run on the worker, and its claim may be lost.
+    found: bool,
+    confirmed: bool,
+    asked: bool,
+}
+
+#[test]
+fn a_run_whose_link_broke_goes_on_or_ends_as_its_owner_says() {
+    let before = SENT.as_ms() - 1;
+    let usual = Relink {
+        name: "",
+        running: false,
+        ended: false,
+        up: before,
+        found: false,
+        confirmed: false,
+        asked: false,
+    };
+    let cases = [
+        Relink { name: "it is held", running: true, confirmed: true, ..usual },
+        Relink { name: "it ended", ended: true, asked: true, ..usual },
+        Relink { name: "its order was lost", asked: true, ..usual },
+        Relink { name: "it was ordered on an earlier link", up: before + 2, ..usual },
+        Relink { name: "its claim may be lost", found: true, ..usual },
+    ];
+    for Relink { name, running, ended, up, found, confirmed, asked } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        if found {
+            let found = Takeover {
+                worker: "w".to_owned(),
+                running: vec![run()],
+                ended: Vec::new(),
+                token: 8,
+            };
+            front.takeover(&id("o"), &found, SENT, SENT, &mut out);
+        }
+        front.owner_lost(&id("o"), SENT, &mut out);
+        out.commands.clear();
+        let end = Ended {
+            run: Some(run()),
+            worker: "w".to_owned(),
+            how: How::Stopped.into(),
+            took_ms: 5,
+        };
+        let relinked = Relinked {
+            running: running.then(run).into_iter().collect(),
+            ended: ended.then_some(end).into_iter().collect(),
+        };
+        front.relinked(&id("o"), &relinked, Time::from_ms(up), SENT, &mut out);
+        let is_confirm = |command: &Command| {
+            matches!(command, Command::Send { message: Message::Confirm(_), .. })
+        };
+        assert_eq!(out.commands.iter().any(is_confirm), confirmed, "{name}: confirmed");
+        assert_eq!(asks(&out) > 0, asked, "{name}: asked again");
+    }
+}
+
 #[test]
 fn a_lost_run_counts_as_gone_from_the_later_of_its_order_and_the_owners_last_sign() {
     struct Case {
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -77,6 +77,12 @@
                 (0..instances).filter(|_| rng.bool()).for_each(|node| world.freeze(node, span));
             }
             25..27 => world.instances[node].ahead = *rng.choice(&[0, 2_000]).expect("some"),
+            27..31 => {
+                // In series, as while a network device restarts.
+                for _ in 0..rng.usize(1..2 * instances) {
+                    world.reset_link(rng.usize(0..instances), rng.usize(0..instances));
+                }
+            }
             20..22 => world.workers[worker].hangs = !world.workers[worker].hangs,
             _ => {}
         }
@@ -166,7 +172,11 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 5] = [
+const REGRESSIONS: [Regression; 6] = [
+    Regression {
+        seed: 3_000_279,
+        cause: "a run whose claim was lost with a link counted as one that had never started",
+    },
     Regression {
         seed: 1435,
         cause: "each stop that was sent again put the end of a doubtful run off, for ever",
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -8,9 +8,9 @@
 use common::listed;
 use cranberryhatch_fleet::{Job, Member, Message, Need, Node, Output, Policy, Step};
 use cranberryhatch_schema::fleet::{
-    Ask, Beat, Claim, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size, Place,
-    Refusal, Room, Rooms, Run, Settings, Start, Stop, Takeover, Takeovers, Unused, Withdraw,
-    Workers,
+    Ask, Beat, Claim, Confirm, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size,
+    Place, Refusal, Relinked, Room, Rooms, Run, Settings, Start, Stop, Takeover, Takeovers, Unused,
+    Withdraw, Workers,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time};
 use prost::Message as _;
@@ -140,10 +140,15 @@
         }),
         Message::Start(start.clone()),
         Message::Stop(Stop { run: run(), worker: worker() }),
-        Message::Ended(ended),
+        Message::Ended(ended.clone()),
         Message::Takeover(takeover.clone()),
         Message::Takeovers(Takeovers { found: vec![takeover] }),
         Message::Claim(Claim { worker: worker(), runs: vec![start] }),
+        Message::Relinked(Relinked {
+            running: run().into_iter().collect(),
+            ended: vec![ended.clone()],
+        }),
+        Message::Confirm(Confirm { runs: run().into_iter().collect() }),
         Message::Rooms(Rooms { rooms: vec![room] }),
         Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
         Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
--- a/crates/fleet/tests/roster.rs
+++ b/crates/fleet/tests/roster.rs
@@ -98,3 +98,25 @@
         assert_eq!(roster.standing().core, core, "after {at} ms");
     }
 }
+
+struct Unread {
+    name: &'static str,
+    /// Instances of its zone that it knows from links.
+    linked: usize,
+    core: bool,
+}
+
+#[test]
+fn an_instance_that_cannot_read_the_register_follows_the_owners_that_it_knows() {
+    let cases = [
+        Unread { name: "nobody", linked: 0, core: true },
+        Unread { name: "one owner", linked: 1, core: true },
+        Unread { name: "all owners", linked: OWNERS, core: false },
+    ];
+    for Unread { name, linked, core } in cases {
+        let mut roster = Roster::new(known(0, 11));
+        (0..linked).for_each(|number| roster.learn(known(0, number)));
+        roster.review(|_| true, WORKERS, false, Time::from_ms(START));
+        assert_eq!(roster.standing().core, core, "{name}");
+    }
+}
--- a/crates/fleet/tests/transitions.rs
+++ b/crates/fleet/tests/transitions.rs
@@ -97,6 +97,30 @@
     }
 }
 
+/// Load: four fifths of the workers are busy, and half of all links are reset while all instances live.
+#[test]
+fn links_that_are_reset_cost_no_worker_and_no_run() {
+    for seed in 1..=10 {
+        let mut load = Load::new(seed);
+        load.run_for(1_000);
+        let reset = load.world.now;
+        for a in 0..INSTANCES {
+            for b in 0..a {
+                if load.world.rng.bool() {
+                    load.world.reset_link(a, b);
+                }
+            }
+        }
+        load.run_for(WINDOW);
+        load.world.run_until(load.world.now + 3_000);
+        let fences = load.world.fences.iter().filter(|at| **at >= reset).count();
+        assert_eq!(fences, 0, "seed {seed}: workers taken from owners that live");
+        let served = load.served(reset - 500, 3 * RUN + 60);
+        assert!(served >= 0.97, "seed {seed}: {served} served around the resets");
+        assert_eq!(load.world.faults, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// A loss of power of one instance.
 struct Loss {
     name: &'static str,
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -164,6 +164,8 @@
     pub node: Option<Node>,
     pub life: u64,
     pub frozen: bool,
+    /// Whether it lost power: it refuses no connections.
+    pub dark: bool,
     pub zone: usize,
     /// How far its time of day is ahead, in milliseconds.
     pub ahead: u64,
@@ -278,6 +280,7 @@
             node: None,
             life: 0,
             frozen: false,
+            dark: false,
             zone: index % zones,
             ahead: 0,
             member: Member {
@@ -696,6 +699,7 @@
         instance.life += 1;
         instance.member.incarnation += 1;
         instance.frozen = false;
+        instance.dark = false;
         instance.waiting.clear();
         instance.node = Some(Node::new(instance.member.clone(), now));
         let life = instance.life;
@@ -735,6 +739,14 @@
             return;
         }
         if !both || !self.linked(a, b) {
+            for (node, peer) in [(a, b), (b, a)] {
+                // Nothing listens where a process has ended.
+                let is_gone = self.instances[peer].node.is_none() && !self.instances[peer].dark;
+                if is_gone && alive(&self.instances[node]) && self.linked(a, b) {
+                    let id = self.id(peer);
+                    self.decide(node, |n, now, out| n.peer_gone(&id, now, out));
+                }
+            }
             self.at(self.now + 200, Happening::Connect { a, b });
             return;
         }
@@ -756,6 +768,11 @@
         self.decide(b, |n, now, out| n.link_up(for_b, now, out));
     }
 
+    /// Resets a link between two instances that live, with what is under way on it.
+    pub fn reset_link(&mut self, a: usize, b: usize) {
+        self.break_link(a, b, None);
+    }
+
     /// Ends a link; each side that did not end it learns of it later, if it can.
     fn break_link(&mut self, a: usize, b: usize, by: Option<usize>) {
         let session = self.sessions[a][b];
@@ -769,7 +786,7 @@
                 self.later(Happening::LinkDown { node, peer, session });
             }
         }
-        self.at(self.now + 100, Happening::Connect { a, b });
+        self.at(self.now + 10, Happening::Connect { a, b });
     }
 
     fn link_down(&mut self, node: usize, peer: usize, session: u64) {
@@ -788,6 +805,7 @@
             return;
         }
         self.instances[node].node = None;
+        self.instances[node].dark = silent;
         self.instances[node].life += 1;
         self.instances[node].waiting.clear();
         self.read_from[node].fill(0);
