fix(fleet): a run whose worker obeys its owner no more does not count as ended when their link is back

Symptom: of the model with links that are reset: two runs of one task at a time. Cause: an owner whose worker was taken by an instance that then ended forgot the run, which went on under its lease. When the link to the run's front broke and was back, the owner did not name the run, and the front took it for one whose order was lost with the link and started it again. Change: with its runs the owner names the workers that obey it and its tokens; only on those a run that is not named is not there. Otherwise the front waits as for an owner that is out of reach.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -58,8 +58,12 @@
                 let said = relinked.ended.iter().find(|ended| {
                     ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
                 });
-                // A run that the owner found goes on for a while if the claim was lost.
-                if said.is_none() && (place.claimed || place.since < since) {
+                // A run that the owner found goes on for a while if the claim was lost, as one does on a
+                // worker that obeys the owner no more.
+                let obeys = relinked.obeying.iter().any(|obeying| {
+                    obeying.worker == place.worker.as_str() && obeying.token == place.token
+                });
+                if said.is_none() && (place.claimed || place.since < since || !obeys) {
                     continue;
                 }
                 let worker = place.worker.to_string();
--- a/crates/fleet/src/owner/relink.rs
+++ b/crates/fleet/src/owner/relink.rs
@@ -1,10 +1,10 @@
 //! Runs of fronts whose link broke and may be back.
 
-use cranberryhatch_schema::fleet::{Confirm, Ended, Relinked, Run};
+use cranberryhatch_schema::fleet::{Confirm, Ended, Obeying, Relinked, Run};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use super::{Owner, push_stop};
-use crate::{Output, RunKey, held::Stage, output::Message};
+use crate::{Output, RunKey, held::Stage, output::Message, worker::Charge};
 
 /// Time for which ends are kept that may have been lost with a link; a silent link is given up before.
 const ENDS_KEPT: Span = Span::from_ms(3_000);
@@ -47,8 +47,12 @@
         let running: Vec<Run> = running.map(|held| Run::from(&held.run)).collect();
         let ended = self.unsure.ends.iter().filter(|(_, to, _)| to == front);
         let ended = ended.map(|(.., ended)| ended.clone()).collect();
+        let open = self.workers.iter().filter(|(_, worker)| worker.charge == Charge::Open);
+        let obeying =
+            open.map(|(id, worker)| Obeying { worker: id.to_string(), token: worker.token });
+        let obeying = obeying.collect();
         self.unsure.asked.push((now, front.clone()));
-        out.send(front, Message::Relinked(Relinked { running, ended }));
+        out.send(front, Message::Relinked(Relinked { running, ended, obeying }));
     }
 
     /// Takes the runs that a front wants, which it had before its link broke.
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -10,7 +10,7 @@
     RUN_GONE, Refusal, Step,
 };
 use cranberryhatch_schema::fleet::{
-    Beat, Ended, Grant, How, Place, Refusal as Refused, Relinked, Run, Takeover,
+    Beat, Ended, Grant, How, Obeying, Place, Refusal as Refused, Relinked, Run, Takeover,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -127,6 +127,8 @@
     up: u64,
     /// Whether the owner found the run on the worker, and its claim may be lost.
     found: bool,
+    /// Token under which the worker obeys the owner.
+    token: u64,
     confirmed: bool,
     asked: bool,
 }
@@ -140,6 +142,7 @@
         ended: false,
         up: before,
         found: false,
+        token: 7,
         confirmed: false,
         asked: false,
     };
@@ -148,9 +151,10 @@
         Relink { name: "it ended", ended: true, asked: true, ..usual },
         Relink { name: "its order was lost", asked: true, ..usual },
         Relink { name: "it was ordered on an earlier link", up: before + 2, ..usual },
-        Relink { name: "its claim may be lost", found: true, ..usual },
+        Relink { name: "its claim may be lost", found: true, token: 8, ..usual },
+        Relink { name: "its worker obeys another owner", token: 9, ..usual },
     ];
-    for Relink { name, running, ended, up, found, confirmed, asked } in cases {
+    for Relink { name, running, ended, up, found, token, confirmed, asked } in cases {
         let mut out = Output::default();
         let mut front = placed(&mut out);
         if found {
@@ -173,6 +177,7 @@
         let relinked = Relinked {
             running: running.then(run).into_iter().collect(),
             ended: ended.then_some(end).into_iter().collect(),
+            obeying: vec![Obeying { worker: "w".to_owned(), token }],
         };
         front.relinked(&id("o"), &relinked, Time::from_ms(up), SENT, &mut out);
         let is_confirm = |command: &Command| {
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -172,7 +172,11 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 6] = [
+const REGRESSIONS: [Regression; 7] = [
+    Regression {
+        seed: 3_001_363,
+        cause: "a run on a worker that its owner had lost counted as ended when the link was back",
+    },
     Regression {
         seed: 3_000_279,
         cause: "a run whose claim was lost with a link counted as one that had never started",
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -9,8 +9,8 @@
 use cranberryhatch_fleet::{Job, Member, Message, Need, Node, Output, Policy, Step};
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Claim, Confirm, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size,
-    Place, Refusal, Relinked, Room, Rooms, Run, Settings, Start, Stop, Takeover, Takeovers, Unused,
-    Withdraw, Workers,
+    Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings, Start, Stop, Takeover,
+    Takeovers, Unused, Withdraw, Workers,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time};
 use prost::Message as _;
@@ -147,6 +147,7 @@
         Message::Relinked(Relinked {
             running: run().into_iter().collect(),
             ended: vec![ended.clone()],
+            obeying: vec![Obeying { worker: worker(), token: large(7) }],
         }),
         Message::Confirm(Confirm { runs: run().into_iter().collect() }),
         Message::Rooms(Rooms { rooms: vec![room] }),
