fix(edge): the register is read before it is written, and is waited for where there are peers

Cause: all instances write to one part of the store, which takes 200 transactions a second: the last ones are done after 0.73 s, later than the 600 ms after which an instance that has not read the register goes by the peers that it knows. Ruled out: readings; the store serves 16,000 a second. Change: the register is read first; who finds itself in it, as after a restart, need not wait for its own row. An instance that has peers waits 2 s for the register, one without peers 600 ms as before.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -166,30 +166,14 @@
     let mut backoff = Backoff::new();
     let mut registered = false;
     loop {
-        let result = async {
-            if !registered {
-                edge.port().register(&me.instance, me.encode_to_vec()).await?;
-            }
-            edge.port().read(List::Instances).await
-        };
-        match result.await {
+        match edge.port().read(List::Instances).await {
             Ok(rows) => {
-                registered = true;
                 backoff.succeeded(List::Instances);
-                let mut instances = Vec::new();
-                for value in rows.rows.into_iter().filter_map(|row| row.value) {
-                    match Hello::decode(value) {
-                        Ok(hello) => {
-                            instances.extend(crate::links::member(&hello).map(|m| Known::from(&m)));
-                            edge.links().learn(&edge, hello);
-                        }
-                        Err(error) => {
-                            log::warn!(error = error.to_string(); "instance-unreadable");
-                        }
-                    }
+                let instances = learn(&edge, rows);
+                // An earlier life of this instance registered, so that the others have had the time to.
+                if registered || instances.iter().any(|known| known.id.as_str() == me.instance) {
+                    edge.registered(instances);
                 }
-                edge.registered(instances);
-                Timer::after(INSTANCES_EVERY).await;
             }
             Err(error) => {
                 if edge.links().is_empty() {
@@ -198,7 +182,32 @@
                     }
                 }
                 backoff.failed(&edge, List::Instances, &error).await;
+                continue;
+            }
+        }
+        if registered {
+            Timer::after(INSTANCES_EVERY).await;
+            continue;
+        }
+        // All instances that start together write one after the other, and read again after it.
+        match edge.port().register(&me.instance, me.encode_to_vec()).await {
+            Ok(()) => registered = true,
+            Err(error) => backoff.failed(&edge, List::Instances, &error).await,
+        }
+    }
+}
+
+/// Learns of the instances of the register.
+fn learn<P: Port>(edge: &Arc<Edge<P>>, rows: Rows) -> Vec<Known> {
+    let mut instances = Vec::new();
+    for value in rows.rows.into_iter().filter_map(|row| row.value) {
+        match Hello::decode(value) {
+            Ok(hello) => {
+                instances.extend(crate::links::member(&hello).map(|member| Known::from(&member)));
+                edge.links().learn(edge, hello);
             }
+            Err(error) => log::warn!(error = error.to_string(); "instance-unreadable"),
         }
     }
+    instances
 }
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -13,6 +13,8 @@
 const IDLE_BEAT_EVERY: Span = Span::from_ms(1_400);
 /// Longest time that an instance has to find the registered instances before it takes duties.
 const JOIN_TIME: Span = Span::from_ms(600);
+/// The same for an instance that is linked to others and has not read the register.
+const REGISTER_TIME: Span = Span::from_ms(2_000);
 /// Time after a pause for which an instance does not schedule, so that one that stands still again and
 /// again does not hold up the jobs of all each time.
 const REST: Span = Span::from_ms(1_000);
@@ -124,8 +126,11 @@
 
     /// Works out which links this instance needs, and whether it takes duties.
     pub(super) fn review(&mut self, now: Time, out: &mut Output) {
-        // An instance that has not read the register does not know who is larger.
-        let known = self.roster.is_registered() || now.since(self.started) >= JOIN_TIME;
+        // An instance that has not read the register does not know who is larger; those that have come
+        // to it by themselves.
+        let alone = self.members.peers().is_empty();
+        let patience = if alone { JOIN_TIME } else { REGISTER_TIME };
+        let known = self.roster.is_registered() || now.since(self.started) >= patience;
         if !known || now.since(self.reviewed) < REVIEW_EVERY {
             return;
         }
