fix(edge): an entry that cannot be read names no worker after an outage either, and is logged once

Ruled out: entries that hold; they are not touched. Change: an entry is a worker, nothing, or unreadable; the last removes the worker at once. It leaves a line only if the worker was known. A pause is noticed by ticks and not by questions.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -302,11 +302,14 @@
     /// Whether the reader of the zone has lately told of the same workers that are known here.
     #[must_use]
     pub fn is_told_of_workers(&self) -> bool {
-        let now = self.clock.now();
-        let fresh = self.told.lock().unwrap_or_else(PoisonError::into_inner).is_fresh(now);
+        let fresh = self.told().is_fresh(self.clock.now());
         fresh && !self.is_reader()
     }
 
+    fn told(&self) -> MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Passes changes of workers on to the instances of the zone, if this one reads for them.
     pub fn pass_on_workers(self: &Arc<Self>) {
         self.list_read.store(self.clock.now().as_ms(), Ordering::Relaxed);
@@ -314,11 +317,12 @@
         self.decide(|node, _, out| node.pass_on(&workers, out));
     }
 
-    fn told(self: &Arc<Self>, workers: fleet::Workers) {
+    /// Takes what the reader of the zone says of the workers.
+    fn take_workers(self: &Arc<Self>, workers: fleet::Workers) {
         let (changed, same) = self.entries().told(workers);
         if same {
             let now = self.clock.now();
-            self.told.lock().unwrap_or_else(PoisonError::into_inner).hear(now);
+            self.told().hear(now);
             self.list_read.store(now.as_ms(), Ordering::Relaxed);
         }
         if changed {
@@ -347,8 +351,7 @@
             let took = self.clock.now().since(before).as_ms();
             let lag = took.saturating_sub(u64::try_from(TICK.as_millis()).unwrap_or_default());
             Meters::observe(&self.meters.loop_lag, Span::from_ms(lag));
-            // Notices pauses, whatever it says.
-            let _ = self.is_told_of_workers();
+            self.told().tick(self.clock.now());
             let wall = self.clock.wall_ms();
             self.decide(|node, now, out| node.tick(wall, now, out));
             count += 1;
@@ -390,7 +393,7 @@
     fn messages(self: &Arc<Self>, peer: &InstanceId, mut messages: Vec<Body>) {
         for message in &mut messages {
             if let Body::Workers(workers) = message {
-                self.told(std::mem::take(workers));
+                self.take_workers(std::mem::take(workers));
             }
         }
         self.decide(|node, now, out| {
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -9,49 +9,61 @@
 const TOLD_FOR: Span = Span::from_ms(1_000);
 /// Time after a pause of this process in which messages of the reader may have waited for it.
 const STALE_FOR: Span = Span::from_ms(1_000);
-/// Gap between two checks that counts as a pause.
+/// Gap between two ticks that counts as a pause.
 const PAUSE: Span = Span::from_ms(400);
 
 /// Whether the reader of the zone has lately told of the workers, so that the store is not read.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
     at: Option<Time>,
-    checked: Option<Time>,
+    ticked: Option<Time>,
     stale_until: Time,
 }
 
 impl Told {
     /// The reader has the same list as this instance.
     pub fn hear(&mut self, now: Time) {
-        self.check(now);
+        self.tick(now);
         if now >= self.stale_until {
             self.at = Some(now);
         }
     }
 
-    /// Whether the list is fresh; a gap between two calls means that this process stood still, and that
-    /// what it reads then may be as old as the gap.
-    pub fn is_fresh(&mut self, now: Time) -> bool {
-        self.check(now);
+    /// Whether the list is fresh.
+    #[must_use]
+    pub fn is_fresh(&self, now: Time) -> bool {
         self.at.is_some_and(|at| now.since(at) < TOLD_FOR)
     }
 
-    fn check(&mut self, now: Time) {
-        if self.checked.is_some_and(|checked| now.since(checked) >= PAUSE) {
+    /// Is called often: a gap between two calls means that this process stood still, and that what it
+    /// reads next may be as old as the gap.
+    pub fn tick(&mut self, now: Time) {
+        if self.ticked.is_some_and(|ticked| now.since(ticked) >= PAUSE) {
             self.at = None;
             self.stale_until = now + STALE_FOR;
         }
-        self.checked = Some(now);
+        self.ticked = Some(now);
     }
 }
 
-/// A change of an entry; no worker if it is gone.
+/// What the store has under the id of a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Entry {
+    /// The worker.
+    Listed(Listed),
+    /// Nothing any more.
+    Gone,
+    /// Something that cannot be read; it names no worker, whatever was there before.
+    Unreadable,
+}
+
+/// A change of an entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Change {
     /// Id of the worker.
     pub key: String,
-    /// The worker.
-    pub listed: Option<Listed>,
+    /// What the store has now.
+    pub entry: Entry,
 }
 
 /// Entries of workers, with those that vanished while the store was away.
@@ -106,15 +118,22 @@
                 changed |= self.remove(key, grace);
             }
         }
-        for Change { key, listed } in changes {
-            changed |= match listed {
-                Some(listed) => self.put(key, listed),
-                None => self.remove(key, grace),
+        for Change { key, entry } in changes {
+            changed |= match entry {
+                Entry::Listed(listed) => self.put(key, listed),
+                Entry::Gone => self.remove(key, grace),
+                Entry::Unreadable => self.remove(key, None),
             };
         }
         changed
     }
 
+    /// Whether a worker is known.
+    #[must_use]
+    pub fn contains(&self, key: &str) -> bool {
+        self.workers.contains(key)
+    }
+
     fn put(&mut self, key: String, listed: Listed) -> bool {
         let returned = self.missing.remove(&key).is_some();
         if self.workers.get(&key) == Some(&listed) {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -8,7 +8,10 @@
 use prost::Message as _;
 use smol::Timer;
 
-use crate::{Edge, List, Meters, Port, Row, Rows, StoreError, entries::Change};
+use crate::{
+    Edge, List, Meters, Port, Row, Rows, StoreError,
+    entries::{Change, Entry},
+};
 
 /// Longest time that the store may wait for a change of the settings.
 ///
@@ -102,17 +105,21 @@
     }
 }
 
-/// Reads the entries of rows; those that cannot be read name no worker.
+/// Reads the entries of rows.
 fn decode<P: Port>(edge: &Edge<P>, rows: Vec<Row>) -> Vec<Change> {
     let decode = |Row { key, value }: Row| {
-        let listed = value.and_then(|value| match edge.port().decode_worker(&key, &value) {
-            Ok(listed) => Some(listed),
-            Err(error) => {
-                log::warn!(worker = key, error = error.to_string(); "worker-unreadable");
-                None
+        let entry = match value.map(|value| edge.port().decode_worker(&key, &value)) {
+            Some(Ok(listed)) => Entry::Listed(listed),
+            None => Entry::Gone,
+            Some(Err(error)) => {
+                // Its writer repeats it every so often.
+                if edge.entries().contains(&key) {
+                    log::warn!(worker = key, error = error.to_string(); "worker-unreadable");
+                }
+                Entry::Unreadable
             }
-        });
-        Change { key, listed }
+        };
+        Change { key, entry }
     };
     rows.into_iter().map(decode).collect()
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,7 +25,7 @@
 pub use clock::Clock;
 pub use cranberryhatch_schema::fleet::Hello;
 pub use edge::Edge;
-pub use entries::{Change, Entries, Told};
+pub use entries::{Change, Entries, Entry as WorkerEntry, Told};
 pub use follow::{follow_instances, follow_settings, follow_workers};
 pub use frames::{FrameReader, encode};
 pub use journal::{Journal, log_lines, start_logs};
--- a/crates/edge/tests/entries.rs
+++ b/crates/edge/tests/entries.rs
@@ -1,6 +1,6 @@
 //! Guards against workers that an instance does not see leave because another one reads the store.
 
-use cranberryhatch_edge::{Change, Entries, Told};
+use cranberryhatch_edge::{Change, Entries, Told, WorkerEntry};
 use cranberryhatch_fleet::{Listed, Need};
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
@@ -17,11 +17,11 @@
         room: Need { cores: Cores::new(32_000), memory: Count::new(64), accels: Accels::new(0) },
         draining,
     };
-    Change { key: name.to_owned(), listed: Some(listed) }
+    Change { key: name.to_owned(), entry: WorkerEntry::Listed(listed) }
 }
 
 fn gone(name: &str) -> Change {
-    Change { key: name.to_owned(), listed: None }
+    Change { key: name.to_owned(), entry: WorkerEntry::Gone }
 }
 
 /// A reader and an instance that it tells, which have read the same list.
@@ -68,6 +68,14 @@
     }
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_names_no_worker_even_after_an_outage() {
+    let (mut reader, _) = pair();
+    let unreadable = Change { key: "w".to_owned(), entry: WorkerEntry::Unreadable };
+    assert!(reader.read(false, vec![unreadable], 2, Some(GRACE)));
+    assert!(!reader.contains("w"));
+}
+
 #[test]
 fn a_lost_message_shows_in_the_next_one() {
     let (mut reader, mut told) = pair();
@@ -167,8 +175,9 @@
             if heard.contains(&now) {
                 told.hear(NOW + Span::from_ms(now));
             }
-            told.is_fresh(NOW + Span::from_ms(now));
+            told.tick(NOW + Span::from_ms(now));
         }
+        told.tick(NOW + Span::from_ms(at));
         if heard.contains(&at) {
             told.hear(NOW + Span::from_ms(at));
         }
