--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -1,7 +1,7 @@
 //! Guards against duties that change with each link, and against members that never count.
 
 use cranberryhatch_fleet::{Counted, Member, Members};
-use cranberryhatch_types::{InstanceId, Span, Time};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 const START: Time = Time::from_ms(10_000);
 
@@ -107,3 +107,52 @@
     members.set_quiet(vec![id("old"), id("me")]);
     assert_eq!(scheduler(&members), "me");
 }
+
+/// Workers that each of these owners has, of 2,000.
+fn shares(members: &Members) -> Vec<(String, usize)> {
+    const WORKERS: usize = 2_000;
+    let owners = members.owners(WORKERS);
+    let mut shares: Vec<(String, usize)> = Vec::new();
+    for number in 0..WORKERS {
+        let worker: WorkerId = format!("w-{number}").parse().expect("an id");
+        let owner = owners.of(&worker, "a").expect("an owner").to_string();
+        match shares.iter_mut().find(|(known, _)| *known == owner) {
+            Some((_, count)) => *count += 1,
+            None => shares.push((owner, 1)),
+        }
+    }
+    shares.sort();
+    shares
+}
+
+#[test]
+fn owners_have_workers_in_proportion_to_their_processors() {
+    let mut members = settled();
+    members.up(member("new", 300, true), START);
+    let view = members.view();
+    ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
+    assert!(members.count(START).is_some());
+    // "me", "new" and "old" have 200, 300 and 100.
+    for ((name, count), fair) in shares(&members).into_iter().zip([667_usize, 1_000, 333]) {
+        assert!(count.abs_diff(fair) <= fair / 5, "{name}: {count}, and {fair} in proportion");
+    }
+}
+
+#[test]
+fn a_lost_owner_moves_only_its_own_workers() {
+    let mut members = settled();
+    members.up(member("new", 300, true), START);
+    let view = members.view();
+    ["old", "new"].iter().for_each(|peer| members.sees(&id(peer), view));
+    assert!(members.count(START).is_some());
+    let before = members.owners(2_000);
+    members.down(&id("new"));
+    let after = members.owners(2_000);
+    for number in 0..2_000 {
+        let worker: WorkerId = format!("w-{number}").parse().expect("an id");
+        let had = before.of(&worker, "a").expect("an owner");
+        if had.as_str() != "new" {
+            assert_eq!(after.of(&worker, "a"), Some(had), "{worker}");
+        }
+    }
+}
