perf(fleet): an index of free room for the scheduler

Cause: it looked at every worker for each task, and at all of them again for the largest room after each grant and after each message. Ruled out: the backlog; it is short unless the service is full. Change: workers are kept in the order of their free cores as well. A placement begins with the first that fits and ends with the first that leaves as much as the best one costs; the largest room is at the end. The choice has the same cost as before, which a test compares over 200 seeds with a look at every worker; of several with the same cost another may be taken.

--- /dev/null
+++ b/crates/bench/src/grants.rs
@@ -0,0 +1,94 @@
+//! Cost of placing a task of instances that share workers.
+
+use std::time::Instant;
+
+use cranberryhatch_fleet::{Listed, Need, Site, Sites, TaskKey, Waiting};
+use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
+
+use crate::Series;
+
+/// Grants for one point.
+const GRANTS: u32 = 20_000;
+/// Cores of a task, in thousandths; half of a worker.
+const TASK: u32 = 16_000;
+/// Share of the workers on which a task runs all the while, in tenths.
+const BUSY: u32 = 8;
+const NOW: Time = Time::from_ms(10_000);
+
+/// A grant, and the end of an earlier one, over all workers.
+pub(crate) fn grant_over_workers() -> Series {
+    let series = Series::new("grant of room to a task, and its end", "workers", "ns");
+    [48, 350, 1_100, 3_000]
+        .into_iter()
+        .fold(series, |series, workers| series.point(f64::from(workers), grant_cost(workers)))
+}
+
+fn grant_cost(workers: u32) -> f64 {
+    let mut sites: Sites = (0..workers).map(site).collect();
+    let waiting = waiting();
+    let mut held = std::collections::VecDeque::new();
+    let mut begin = Instant::now();
+    let filling = workers * BUSY / 10;
+    for number in 0..filling + GRANTS {
+        if number == filling {
+            begin = Instant::now();
+        }
+        let Some(site) = sites.choose(&waiting, NOW) else { break };
+        let (id, key) = (site.id().clone(), task(number));
+        // Sizes differ a little, so that free rooms do.
+        let need = need(TASK - number % 997);
+        sites.change(&id, |site| site.grant(key.clone(), need, NOW));
+        held.push_back((id, key));
+        if held.len() > filling as usize
+            && let Some((id, key)) = held.pop_front()
+        {
+            sites.change(&id, |site| site.release(&key));
+        }
+    }
+    begin.elapsed().as_secs_f64() * 1e9 / f64::from(GRANTS)
+}
+
+fn need(cores: u32) -> Need {
+    Need { cores: Cores::new(cores), memory: Count::new(64), accels: Accels::new(0) }
+}
+
+fn task(task: u32) -> TaskKey {
+    TaskKey { job: "00000000000000aa".to_owned(), step: 0, task }
+}
+
+fn site(number: u32) -> Site {
+    let listed = Listed {
+        id: format!("w-{number:04}").parse().expect("an id"),
+        service: "svc".to_owned(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: format!("z{}", number % 5),
+        labels: Vec::new(),
+        room: Need { memory: Count::new(65_536), ..need(2 * TASK) },
+        draining: false,
+    };
+    let mut site = Site::new(listed, "e-1".parse().expect("a name"), 1);
+    site.open = true;
+    site
+}
+
+fn waiting() -> Waiting {
+    Waiting {
+        front: "e-1".parse().expect("a name"),
+        zone: "z0".to_owned(),
+        job: "00000000000000ab".to_owned(),
+        step: 0,
+        tasks: vec![0],
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        need: need(TASK),
+        expected: Span::from_ms(100),
+        on_time: NOW,
+        useful: NOW,
+        label: String::new(),
+        rack: String::new(),
+        spread: 0,
+        avoid: Vec::new(),
+        begun: false,
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert!((line.at(10.0) - 30.0).abs() < 1e-9);
 //! ```
 
+mod grants;
 mod line;
 mod memory;
 mod rig;
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,7 +8,7 @@
 use cranberryhatch_types::{Incarnation, ShardId};
 use prost::Message;
 
-use crate::{Rig, Series, resident_bytes};
+use crate::{Rig, Series, grants::grant_over_workers, resident_bytes};
 
 /// Tasks started for one point.
 const TASKS: u64 = 100_000;
@@ -32,6 +32,7 @@
         tree_time_over_teams(),
         tree_bytes_over_teams(),
         envelope_bytes_over_shards(),
+        grant_over_workers(),
     ]
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -44,6 +44,7 @@
 mod run_times;
 mod scheduler;
 mod site;
+mod sites;
 mod stop;
 mod task_state;
 mod vec_map;
@@ -63,7 +64,6 @@
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
 };
 pub use owner::Owner;
-pub use placing::choose;
 pub use refusing::{Hopeless, hopeless};
 pub use roster::{Known, Roster, Standing};
 pub use run_key::{RunKey, TaskKey};
@@ -71,6 +71,7 @@
 pub use run_times::RunTimes;
 pub use scheduler::Scheduler;
 pub use site::Site;
+pub use sites::Sites;
 pub use stop::{LAST_CALLERS, Stop, Stopping};
 pub use task_state::{Phase, Placed, TaskState};
 pub use vec_map::VecMap;
--- a/crates/fleet/src/placing.rs
+++ b/crates/fleet/src/placing.rs
@@ -19,12 +19,29 @@
 const AVOIDED: u32 = 100_000;
 
 /// The worker that fits the task best; none when no worker has room.
-pub fn choose<'a>(
-    sites: impl Iterator<Item = &'a mut Site>,
+///
+/// `sites` come in the order of their free cores, so that no worker after one that leaves as much as the
+/// best one costs is better.
+pub(crate) fn choose<'a>(
+    sites: impl Iterator<Item = &'a Site>,
     waiting: &Waiting,
     now: Time,
-) -> Option<&'a mut Site> {
-    sites.filter(|site| may_run(site, waiting, now)).min_by_key(|site| cost(site, waiting))
+) -> Option<&'a Site> {
+    let mut best: Option<(u32, &Site)> = None;
+    for site in sites {
+        let left = site.free().cores.get().saturating_sub(waiting.need.cores.get());
+        if best.is_some_and(|(cost, _)| left >= cost) {
+            break;
+        }
+        if !may_run(site, waiting, now) {
+            continue;
+        }
+        let cost = cost(site, waiting);
+        if best.is_none_or(|(known, _)| cost < known) {
+            best = Some((cost, site));
+        }
+    }
+    best.map(|(_, site)| site)
 }
 
 fn may_run(site: &Site, waiting: &Waiting, now: Time) -> bool {
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -1,11 +1,11 @@
 //! Grants room on workers to waiting tasks of all instances.
 
 use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, Place, Refusal, Rooms};
-use cranberryhatch_types::{Cores, InstanceId, Span, Time, WorkerId};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, TaskKey, VecMap, Waiting,
-    backlog::latest_starts, note::Note, output::Message, placing, refusing,
+    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Waiting,
+    backlog::latest_starts, note::Note, output::Message, refusing,
 };
 
 /// Largest number of jobs whose first failure is remembered.
@@ -24,7 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Scheduler {
     backlog: Backlog,
-    sites: VecMap<WorkerId, Site>,
+    sites: Sites,
     times: RunTimes,
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
@@ -90,13 +90,13 @@
     /// Forgets the waiting tasks of an instance, and the workers that it owned.
     pub fn lose(&mut self, instance: &InstanceId) {
         self.backlog.remove(|waiting| waiting.front == *instance);
-        self.sites.retain(|_, site| site.owner != *instance);
+        self.sites.retain(|site| site.owner != *instance);
     }
 
     /// Forgets everything but run times: another instance schedules now.
     pub fn resign(&mut self) {
         self.backlog = Backlog::default();
-        self.sites = VecMap::default();
+        self.sites = Sites::default();
         self.suspects = VecMap::default();
         self.since = None;
         self.complete = false;
@@ -112,13 +112,13 @@
 
     /// Gives back a place that was not used, or that the owner refused.
     pub fn unused(&mut self, worker: &WorkerId, task: &TaskKey, refused: bool, now: Time) {
-        if let Some(site) = self.sites.get_mut(worker) {
+        let known = self.sites.change(worker, |site| {
             site.release(task);
             if refused {
                 site.learn(How::NoRoom, Span::ZERO, Span::ZERO, false, now);
             }
-            self.dirty = true;
-        }
+        });
+        self.dirty |= known.is_some();
     }
 
     /// Takes an owner's report of its workers.
@@ -126,20 +126,25 @@
         for room in rooms.rooms {
             let Ok(id) = room.worker.parse::<WorkerId>() else { continue };
             let Some(listed) = listing.get(&id) else { continue };
-            let site =
-                self.sites.entry(id, || Site::new(listed.clone(), owner.clone(), room.token));
-            if room.token < site.token {
+            let known = self.sites.get(&id).map(|site| site.token);
+            if known.is_some_and(|token| room.token < token) {
                 continue;
             }
-            site.listed = listed.clone();
-            site.owner = owner.clone();
-            site.token = room.token;
-            site.open = room.open;
+            if known.is_none() {
+                self.sites.insert(Site::new(listed.clone(), owner.clone(), room.token));
+            }
             let held = room.held.into_iter().filter_map(|held| {
                 let key = RunKey::from(&held.run?);
                 Some((key.task, Need::from(&held.need?)))
             });
-            site.report(held.collect(), now);
+            let held = held.collect();
+            self.sites.change(&id, |site| {
+                site.listed = listed.clone();
+                site.owner = owner.clone();
+                site.token = room.token;
+                site.open = room.open;
+                site.report(held, now);
+            });
             self.dirty = true;
         }
         self.complete = self.complete || self.knows(listing);
@@ -147,14 +152,12 @@
 
     /// Grants no room on the workers of owners that say nothing, for as long as they do.
     pub fn mute(&mut self, silent: &[InstanceId]) {
-        for (_, site) in self.sites.iter_mut() {
-            site.silent = silent.contains(&site.owner);
-        }
+        self.sites.set_silent(|site| silent.contains(&site.owner));
     }
 
     /// Takes a new list of workers.
     pub fn listed(&mut self, listing: &Listing) {
-        self.sites.retain(|id, site| match listing.get(id) {
+        self.sites.retain(|site| match listing.get(site.id()) {
             Some(listed) => {
                 site.listed = listed.clone();
                 true
@@ -173,12 +176,14 @@
             self.times.learn(&freed.kind, took);
         }
         let guilty = how == How::Failed && self.suspect(&run.task.job, &worker);
-        let Some(site) = self.sites.get_mut(&worker) else { return };
-        site.release(&run.task);
-        if !freed.kind.is_empty() {
-            site.learn(how, took, Span::from_ms(freed.expected_ms.into()), guilty, now);
-        }
-        self.dirty = true;
+        let expected = Span::from_ms(freed.expected_ms.into());
+        let known = self.sites.change(&worker, |site| {
+            site.release(&run.task);
+            if !freed.kind.is_empty() {
+                site.learn(how, took, expected, guilty, now);
+            }
+        });
+        self.dirty |= known.is_some();
     }
 
     /// Whether the failure of a job may be the worker's: a job that fails on a second worker is
@@ -194,9 +199,7 @@
             }
             Some(first) if first == worker => false,
             Some(first) => {
-                if let Some(site) = self.sites.get_mut(first) {
-                    site.acquit();
-                }
+                self.sites.change(first, Site::acquit);
                 false
             }
         }
@@ -219,11 +222,11 @@
     /// Whether the room of all listed workers is known.
     fn knows(&self, listing: &Listing) -> bool {
         let listed = listing.all();
-        !listed.is_empty() && listed.iter().all(|listed| self.sites.contains(&listed.id))
+        !listed.is_empty() && listed.iter().all(|listed| self.sites.get(&listed.id).is_some())
     }
 
     fn grant(&mut self, now: Time, out: &mut Output) {
-        let mut largest = self.largest_room(now);
+        let mut largest = self.sites.largest(now);
         for waiting in self.backlog.iter_mut() {
             if waiting.need.cores > largest {
                 continue;
@@ -231,13 +234,10 @@
             let mut places = Vec::new();
             let mut left = Vec::new();
             for task in std::mem::take(&mut waiting.tasks) {
-                let sites = self.sites.iter_mut().map(|(_, site)| site);
-                let Some(site) = placing::choose(sites, waiting, now) else {
+                let Some(site) = self.sites.choose(waiting, now) else {
                     left.push(task);
                     continue;
                 };
-                let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
-                site.grant(key, waiting.need, now);
                 places.push(Place {
                     task,
                     worker: site.id().to_string(),
@@ -245,6 +245,9 @@
                     run_ms: to_u32(waiting.expected.as_ms()),
                     token: site.token,
                 });
+                let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
+                let id = site.id().clone();
+                self.sites.change(&id, |site| site.grant(key, waiting.need, now));
             }
             waiting.tasks = left;
             if places.is_empty() {
@@ -255,15 +258,11 @@
             let slack = waiting.on_time.since(now);
             out.note(Note::Granted { job: job.clone(), tasks: places.len(), slack });
             out.send(&waiting.front, Message::Grant(Grant { job, step, places }));
-            largest = largest_of(&self.sites, now);
+            largest = self.sites.largest(now);
         }
         self.backlog.compact();
     }
 
-    fn largest_room(&self, now: Time) -> Cores {
-        largest_of(&self.sites, now)
-    }
-
     fn refuse(&mut self, now: Time, out: &mut Output) {
         let mut services: Vec<String> =
             self.backlog.iter().map(|waiting| waiting.service.clone()).collect();
@@ -296,23 +295,18 @@
     /// Room of all workers of a service that take work, in thousandths of a core.
     fn cores(&self, service: &str) -> u64 {
         let usable = |site: &&Site| site.is_usable() && site.listed.service == service;
-        let sites = self.sites.iter().map(|(_, site)| site).filter(usable);
+        let sites = self.sites.iter().filter(usable);
         sites.map(|site| u64::from(site.listed.room.cores.get()) / site.caution()).sum()
     }
 
     /// Number of steps that wait, and of workers that take tasks.
     #[must_use]
     pub fn load(&self, now: Time) -> (usize, usize) {
-        let open = self.sites.iter().filter(|(_, site)| site.takes_tasks(now)).count();
+        let open = self.sites.iter().filter(|site| site.takes_tasks(now)).count();
         (self.backlog.len(), open)
     }
 }
 
-fn largest_of(sites: &VecMap<WorkerId, Site>, now: Time) -> Cores {
-    let open = sites.iter().filter(|(_, site)| site.takes_tasks(now));
-    open.map(|(_, site)| site.free().cores).max().unwrap_or_default()
-}
-
 fn to_u32(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/fleet/tests/placing.rs
+++ b/crates/fleet/tests/placing.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{need, site, waiting};
-use cranberryhatch_fleet::{Site, TaskKey, Waiting, choose};
+use cranberryhatch_fleet::{Site, Sites, TaskKey, Waiting};
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{Span, Time};
 
@@ -83,8 +83,9 @@
             chosen: None,
         },
     ];
-    for Case { name, mut sites, waiting, chosen } in cases {
-        let found = choose(sites.iter_mut(), &waiting, NOW).map(|site| site.id().to_string());
+    for Case { name, sites, waiting, chosen } in cases {
+        let sites: Sites = sites.into_iter().collect();
+        let found = sites.choose(&waiting, NOW).map(|site| site.id().to_string());
         assert_eq!(found.as_deref(), chosen, "{name}");
     }
 }
@@ -126,3 +127,54 @@
         assert_eq!(site.takes_tasks(NOW), takes, "{name}");
     }
 }
+
+/// What a worker costs a task by the rules of placing; none if it may not run it. It looks at every
+/// worker, without the index.
+fn cost(site: &Site, waiting: &Waiting) -> Option<u32> {
+    let may = waiting.need.fits(site.free()) && site.takes_tasks(NOW);
+    let left = site.free().cores.get().checked_sub(waiting.need.cores.get())?;
+    let far = if site.listed.zone == waiting.zone { 0 } else { 3_000 };
+    let avoided = waiting.avoid.iter().any(|avoided| avoided == site.id().as_str());
+    may.then_some(left + far + if avoided { 100_000 } else { 0 })
+}
+
+#[test]
+fn the_index_of_free_room_chooses_as_well_as_a_look_at_every_worker() {
+    const WORKERS: usize = 60;
+    for seed in 1..=200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let sites = (0..WORKERS).map(|number| {
+            let zone = ["a", "b", "c"][number % 3];
+            site(&format!("w-{number}"), zone, 16_000 * rng.u32(1..4))
+        });
+        let mut sites: Sites = sites.collect();
+        for number in 0..200 {
+            let id = format!("w-{}", rng.usize(0..WORKERS)).parse().expect("an id");
+            let cores = rng.u32(1_000..24_000);
+            sites.change(&id, |site| match rng.usize(0..8) {
+                0..4 => {
+                    if need(cores).fits(site.free()) {
+                        site.grant(task(number), need(cores), NOW);
+                    }
+                }
+                4..6 => site.release(&task(rng.u32(0..=number))),
+                6 => site.open = rng.bool(),
+                _ => site.report(Vec::new(), NOW),
+            });
+            if rng.usize(0..40) == 0 {
+                sites.retain(|site| site.id() != &id);
+            }
+            let waiting = Waiting {
+                need: need(rng.u32(1_000..30_000)),
+                avoid: vec![format!("w-{}", rng.usize(0..WORKERS))],
+                ..waiting("job", 100, 400)
+            };
+            let best = sites.iter().filter_map(|site| cost(site, &waiting)).min();
+            let found = sites.choose(&waiting, NOW).map(|site| cost(site, &waiting));
+            assert_eq!(found, best.map(Some), "seed {seed}, change {number}");
+            let open = sites.iter().filter(|site| site.takes_tasks(NOW));
+            let largest = open.map(|site| site.free().cores).max().unwrap_or_default();
+            assert_eq!(sites.largest(NOW), largest, "seed {seed}, change {number}");
+        }
+    }
+}
