--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use cranberryhatch_fleet::{Listed, Need, Site, Waiting};
+use cranberryhatch_fleet::{Listed, Need, Policy, Site, Waiting};
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 /// Size of a task or of room, with memory that never binds.
@@ -10,6 +10,19 @@
     Need { cores: Cores::new(cores), memory: Count::new(64), accels: Accels::new(0) }
 }
 
+/// Settings of the kind of job `k`.
+pub fn policy() -> Policy {
+    Policy {
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1_600,
+        slack: Span::from_ms(60),
+        timeout: Span::from_ms(1_500),
+    }
+}
+
 /// Two tasks of 14 cores and 100 ms with latest starts in milliseconds.
 pub fn waiting(job: &str, on_time: u64, useful: u64) -> Waiting {
     Waiting {
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -4,10 +4,10 @@
 
 use std::sync::Arc;
 
-use common::need;
+use common::{need, policy};
 use cranberryhatch_fleet::{
-    Command, Front, Job, LAST_CALLERS, Member, Message, Node, Note, Outcome, Output, Policy,
-    RUN_GONE, Refusal, Step,
+    Command, Front, Job, LAST_CALLERS, Member, Message, Node, Note, Outcome, Output, RUN_GONE,
+    Refusal, Step,
 };
 use cranberryhatch_schema::fleet::{
     Beat, Ended, Grant, How, Obeying, Place, Refusal as Refused, Relinked, Run, Takeover,
@@ -23,19 +23,10 @@
 }
 
 fn job(limit: u64) -> Job {
-    let policy = Policy {
-        kind: "k".to_owned(),
-        service: "svc".to_owned(),
-        priority: 0,
-        attempts: 2,
-        stretch: 1_600,
-        slack: Span::from_ms(60),
-        timeout: Span::from_ms(1_500),
-    };
     let step = Step { tasks: 1, need: need(14_000), ..Step::default() };
     Job {
         name: "j".to_owned(),
-        policy: Arc::new(policy),
+        policy: Arc::new(policy()),
         payload: "x".into(),
         steps: vec![step],
         born: SENT,
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -5,14 +5,14 @@
 mod common;
 
 use bytes::Bytes;
-use common::listed;
-use cranberryhatch_fleet::{Job, Member, Message, Need, Node, Output, Policy, Step};
+use common::{listed, need, policy};
+use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step};
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Claim, Confirm, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size,
     Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings, Start, Stop, Takeover,
     Takeovers, Unused, Withdraw, Workers,
 };
-use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time};
+use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
 
 const START: Time = Time::from_ms(10_000);
@@ -33,21 +33,11 @@
 }
 
 fn job() -> Job {
-    let policy = Policy {
-        kind: "k".to_owned(),
-        service: "svc".to_owned(),
-        priority: 0,
-        attempts: 2,
-        stretch: 1_600,
-        slack: Span::from_ms(60),
-        timeout: Span::from_ms(1_500),
-    };
-    let need = Need { cores: Cores::new(14_000), memory: Count::new(64), accels: Accels::new(0) };
     Job {
         name: "j".to_owned(),
-        policy: std::sync::Arc::new(policy),
+        policy: std::sync::Arc::new(policy()),
         payload: "x".into(),
-        steps: vec![Step { tasks: 2, need, ..Step::default() }],
+        steps: vec![Step { tasks: 2, need: need(14_000), ..Step::default() }],
         born: START,
         limit: START + Span::from_secs(60),
     }
--- a/crates/fleet/tests/stopping.rs
+++ b/crates/fleet/tests/stopping.rs
@@ -5,9 +5,9 @@
 
 use std::sync::Arc;
 
-use common::need;
+use common::{need, policy};
 use cranberryhatch_fleet::{
-    Command, Job, LAST_CALLERS, Member, Message, Node, Outcome, Output, Policy, Refusal, Step, Stop,
+    Command, Job, LAST_CALLERS, Member, Message, Node, Outcome, Output, Refusal, Step, Stop,
 };
 use cranberryhatch_schema::fleet::{Beat, Grant, Place};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -37,15 +37,6 @@
 }
 
 fn job(name: &str, declared: &[(u64, Vec<u32>)], limit: Span) -> Job {
-    let policy = Policy {
-        kind: "k".to_owned(),
-        service: "svc".to_owned(),
-        priority: 0,
-        attempts: 2,
-        stretch: 1_600,
-        slack: Span::from_ms(60),
-        timeout: Span::from_ms(1_500),
-    };
     let step = |(ms, after): &(u64, Vec<u32>)| Step {
         tasks: 1,
         need: need(14_000),
@@ -55,7 +46,7 @@
     };
     Job {
         name: name.to_owned(),
-        policy: Arc::new(policy),
+        policy: Arc::new(policy()),
         payload: "x".into(),
         steps: declared.iter().map(step).collect(),
         born: ASKED,
