--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use super::{DOUBT, Heard, Node, PEER_TIMEOUT, Severed};
-use crate::{Known, Member, Output, note::Note};
+use crate::{Command, Known, Member, Output, note::Note};
 
 /// Time after which a peer whose link broke counts as out of reach.
 ///
@@ -106,7 +106,7 @@
         let silent = self.heard.iter().filter(|(_, heard)| heard.is_silent_for(1, now));
         let silent: Vec<InstanceId> = silent.map(|(id, _)| id.clone()).collect();
         for peer in silent {
-            out.commands.push(crate::Command::Unlink { peer: peer.clone() });
+            out.commands.push(Command::Unlink { peer: peer.clone() });
             self.sever(&peer, now, out);
             self.lose(&peer, now, out);
         }
