--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -84,6 +84,7 @@
         need: need(TASK),
         expected: Span::from_ms(100),
         on_time: NOW,
+        due: NOW + Span::from_ms(100),
         useful: NOW,
         label: String::new(),
         rack: String::new(),
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -231,6 +231,7 @@
         labels: listed.labels.clone(),
         room: Some((&listed.room).into()),
         draining: listed.draining,
+        born_ms: 0,
     }
 }
 
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -40,6 +40,8 @@
     pub expected: Span,
     /// Latest start that meets the objective.
     pub on_time: Time,
+    /// Latest end that meets the objective.
+    pub due: Time,
     /// Latest start that is of any use.
     pub useful: Time,
     /// Label that a worker must have; empty for any.
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -167,7 +167,9 @@
                 let expected = Span::from_ms(place.run_ms.into());
                 let token = place.token;
                 let (since, lost, claimed) = (now, None, false);
-                let placed = Placed { owner, token, worker, expected, since, lost, claimed };
+                let due = Some(Span::from_ms(place.due_ms.into())).filter(|due| *due > Span::ZERO);
+                let due = due.map(|due| now + due);
+                let placed = Placed { owner, token, worker, expected, due, since, lost, claimed };
                 self.start(&key, placed, seen, now, out)
             });
             if started {
@@ -281,7 +283,7 @@
                 never_started = true;
             }
             How::Stalled => state.stalls += 1,
-            How::NotStarted | How::NoRoom => never_started = true,
+            How::NotStarted | How::NoRoom | How::Unanswered => never_started = true,
             How::Unknown | How::Stopped => {}
         }
         if never_started {
@@ -513,6 +515,7 @@
         stalls: state.stalls,
         token: place.token,
         seen_ms: seen.as_ms(),
+        due_ms: place.due.map_or(0, |due| to_u32(due.since(place.since).as_ms())),
     })
 }
 
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -100,7 +100,7 @@
     /// The report of it for the scheduler.
     #[must_use]
     pub fn report(&self) -> HeldMessage {
-        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()) }
+        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()), left_ms: 0 }
     }
 
     /// Whether a look that was sent at `asked` and does not list the run shows that it is gone.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -147,7 +147,7 @@
     fn take(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
         match message {
             // The process takes the list of workers itself.
-            Body::Hello(_) | Body::Workers(_) => {}
+            Body::Hello(_) | Body::Workers(_) | Body::Drains(_) => {}
             Body::Beat(beat) => self.beat_of(from, &beat, now, out),
             Body::Settings(settings) => {
                 self.settings(settings.version, settings.body.into(), now, out);
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -196,8 +196,18 @@
             let next_ms = u32::try_from(every.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), heard.sign.as_ms());
             let view = self.view_said;
-            let beat =
-                Beat { version, draining, joined, next_ms, sent_ms, seen_ms, view, rests, core };
+            let beat = Beat {
+                version,
+                draining,
+                joined,
+                next_ms,
+                sent_ms,
+                seen_ms,
+                view,
+                rests,
+                core,
+                drains: 0,
+            };
             out.send(id, Body::Beat(beat));
         }
     }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -189,7 +189,7 @@
 
     fn report_to_scheduler(&self, rooms: Vec<Room>, out: &mut Output) {
         if let Some(scheduler) = &self.scheduler {
-            out.send(scheduler, Message::Rooms(Rooms { rooms }));
+            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds: Vec::new() }));
         }
     }
 
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -97,6 +97,8 @@
                 token: worker.token,
                 held: worker.held.iter().map(Held::report).collect(),
                 open: worker.is_open(),
+                standing: None,
+                born_ms: 0,
             })
             .collect();
         if !rooms.is_empty() {
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -64,6 +64,7 @@
             need,
             expected,
             on_time,
+            due: on_time + longest,
             useful,
             label: ask.label,
             rack: ask.rack,
@@ -244,6 +245,7 @@
                     owner: site.owner.to_string(),
                     run_ms: to_u32(waiting.expected.as_ms()),
                     token: site.token,
+                    due_ms: to_u32(waiting.due.since(now).as_ms()),
                 });
                 let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
                 let id = site.id().clone();
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -159,7 +159,7 @@
             }
             How::Stalled | How::NotStarted => self.pause(now),
             How::NoRoom => self.paused_until = self.paused_until.max(now + NO_ROOM_PAUSE),
-            How::Failed | How::Stopped | How::Old | How::Unknown => {}
+            How::Failed | How::Stopped | How::Old | How::Unanswered | How::Unknown => {}
         }
     }
 
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -27,6 +27,8 @@
     pub worker: WorkerId,
     /// Expected run time.
     pub expected: Span,
+    /// When the run has to end for the objective of its job; none if it cannot.
+    pub due: Option<Time>,
     /// When the run was ordered.
     pub since: Time,
     /// Last sign of the owner, if it is out of reach.
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -37,6 +37,7 @@
         need: need(14_000),
         expected: Span::from_ms(100),
         on_time: Time::from_ms(on_time),
+        due: Time::from_ms(on_time + 100),
         useful: Time::from_ms(useful),
         label: String::new(),
         rack: String::new(),
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -52,7 +52,7 @@
 
 fn grant(front: &mut Front, token: u64, now: Time, out: &mut Output) {
     let (worker, owner) = ("w".to_owned(), "o".to_owned());
-    let place = Place { task: 0, worker, owner, run_ms: 100, token };
+    let place = Place { task: 0, worker, owner, run_ms: 100, token, due_ms: 0 };
     let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
     front.granted(&id("s"), grant, |_| Some(now), now, out);
 }
@@ -444,8 +444,14 @@
     let mut out = Output::default();
     node.link_up(member("p", true), SENT, &mut out);
     node.submit(1, job(500), SENT, &mut out);
-    let place =
-        Place { task: 0, worker: "w".to_owned(), owner: "p".to_owned(), run_ms: 100, token: 7 };
+    let place = Place {
+        task: 0,
+        worker: "w".to_owned(),
+        owner: "p".to_owned(),
+        run_ms: 100,
+        token: 7,
+        due_ms: 0,
+    };
     let grant = Grant { job: "j".to_owned(), step: 0, places: vec![place] };
     node.message(&peer, Message::Grant(grant), SENT, &mut out);
     out.commands.clear();
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -8,9 +8,9 @@
 use common::{listed, need, policy};
 use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step};
 use cranberryhatch_schema::fleet::{
-    Ask, Beat, Claim, Confirm, Ended, Entry, Frame, Freed, Grant, Held, Listed, Need as Size,
-    Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings, Start, Stop, Takeover,
-    Takeovers, Unused, Withdraw, Workers,
+    Ask, Beat, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant, Held, KindTime, Listed,
+    Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings, Standing, Start,
+    Stop, Takeover, Takeovers, Unused, Withdraw, Workers,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
@@ -73,6 +73,7 @@
         stalls: small(1),
         token: large(7),
         seen_ms: large(9_990),
+        due_ms: small(160),
     };
     let takeover = Takeover {
         worker: worker(),
@@ -101,13 +102,24 @@
         owner: "p".to_owned(),
         run_ms: small(100),
         token: large(7),
+        due_ms: small(160),
+    };
+    let standing = Standing {
+        slowness_milli: -300,
+        samples: small(4),
+        failures: small(1),
+        lost_permille: small(50),
+        age_ms: small(900),
     };
     let room = Room {
         worker: worker(),
         token: large(8),
-        held: vec![Held { run: run(), need: need() }],
+        held: vec![Held { run: run(), need: need(), left_ms: small(50) }],
         open: true,
+        standing: Some(standing),
+        born_ms: large(1_700_000_000_000),
     };
+    let kind = KindTime { kind: "k".to_owned(), log_milli: 4_600, samples: small(20) };
     let entry = Entry { id: worker(), listed: Some(Listed::default()) };
     vec![
         Message::Beat(Beat {
@@ -140,7 +152,8 @@
             obeying: vec![Obeying { worker: worker(), token: large(7) }],
         }),
         Message::Confirm(Confirm { runs: run().into_iter().collect() }),
-        Message::Rooms(Rooms { rooms: vec![room] }),
+        Message::Rooms(Rooms { rooms: vec![room], kinds: vec![kind] }),
+        Message::Drains(Drains { version: large(5), zones: vec!["a".to_owned()] }),
         Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
         Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
     ]
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -89,9 +89,15 @@
     let mut scheduler = Scheduler::default();
     let mut refused_after = |reported: &[&str], ms: u64| {
         let now = Time::from_ms(ms);
-        let room = |id: &&str| Room { worker: (*id).into(), token: 1, held: vec![], open: true };
+        let room = |id: &&str| Room {
+            worker: (*id).into(),
+            token: 1,
+            held: vec![],
+            open: true,
+            ..Room::default()
+        };
         let rooms = reported.iter().map(room).collect();
-        scheduler.rooms(&front, Rooms { rooms }, &listing, now);
+        scheduler.rooms(&front, Rooms { rooms, kinds: Vec::new() }, &listing, now);
         if ms == 0 {
             for job in 0..100 {
                 let ask = Ask {
