feat(fleet): zone drains from the store and from peers

Cause: the rows by which an operator drains a zone were filtered out in the adapter, so tasks went on being started there.

Ruled out: a reader for each zone (a drain must pass while the reader stands still), and counting the word of a peer like an answer of the store (a peer that the store refuses may be behind).

Change: each instance follows the drains with its settings and tells its peers; workers of a drained zone count as draining, and owners refuse starts there. After a start or a pause nothing is started or granted before the store, or where it fails a peer, has told the drains; without either, after 2 s. After a failed call the store is asked without a wait, so that one lost answer costs one wait.

--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use cranberryhatch_fleet::{Listed, Need, Site, Sites, TaskKey, Waiting};
+use cranberryhatch_fleet::{Life, Listed, Need, Site, Sites, TaskKey, Waiting};
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 use crate::Series;
@@ -65,6 +65,8 @@
         labels: Vec::new(),
         room: Need { memory: Count::new(65_536), ..need(2 * TASK) },
         draining: false,
+        drained: false,
+        life: Life::UNKNOWN,
     };
     let mut site = Site::new(listed, "e-1".parse().expect("a name"), 1);
     site.open = true;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,7 +11,8 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, Job, Known, Looked, Member, Node, Note, Outcome, Output, Refusal, VecMap,
+    Command, DrainRead, Job, Known, Looked, Member, Node, Note, Outcome, Output, Refusal,
+    StartAnswer, VecMap,
 };
 use cranberryhatch_schema::fleet::{self, Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -26,6 +27,12 @@
 /// Ticks between two measurements of gauges.
 const GAUGE_TICKS: u32 = 50;
 
+/// Time after its decision at which a start is not sent any more; a process that was paused in between
+/// may not have learnt of a zone drain.
+const START_AGE: Span = Span::from_ms(400);
+/// Time between two checks whether the process was paused.
+const PAUSE_CHECK: Duration = Duration::from_millis(100);
+
 /// Characters of a rejected request's path in a log line; names of jobs have 16.
 const REQUEST_SHOWN: usize = 64;
 
@@ -135,7 +142,11 @@
                 let start = async move {
                     let id = worker.id.clone();
                     let order = Order { worker, token, patience };
-                    let (answer, clock) = edge.port.start(order, &run, &payload, lease).await;
+                    let (answer, clock) = if edge.clock.now().since(now) >= START_AGE {
+                        (StartAnswer::Unsent, None)
+                    } else {
+                        edge.port.start(order, &run, &payload, lease).await
+                    };
                     edge.decide(|node, now, out| {
                         node.started(&id, &run, answer, clock, now, out);
                     });
@@ -288,6 +299,38 @@
         self.decide(|node, now, out| node.settings(version, body, now, out));
     }
 
+    /// Takes zone drains that the store told in answer to a request that was sent at `asked`.
+    pub fn drains_read(self: &Arc<Self>, read: &DrainRead, asked: Time) {
+        self.decide(|node, now, out| node.drains_read(read, asked, now, out));
+    }
+
+    /// The store did not answer a request for the zone drains that was sent at `asked`.
+    pub fn drains_unread(&self, asked: Time) {
+        self.node().drains_unread(asked);
+    }
+
+    /// Whether the store must be asked for the zone drains at once.
+    #[must_use]
+    pub fn asks_drains(&self) -> bool {
+        self.node().asks_drains()
+    }
+
+    /// Number of drained zones.
+    #[must_use]
+    pub fn drained_zones(&self) -> usize {
+        self.node().drains().zones().len()
+    }
+
+    /// Waits until the process was paused after a time and must ask for the zone drains again.
+    pub async fn paused_since(&self, asked: Time) {
+        loop {
+            Timer::after(PAUSE_CHECK).await;
+            if self.node().drains_doubted(asked) {
+                return;
+            }
+        }
+    }
+
     /// Entries of workers.
     pub fn entries(&self) -> MutexGuard<'_, Entries> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
@@ -371,6 +414,7 @@
         self.meters.worker_silence_ms.set(node.owner().silence(now).as_ms());
         let stopping = node.stopping(now);
         self.meters.stopping_ms.set(stopping.map_or(0, |stopping| stopping.since.as_ms()));
+        self.meters.drained_zones.set(as_u64(node.drains().zones().len()));
         self.meters.peers.set(as_u64(node.members().peers().len()));
         let read = Time::from_ms(self.list_read.load(Ordering::Relaxed));
         self.meters.list_age_ms.set(now.since(read).as_ms());
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -1,6 +1,6 @@
 //! Entries of workers, as the store or the reader of the zone tells them.
 
-use cranberryhatch_fleet::{Listed, Need, VecMap, text_hash};
+use cranberryhatch_fleet::{Life, Listed, Need, VecMap, text_hash};
 use cranberryhatch_schema::fleet;
 use cranberryhatch_types::{Span, Time, WorkerId};
 
@@ -231,7 +231,7 @@
         labels: listed.labels.clone(),
         room: Some((&listed.room).into()),
         draining: listed.draining,
-        born_ms: 0,
+        born_ms: listed.life.born_ms(),
     }
 }
 
@@ -244,5 +244,7 @@
         labels: listed.labels,
         room: Need::from(&listed.room?),
         draining: listed.draining,
+        drained: false,
+        life: Life::new(listed.born_ms),
     })
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use cranberryhatch_fleet::Known;
+use cranberryhatch_fleet::{DrainRead, Known, ZoneChange};
 use cranberryhatch_schema::fleet::Hello;
 use cranberryhatch_types::{Span, Time};
 use prost::Message as _;
@@ -80,34 +80,61 @@
     }
 }
 
-/// Follows the operator's settings.
+/// Follows the operator's settings and the drained zones.
 pub async fn follow_settings<P: Port>(edge: Arc<Edge<P>>) {
     let mut backoff = Backoff::new();
     let mut after = None;
     loop {
-        let wait = if edge.is_reader() { SETTINGS_WAIT } else { SETTINGS_WAIT_LONG };
-        match step(&edge, List::Settings, after, wait).await {
-            Ok(rows) => {
+        // An answer that is lost, or older than a pause of this process, must not cost the time of a wait.
+        let wait = match (backoff.failing || edge.asks_drains(), edge.is_reader()) {
+            (true, _) => Span::ZERO,
+            (false, true) => SETTINGS_WAIT,
+            (false, false) => SETTINGS_WAIT_LONG,
+        };
+        let asked = edge.clock().now();
+        let call = async { Some(step(&edge, List::Settings, after, wait).await) };
+        let pause = async {
+            edge.paused_since(asked).await;
+            None
+        };
+        match smol::future::or(call, pause).await {
+            Some(Ok(rows)) => {
                 backoff.succeeded(List::Settings);
+                let whole = after.is_none();
                 after = Some(rows.version);
-                for body in rows.rows.into_iter().filter_map(|row| row.value) {
-                    match edge.port().decode_settings(&body) {
-                        Ok(catalog) => edge.settings(catalog.version, body),
-                        Err(error) => {
-                            log::error!(error = error.to_string(); "settings-unreadable");
-                        }
-                    }
-                }
+                take_operator(&edge, rows, whole, asked);
+            }
+            Some(Err(StoreError::HistoryGone)) => after = None,
+            Some(Err(error)) => {
+                edge.drains_unread(asked);
+                backoff.failed(&edge, List::Settings, &error).await;
             }
-            Err(StoreError::HistoryGone) => after = None,
-            Err(error) => backoff.failed(&edge, List::Settings, &error).await,
+            // The store is asked again at once.
+            None => {}
+        }
+    }
+}
+
+/// Takes rows of the operator's list.
+fn take_operator<P: Port>(edge: &Arc<Edge<P>>, rows: Rows, whole: bool, asked: Time) {
+    let mut read = DrainRead { whole, version: rows.version, changes: Vec::new() };
+    for Row { key, value, version } in rows.rows {
+        if let Some(zone) = edge.port().drained_zone(&key) {
+            read.changes.push(ZoneChange { zone, drained: value.is_some(), version });
+            continue;
+        }
+        let Some(body) = value else { continue };
+        match edge.port().decode_settings(&body) {
+            Ok(catalog) => edge.settings(catalog.version, body),
+            Err(error) => log::error!(error = error.to_string(); "settings-unreadable"),
         }
     }
+    edge.drains_read(&read, asked);
 }
 
 /// Reads the entries of rows.
 fn decode<P: Port>(edge: &Edge<P>, rows: Vec<Row>) -> Vec<Change> {
-    let decode = |Row { key, value }: Row| {
+    let decode = |Row { key, value, .. }: Row| {
         let entry = match value.map(|value| edge.port().decode_worker(&key, &value)) {
             Some(Ok(listed)) => Entry::Listed(listed),
             None => Entry::Gone,
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -219,6 +219,14 @@
         Note::WorkerDark { worker, silence, runs } => {
             log::warn!(worker = worker.as_str(), silence_ms = silence.as_ms(), runs; "{name}");
         }
+        Note::ZoneDrains { change, source } => {
+            let source = source.as_ref().map_or("store", |peer| peer.as_str());
+            let (zone, version, drained) = (change.zone.as_str(), change.version, change.drained);
+            log::warn!(zone, drained, version, source; "{name}");
+        }
+        Note::DrainsAssumed { version, waited } => {
+            log::warn!(version, waited_ms = waited.as_ms(); "{name}");
+        }
         Note::Settings { version, before } => log::info!(version, before; "{name}"),
         Note::Paused { gap } => log::warn!(gap_ms = gap.as_ms(); "{name}"),
     }
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -78,6 +78,8 @@
     pub stopping_ms: Gauge<u64, AtomicU64>,
     /// Jobs taken after the request to stop.
     pub admitted_stopping: Counter,
+    /// Zones whose workers get no new tasks.
+    pub drained_zones: Gauge<u64, AtomicU64>,
     /// Peers whose links are up.
     pub peers: Gauge<u64, AtomicU64>,
     /// Version of the settings in force.
@@ -110,6 +112,7 @@
             worker_silence_ms: Gauge::default(),
             stopping_ms: Gauge::default(),
             admitted_stopping: Counter::default(),
+            drained_zones: Gauge::default(),
             peers: Gauge::default(),
             version: Gauge::default(),
             list_age_ms: Gauge::default(),
@@ -150,6 +153,7 @@
             "Jobs taken after the request to stop",
             self.admitted_stopping.clone(),
         );
+        r.register("drained_zones", "Zones that are drained", self.drained_zones.clone());
         r.register("peers", "Peers in reach", self.peers.clone());
         r.register("settings_version", "Settings in force", self.version.clone());
         r.register("worker_list_age_ms", "Age of the list of workers", self.list_age_ms.clone());
--- a/crates/edge/src/port.rs
+++ b/crates/edge/src/port.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum List {
-    /// Settings of the operator.
+    /// Settings of the operator, and the zones that the operator drains.
     Settings,
     /// Workers.
     Workers,
@@ -28,6 +28,8 @@
     pub key: String,
     /// Its value; none if it was removed.
     pub value: Option<Bytes>,
+    /// Version of the store that wrote or removed it; 0 if the store does not tell.
+    pub version: u64,
 }
 
 /// Rows of a list, or changes to them.
@@ -111,6 +113,9 @@
     /// When the entry cannot be read; it names no worker then.
     fn decode_worker(&self, key: &str, value: &[u8]) -> Result<Listed, DecodeError>;
 
+    /// The zone that a row of the operator's list drains as long as it exists; none for the settings.
+    fn drained_zone(&self, key: &str) -> Option<String>;
+
     /// Reads the operator's settings.
     ///
     /// # Errors
--- a/crates/edge/tests/entries.rs
+++ b/crates/edge/tests/entries.rs
@@ -1,7 +1,7 @@
 //! Guards against workers that an instance does not see leave because another one reads the store.
 
 use cranberryhatch_edge::{Change, Entries, Told, WorkerEntry};
-use cranberryhatch_fleet::{Listed, Need};
+use cranberryhatch_fleet::{Life, Listed, Need};
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 const NOW: Time = Time::from_ms(10_000);
@@ -16,6 +16,8 @@
         labels: vec!["kind-a".to_owned()],
         room: Need { cores: Cores::new(32_000), memory: Count::new(64), accels: Accels::new(0) },
         draining,
+        drained: false,
+        life: Life::UNKNOWN,
     };
     Change { key: name.to_owned(), entry: WorkerEntry::Listed(listed) }
 }
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -451,6 +451,23 @@
         }
     }
 
+    /// Refuses the jobs that cannot run and of which nothing runs or has run.
+    pub fn refuse(
+        &mut self,
+        cannot_run: impl Fn(&Job) -> bool,
+        cause: RefusalCause,
+        retry: Span,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let waits = |active: &Active| active.at_work == 0 && active.closing.is_none();
+        let hopeless = self.jobs.iter().filter(|(_, a)| waits(a) && cannot_run(&a.job));
+        let names: Vec<String> = hopeless.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.close(&name, Some(Outcome::NotRun { cause, retry }), now, out);
+        }
+    }
+
     /// Jobs of a kind of which no task has started.
     #[must_use]
     pub fn pending(&self, kind: &str) -> usize {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,9 +25,11 @@
 //! ```
 
 mod backlog;
+mod drains;
 mod front;
 mod held;
 mod job;
+mod life;
 mod listing;
 mod members;
 mod need;
@@ -51,9 +53,11 @@
 mod worker;
 
 pub use backlog::{Backlog, Waiting, latest_starts};
+pub use drains::{DrainRead, Recency, ZoneChange, ZoneDrains};
 pub use front::{Front, RUN_GONE, is_sampled};
 pub use held::{Held, Stage};
 pub use job::{Job, Policy, Step};
+pub use life::Life;
 pub use listing::{Listed, Listing};
 pub use members::{Counted, Member, Members, Owners, text_hash};
 pub use need::Need;
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -4,12 +4,12 @@
 
 use cranberryhatch_types::{Time, WorkerId};
 
-use crate::Need;
+use crate::{Job, Life, Need, Step, ZoneDrains};
 
-/// One life of a worker.
+/// A worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
-    /// Id of this life.
+    /// Its id.
     pub id: WorkerId,
     /// Service that it belongs to.
     pub service: String,
@@ -21,8 +21,12 @@
     pub labels: Vec<String>,
     /// All of its room.
     pub room: Need,
-    /// Whether it is leaving and must get no new work.
+    /// Whether it must get no new work: it is leaving, or its zone is drained.
     pub draining: bool,
+    /// Whether its zone is drained.
+    pub drained: bool,
+    /// Life of its process.
+    pub life: Life,
 }
 
 impl Listed {
@@ -36,7 +40,10 @@
 /// All listed workers, sorted by id.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
+    // As they were read, and with the zone drains.
+    read: Vec<Listed>,
     workers: Vec<Listed>,
+    drains: ZoneDrains,
     /// When the list was last read from the platform.
     pub read_at: Time,
 }
@@ -46,10 +53,51 @@
     pub fn replace(&mut self, mut workers: Vec<Listed>, now: Time) {
         workers.sort_by(|a, b| a.id.cmp(&b.id));
         workers.dedup_by(|a, b| a.id == b.id);
-        self.workers = workers;
+        self.read = workers;
+        self.apply();
         self.read_at = now;
     }
 
+    /// Workers of drained zones count as draining from now on.
+    pub fn drain(&mut self, drains: &ZoneDrains) {
+        self.drains = drains.clone();
+        self.apply();
+    }
+
+    fn apply(&mut self) {
+        self.workers.clone_from(&self.read);
+        for worker in &mut self.workers {
+            worker.drained = self.drains.contains(&worker.zone);
+            worker.draining |= worker.drained;
+        }
+    }
+
+    /// Whether a zone is drained.
+    #[must_use]
+    pub fn is_zone_drained(&self, zone: &str) -> bool {
+        self.drains.contains(zone)
+    }
+
+    /// Whether a step of a job cannot run because every worker for it is draining, one at least with its
+    /// zone.
+    #[must_use]
+    pub fn is_drained(&self, job: &Job) -> bool {
+        let is_step_drained = |step: &Step| {
+            let fits = |listed: &&Listed| {
+                listed.service == job.policy.service
+                    && listed.has_label(&step.label)
+                    && step.need.fits(&listed.room)
+            };
+            let mut any = false;
+            let all = self.workers.iter().filter(fits).all(|listed| {
+                any |= listed.drained;
+                listed.draining
+            });
+            all && any
+        };
+        job.steps.iter().any(is_step_drained)
+    }
+
     /// A worker.
     #[must_use]
     pub fn get(&self, id: &WorkerId) -> Option<&Listed> {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,6 +1,7 @@
 //! All decisions of one instance.
 
 mod contact;
+mod drained;
 mod link;
 
 use bytes::Bytes;
@@ -10,8 +11,8 @@
 
 use crate::{
     Command, Front, Job, Known, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner,
-    Owners, Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey, VecMap,
-    note::Note,
+    Owners, Recency, Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey,
+    VecMap, ZoneDrains, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -47,6 +48,12 @@
     owners: Owners,
     settings: (u64, Bytes),
     settings_at: Time,
+    // When it first had settings.
+    settled_at: Time,
+    drains: ZoneDrains,
+    // When the drains that are known were learnt.
+    drains_at: Time,
+    recency: Recency,
     started: Time,
     // What the last signs of life said of this instance, and of the instances in reach.
     said: Said,
@@ -83,6 +90,10 @@
             owners: Owners::default(),
             settings: (0, Bytes::new()),
             settings_at: now,
+            settled_at: now,
+            drains: ZoneDrains::default(),
+            drains_at: now,
+            recency: Recency::new(now),
             started: now,
             said: Said::default(),
             view_said: 0,
@@ -106,6 +117,11 @@
             // Other instances take the job at once.
             return out.answer(ticket, Outcome::NotRun { cause, retry: Span::ZERO });
         }
+        if let Some(outcome) = self.refuse_drained(&job) {
+            let cause = Refusal::Drained;
+            out.note(Note::Rejected { request: job.name, cause, stopping });
+            return out.answer(ticket, outcome);
+        }
         if let Some(stopping) = stopping {
             let left = job.limit.since(now);
             out.note(Note::AdmittedStopping { job: job.name.clone(), left, stopping });
@@ -147,7 +163,8 @@
     fn take(&mut self, from: &InstanceId, message: Body, now: Time, out: &mut Output) {
         match message {
             // The process takes the list of workers itself.
-            Body::Hello(_) | Body::Workers(_) | Body::Drains(_) => {}
+            Body::Hello(_) | Body::Workers(_) => {}
+            Body::Drains(drains) => self.drains_of(from, drains, now, out),
             Body::Beat(beat) => self.beat_of(from, &beat, now, out),
             Body::Settings(settings) => {
                 self.settings(settings.version, settings.body.into(), now, out);
@@ -176,7 +193,10 @@
                     self.takeover(from, found, now, out);
                 }
             }
-            Body::Start(start) => self.owner.start(from, start, now, out),
+            Body::Start(start) => {
+                self.owner.allow_starts(self.may_start(now));
+                self.owner.start(from, start, now, out);
+            }
             Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
             Body::Claim(claim) => self.owner.claimed(from, &claim, now, out),
             Body::Relinked(relinked) => {
@@ -201,7 +221,7 @@
         let mut tick = tick;
         loop {
             self.deliver_own(now, out);
-            if self.is_scheduler() {
+            if self.is_scheduler() && self.may_start(now) {
                 self.scheduler.run(now, std::mem::take(&mut tick), out);
             }
             let me = &self.members.me().id;
@@ -235,6 +255,7 @@
             heard.rests = beat.rests;
         }
         self.owner.seen_by(from, Time::from_ms(beat.seen_ms), now);
+        self.compare_drains(from, beat.drains, Time::from_ms(beat.seen_ms), now, out);
         self.members.sees(from, beat.view);
         let Some(peer) = self.members.peer_mut(from) else { return };
         let changed = (peer.draining, peer.joined) != (beat.draining, beat.joined);
@@ -258,6 +279,9 @@
         }
         self.settings = (version, body.clone());
         self.settings_at = now;
+        if before == 0 {
+            self.settled_at = now;
+        }
         self.members.me_mut().version = version;
         out.note(Note::Settings { version, before });
         out.commands.push(Command::Adopt { version, body });
@@ -266,7 +290,7 @@
     /// Takes a list of workers that was read from the platform.
     pub fn listed(&mut self, workers: Vec<Listed>, wall_ms: u64, now: Time, out: &mut Output) {
         self.listing.replace(workers, now);
-        self.scheduler.listed(&self.listing);
+        self.relist();
         self.assign(wall_ms, now);
         self.settle(now, false, out);
     }
@@ -366,6 +390,7 @@
             out.note(Note::Paused { gap });
             self.doubt_until = now + DOUBT;
         }
+        self.review_drains(gap >= PAUSE, now, out);
         self.check_peers(now, out);
         self.review(now, out);
         self.watch_silences(gap, now, out);
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -206,7 +206,7 @@
                 view,
                 rests,
                 core,
-                drains: 0,
+                drains: self.drains.version(),
             };
             out.send(id, Body::Beat(beat));
         }
--- /dev/null
+++ b/crates/fleet/src/node/drained.rs
@@ -0,0 +1,140 @@
+//! Zone drains of an instance: from the store or its peers, passed on, and applied to its duties.
+
+use cranberryhatch_schema::fleet::{Drains, frame::Body};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use super::{Node, PAUSE, SETTINGS_GRACE};
+use crate::{DrainRead, Job, Outcome, Output, Recency, Refusal, ZoneDrains, note::Note};
+
+/// When a caller should come back whose job has workers only in drained zones.
+const DRAINED_RETRY: Span = Span::from_secs(1);
+
+impl Node {
+    /// Takes zone drains that the store told in answer to a request that was sent at `asked`.
+    pub fn drains_read(&mut self, read: &DrainRead, asked: Time, now: Time, out: &mut Output) {
+        let next = self.drains.after(read);
+        self.take_drains(next, None, now, out);
+        self.recency.store_asked(asked, true);
+        self.settle(now, false, out);
+    }
+
+    /// The store did not answer a request that was sent at `asked`.
+    pub fn drains_unread(&mut self, asked: Time) {
+        self.recency.store_asked(asked, false);
+    }
+
+    /// Whether the store must be asked for the drains at once.
+    #[must_use]
+    pub const fn asks_drains(&self) -> bool {
+        !self.recency.is_recent()
+    }
+
+    /// Whether an answer to a request that was sent at `asked` is too old after a pause.
+    #[must_use]
+    pub fn drains_doubted(&self, asked: Time) -> bool {
+        asked < self.recency.since() && self.asks_drains()
+    }
+
+    /// Zone drains that are known.
+    #[must_use]
+    pub const fn drains(&self) -> &ZoneDrains {
+        &self.drains
+    }
+
+    pub(super) fn take_drains(
+        &mut self,
+        next: ZoneDrains,
+        source: Option<&InstanceId>,
+        now: Time,
+        out: &mut Output,
+    ) {
+        if next.version() > self.drains.version() {
+            self.drains_at = now;
+        }
+        let changes = self.drains.replace(next);
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let source = source.cloned();
+            out.note(Note::ZoneDrains { change, source });
+        }
+        for (peer, _) in self.heard.iter() {
+            if Some(peer) != source {
+                out.send(peer, Body::Drains(self.drains.message()));
+            }
+        }
+        self.listing.drain(&self.drains);
+        self.relist();
+    }
+
+    /// Applies the list of workers to the duties that this instance has.
+    pub(super) fn relist(&mut self) {
+        self.scheduler.listed(&self.listing);
+        self.owner.relist(&self.listing);
+    }
+
+    pub(super) fn drains_of(
+        &mut self,
+        from: &InstanceId,
+        drains: Drains,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let known = drains.version > 0;
+        self.take_drains(ZoneDrains::from_peer(drains), Some(from), now, out);
+        // After a pause the message may be as old as the pause; the peer's next sign of life tells.
+        if known && self.recency.since() == self.started {
+            self.recency.peer_agreed();
+        }
+    }
+
+    /// Compares the version of the drains that a peer has with this instance's.
+    pub(super) fn compare_drains(
+        &mut self,
+        from: &InstanceId,
+        version: u64,
+        seen: Time,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let mine = self.drains.version();
+        if version < mine && (version == 0 || now.since(self.drains_at) >= SETTINGS_GRACE) {
+            out.send(from, Body::Drains(self.drains.message()));
+        }
+        // The peer has read what this instance sent since its start or pause, so this is no older.
+        if version > 0 && version <= mine && seen >= self.recency.since() {
+            self.recency.peer_agreed();
+        }
+    }
+
+    /// Whether tasks may be started and room granted: the zone drains are known as of the last pause.
+    pub(super) fn may_start(&self, now: Time) -> bool {
+        // What is handled before the first tick after a pause is as old as the pause.
+        self.recency.is_recent() && now.since(self.ticked) < PAUSE
+    }
+
+    /// Asks for the drains again after a pause, and gives up after a time limit.
+    pub(super) fn review_drains(&mut self, paused: bool, now: Time, out: &mut Output) {
+        if paused {
+            self.recency = Recency::new(now);
+            // Peers answer a sign of life with theirs.
+            self.heard.iter_mut().for_each(|(_, heard)| heard.told = Time::ZERO);
+        }
+        let settled = (self.settings.0 > 0).then_some(self.settled_at);
+        if self.recency.review(settled, now) {
+            let (version, waited) = (self.drains.version(), now.since(self.recency.since()));
+            out.note(Note::DrainsAssumed { version, waited });
+        }
+        if !self.drains.zones().is_empty() {
+            let (listing, retry) = (&self.listing, DRAINED_RETRY);
+            self.front.refuse(|job| listing.is_drained(job), Refusal::Drained, retry, now, out);
+        }
+    }
+
+    /// Answer to a job that has workers only in drained zones; none for other jobs.
+    pub(super) fn refuse_drained(&self, job: &Job) -> Option<Outcome> {
+        let drained = !self.drains.zones().is_empty() && self.listing.is_drained(job);
+        drained.then_some(Outcome::NotRun { cause: Refusal::Drained, retry: DRAINED_RETRY })
+    }
+}
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, WorkerId};
 use strum::IntoStaticStr;
 
-use crate::{Counted, Outcome, Refusal, RunKey, Stopping};
+use crate::{Counted, Outcome, Refusal, RunKey, Stopping, ZoneChange};
 
 /// A decision with the inputs that led to it; the name of the variant is the name of the log line.
 #[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -209,6 +209,20 @@
         /// The version before; 0 for none.
         before: u64,
     },
+    /// A zone was drained or restored.
+    ZoneDrains {
+        /// The zone.
+        change: ZoneChange,
+        /// Peer that told of it; none if the store did.
+        source: Option<InstanceId>,
+    },
+    /// Neither the store nor a peer told the zone drains in time; starts go on with those that are known.
+    DrainsAssumed {
+        /// Version that is known; 0 for none.
+        version: u64,
+        /// Time since the start or the last pause of this process.
+        waited: Span,
+    },
     /// This process was paused.
     Paused {
         /// How long.
@@ -222,6 +236,10 @@
 pub enum StartRefusal {
     /// The worker is not this instance's, or is leaving, silent or not opened yet.
     Closed,
+    /// The worker's zone is drained.
+    ZoneDrained,
+    /// This instance has not learnt the zone drains since its start or last pause.
+    DrainsUnknown,
     /// The room was granted under another fencing token.
     Token,
     /// The worker runs tasks of another service.
--- a/crates/fleet/src/outcome.rs
+++ b/crates/fleet/src/outcome.rs
@@ -28,6 +28,8 @@
 pub enum Refusal {
     /// The work ahead of it leaves no time for it.
     Overload,
+    /// All workers that may run it are draining, in zones that an operator drained.
+    Drained,
     /// Its time limit passed while it waited.
     TimeLimit,
     /// The instance has no settings yet.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -75,6 +75,8 @@
     // Opened workers that run nothing, of which the fronts do not know yet.
     found_idle: Vec<Takeover>,
     unsure: Unsure,
+    // Whether the zone drains are known, without which nothing is started.
+    starts_allowed: bool,
 }
 
 impl Owner {
@@ -94,6 +96,7 @@
             strays: Vec::new(),
             found_idle: Vec::new(),
             unsure: Unsure::default(),
+            starts_allowed: true,
         }
     }
 
@@ -113,13 +116,12 @@
     pub fn assign(&mut self, listing: &Listing, owners: &Owners, wall_ms: u64, now: Time) {
         self.wall_ms = wall_ms;
         self.fenced.retain(|_, at| now.since(*at) < FENCED_PAUSE);
+        self.relist(listing);
         for listed in listing.all() {
-            if let Some(worker) = self.workers.get_mut(&listed.id) {
-                if worker.listed != *listed {
-                    worker.listed = listed.clone();
-                    self.changed.push(listed.id.clone());
-                }
-            } else if owners.of(&listed.id, &listed.zone) == Some(&self.me)
+            if self.workers.contains(&listed.id) {
+                continue;
+            }
+            if owners.of(&listed.id, &listed.zone) == Some(&self.me)
                 && !self.fenced.contains(&listed.id)
             {
                 let token = self.next_token(0);
@@ -129,6 +131,25 @@
         }
     }
 
+    /// Takes what the list says of the workers that it has.
+    pub fn relist(&mut self, listing: &Listing) {
+        for (id, worker) in self.workers.iter_mut() {
+            let Some(listed) = listing.get(id) else {
+                worker.listed.drained = listing.is_zone_drained(&worker.listed.zone);
+                continue;
+            };
+            if worker.listed != *listed {
+                worker.listed = listed.clone();
+                self.changed.push(id.clone());
+            }
+        }
+    }
+
+    /// Whether starts are carried out; they are refused while the zone drains are not known.
+    pub const fn allow_starts(&mut self, allowed: bool) {
+        self.starts_allowed = allowed;
+    }
+
     /// Learns the token of another owner, so that the next one of this instance is higher.
     pub fn learn_token(&mut self, token: u64) {
         self.last_token_ms = self.last_token_ms.max(token >> TOKEN_BITS);
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -49,6 +49,12 @@
     ) -> Result<(Lease, &mut Worker), StartRefusal> {
         let worker = self.workers.get_mut(id).ok_or(StartRefusal::Closed)?;
         let room = worker.held.iter().fold(worker.listed.room, |room, h| room.without(&h.need));
+        if worker.listed.drained {
+            return Err(StartRefusal::ZoneDrained);
+        }
+        if !self.starts_allowed {
+            return Err(StartRefusal::DrainsUnknown);
+        }
         if !worker.is_open() {
             return Err(StartRefusal::Closed);
         }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use cranberryhatch_fleet::{Listed, Need, Policy, Site, Waiting};
+use cranberryhatch_fleet::{Life, Listed, Need, Policy, Site, Waiting};
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 /// Size of a task or of room, with memory that never binds.
@@ -64,6 +64,8 @@
         labels: vec!["a".to_owned(), format!("rack-{zone}")],
         room,
         draining: false,
+        drained: false,
+        life: Life::UNKNOWN,
     }
 }
 
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -1,5 +1,6 @@
 //! Guards against tasks that run twice at a time, untrue answers and callers that are not answered,
-//! under random kills, power losses, pauses, clocks that jump, cuts, lost answers and late orders.
+//! under random kills, power losses, pauses, clocks that jump, cuts, lost answers, late orders and zone
+//! drains, and against starts that an instance in reach of the store sends to a zone long after its drain.
 
 mod world;
 
@@ -47,6 +48,8 @@
         caller_leaves: *rng.choice(&[0, 100]).expect("some"),
     };
     let end = world.now + TROUBLE;
+    // Drawn apart, so that the other trouble of a seed stays as it is.
+    let mut drains = fastrand::Rng::with_seed(rng.clone().u64(..));
     let mut name = 1;
     while world.now < end {
         world.run_until(world.now + rng.u64(5..120));
@@ -62,6 +65,7 @@
             );
             name += 1;
         }
+        trouble_zones(&mut world, &mut drains, zones, instances);
         let node = rng.usize(0..instances);
         let worker = rng.usize(0..world.workers.len());
         match rng.u32(0..200) {
@@ -89,6 +93,8 @@
     }
     world.workers.iter_mut().for_each(|worker| worker.hangs = false);
     world.odds = Odds::default();
+    (0..instances).for_each(|node| world.refuse_store(node, false));
+    world.restore_zones();
     world.run_until(end + SETTLING);
     let last = world.request(name, 2, 14_000, 100, false);
     world.run_until(world.now + 3_000);
@@ -103,6 +109,21 @@
     world.faults
 }
 
+/// Drains and restores zones, and has the store refuse some instances.
+fn trouble_zones(world: &mut World, rng: &mut fastrand::Rng, zones: usize, instances: usize) {
+    match rng.u32(0..200) {
+        0..3 => {
+            let zone = rng.usize(0..zones);
+            world.drain_zone(zone, !world.is_drained(zone));
+        }
+        3..6 => {
+            let refuse = rng.bool();
+            (0..instances).filter(|_| rng.bool()).for_each(|node| world.refuse_store(node, refuse));
+        }
+        _ => {}
+    }
+}
+
 /// A seed; a smaller one is no simpler case, so it does not shrink.
 #[derive(Clone, Copy, Debug)]
 struct Seed(u64);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
 mod worker;
+mod zones;
 
 use std::{
     cmp::Reverse,
@@ -13,13 +14,15 @@
     sync::Arc,
 };
 
+use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, DropCause, Job, Known, Listed, LookAnswer, Looked, Member, Message, Need, Node, Note,
-    Outcome, Output, Policy, RunKey, StartAnswer, Step,
+    Command, DrainRead, DropCause, Job, Known, Life, Listed, LookAnswer, Looked, Member, Message,
+    Need, Node, Note, Outcome, Output, Policy, RunKey, StartAnswer, Step,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
 
 pub use worker::{AtWork, FakeWorker};
+pub use zones::Store;
 
 /// Time between two ticks of an instance.
 const TICK: u64 = 20;
@@ -97,6 +100,12 @@
         run: RunKey,
         accepted: bool,
     },
+    StoreAnswer {
+        node: usize,
+        life: u64,
+        asked: u64,
+        read: Option<DrainRead>,
+    },
     Submit {
         request: usize,
     },
@@ -213,6 +222,7 @@
     pub cut_workers: Vec<usize>,
     pub cut_zones: Vec<usize>,
     zones: usize,
+    pub store: Store,
     /// When a worker was taken from an instance that lives.
     pub fences: Vec<u64>,
     pub requests: Vec<Request>,
@@ -272,6 +282,8 @@
                     labels: Vec::new(),
                     room: need(32_000),
                     draining: false,
+                    drained: false,
+                    life: Life::UNKNOWN,
                 };
                 FakeWorker::new(listed, rng.u64(980..=1_000))
             })
@@ -304,6 +316,7 @@
             cut_workers: Vec::new(),
             cut_zones: Vec::new(),
             zones,
+            store: Store::new(instances),
             fences: Vec::new(),
             requests: Vec::new(),
             odds: Odds::default(),
@@ -398,6 +411,7 @@
                 self.at(self.now + TICK, Happening::Tick { node, life });
                 let wall = self.wall(node);
                 self.decide(node, |n, now, out| n.tick(wall, now, out));
+                self.ask_store(node);
             }
             Happening::Deliver { from, to, session, message } => {
                 // A process reads what has arrived until it notices the end of the link.
@@ -440,6 +454,11 @@
                     self.decide(node, |n, now, _| n.stopped(&worker, &run, accepted, now));
                 }
             }
+            Happening::StoreAnswer { node, life, asked, read } => {
+                if self.instances[node].life == life {
+                    self.store_answer(node, asked, read);
+                }
+            }
             Happening::Submit { request } => self.submit(request),
             Happening::Leave { request, attempt } => self.leave(request, attempt),
             Happening::Revive { node } => self.revive(node),
@@ -456,6 +475,7 @@
             | Happening::LookAnswer { node, .. }
             | Happening::StartAnswer { node, .. }
             | Happening::StopAnswer { node, .. }
+            | Happening::StoreAnswer { node, .. }
             | Happening::LinkDown { node, .. } => *node,
             Happening::Deliver { to, .. } => *to,
             _ => return None,
@@ -553,6 +573,8 @@
             }
             Command::StartRun { worker, token, patience, run, lease, .. } => {
                 let worker = worker.id;
+                let place = self.workers.iter().position(|known| known.listed.id == worker);
+                self.check_zone(node, place.expect("a known worker"));
                 let late = self.roll(self.odds.order_late);
                 let lost = late || self.loses(node, &worker);
                 let order = Happening::Start {
@@ -704,7 +726,9 @@
         instance.node = Some(Node::new(instance.member.clone(), now));
         let life = instance.life;
         let wall = self.wall(node);
+        self.decide(node, |n, now, out| n.settings(1, Bytes::new(), now, out));
         self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
+        self.read_store_at_start(node);
         let all = self.instances.iter().map(|instance| Known::from(&instance.member)).collect();
         self.decide(node, |n, _, _| n.registered(all));
         self.at(self.now + 1, Happening::Tick { node, life });
--- /dev/null
+++ b/crates/fleet/tests/world/zones.rs
@@ -0,0 +1,141 @@
+//! The operator's zone drains in the store, and what the instances read of them.
+
+use cranberryhatch_fleet::{DrainRead, ZoneChange};
+use cranberryhatch_types::Time;
+
+use super::{Happening, World};
+
+/// Time from a request to the store, or from a change there, to the answer.
+const STORE_WAY: u64 = 4;
+/// Time after a drain by which an instance in reach of the store sends no start to the zone.
+const DRAIN_BOUND: u64 = 5_000;
+/// Time that an instance has to read the store again once it is in reach of it.
+const STORE_AGAIN: u64 = 1_000;
+
+/// The store's table of drained zones.
+#[derive(Debug)]
+pub struct Store {
+    version: u64,
+    /// Drained zones, and since when.
+    drained: Vec<(usize, u64)>,
+    /// Instances that the store refuses.
+    refused: Vec<usize>,
+    /// Since when the store serves each instance.
+    served: Vec<u64>,
+    /// Time from a request, or from a change, to the answer.
+    pub way: u64,
+    /// Starts that were sent to a drained zone.
+    pub starts: Vec<(u64, usize)>,
+}
+
+impl Store {
+    pub fn new(instances: usize) -> Self {
+        Self {
+            version: 1,
+            drained: Vec::new(),
+            refused: Vec::new(),
+            served: vec![0; instances],
+            way: STORE_WAY,
+            starts: Vec::new(),
+        }
+    }
+
+    fn read(&self) -> DrainRead {
+        let version = self.version;
+        let change = |(zone, _): &(usize, u64)| ZoneChange {
+            zone: format!("z{zone}"),
+            drained: true,
+            version,
+        };
+        DrainRead { whole: true, version, changes: self.drained.iter().map(change).collect() }
+    }
+}
+
+impl World {
+    /// Drains a zone, or withdraws its drain.
+    pub fn drain_zone(&mut self, zone: usize, drained: bool) {
+        self.store.drained.retain(|(known, _)| *known != zone);
+        if drained {
+            self.store.drained.push((zone, self.now));
+        }
+        self.store.version += 1;
+        for node in 0..self.instances.len() {
+            if self.instances[node].frozen {
+                // Its connection to the store is given up before it goes on.
+                continue;
+            }
+            // The request waits in the store since a while.
+            self.read_store(node, self.now.saturating_sub(500));
+        }
+    }
+
+    /// Withdraws all drains.
+    pub fn restore_zones(&mut self) {
+        for zone in 0..self.zones {
+            self.drain_zone(zone, false);
+        }
+    }
+
+    pub fn is_drained(&self, zone: usize) -> bool {
+        self.store.drained.iter().any(|(known, _)| *known == zone)
+    }
+
+    /// Has the store refuse an instance, or serve it again.
+    pub fn refuse_store(&mut self, node: usize, refuse: bool) {
+        self.store.refused.retain(|known| *known != node);
+        if refuse {
+            self.store.refused.push(node);
+        } else {
+            self.store.served[node] = self.now;
+            self.read_store(node, self.now);
+        }
+    }
+
+    /// Sends a request to the store that it answers now.
+    pub(super) fn read_store(&mut self, node: usize, asked: u64) {
+        let life = self.instances[node].life;
+        let read = (!self.store.refused.contains(&node)).then(|| self.store.read());
+        self.at(self.now + self.store.way, Happening::StoreAnswer { node, life, asked, read });
+    }
+
+    /// The first read of an instance that has just started; it reads the other lists then too.
+    pub(super) fn read_store_at_start(&mut self, node: usize) {
+        if !self.store.refused.contains(&node) {
+            let read = self.store.read();
+            self.store_answer(node, self.now, Some(read));
+        }
+    }
+
+    pub(super) fn store_answer(&mut self, node: usize, asked: u64, read: Option<DrainRead>) {
+        let asked = Time::from_ms(asked);
+        match read {
+            Some(read) => self.decide(node, |n, now, out| n.drains_read(&read, asked, now, out)),
+            None => self.decide(node, |n, _, _| n.drains_unread(asked)),
+        };
+    }
+
+    /// Asks the store after a start or a pause.
+    pub(super) fn ask_store(&mut self, node: usize) {
+        if self.decide(node, |n, _, _| n.asks_drains()) == Some(true) {
+            self.read_store(node, self.now);
+        }
+    }
+
+    /// Notes a start that an instance sends.
+    pub(super) fn check_zone(&mut self, node: usize, worker: usize) {
+        let zone = worker % self.zones;
+        let Some((_, since)) = self.store.drained.iter().find(|(known, _)| *known == zone) else {
+            return;
+        };
+        let since = *since;
+        self.store.starts.push((self.now, node));
+        let in_reach =
+            !self.store.refused.contains(&node) && self.now > self.store.served[node] + STORE_AGAIN;
+        if in_reach && self.now > since + DRAIN_BOUND {
+            let late = self.now - since;
+            let now = self.now;
+            self.faults
+                .push(format!("{now}: e-{node} sent a start {late} ms after a drain of z{zone}"));
+        }
+    }
+}
