feat(core): drained availability zones in the settings and in placing

Cause: an operator could not keep tasks away from the endpoints of one zone; a zone that had to be emptied was used until its endpoints left one by one.

Ruled out: one list of drained zones at the deployment, since two operators who drain two zones would change the same value; a drain at root or deployment, since it names no zone.

Change: the flag `zone.drained` of a zone, which has to be one of the deployment's `zones.names`. Workers of a drained zone are not usable: nothing is placed there, lent from there or asked for there, the lender recalls loans, and the borrower returns idle ones. A shard without any endpoint refuses jobs of which nothing was started as `zone-drained`, with Retry-After 5 s. New invariant: no task is placed in a drained zone.

The model combines changes of settings with drains of either zone and checks each start against the drains in force.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -11,6 +11,7 @@
     claim::Claim,
     job::{Job, Phase, Terms},
     retention::Remembered,
+    stranded,
     timers::Due,
     turn::Turn,
     waiters::Target,
@@ -74,6 +75,9 @@
 
     fn refuse(turn: &mut Turn, target: Target, refusal: Answer) {
         turn.count(Counter::JobsRefused);
+        if refusal.code == Some(Code::ZoneDrained) {
+            turn.count(Counter::JobsRefusedDrained);
+        }
         turn.push(target.reply(refusal));
     }
 
@@ -171,6 +175,9 @@
         if !needs.into_iter().all(|tasks| self.cluster.ever_fits(&tasks[0].need)) {
             return Err(refuse(Code::NeverFits));
         }
+        if self.cluster.is_stranded() {
+            return Err(Box::new(stranded::refusal(spec.key.clone(), sole)));
+        }
         let waiting = self.jobs.idle() + spec.tasks.len() as u64;
         if waiting > u64::from(values.admission_queue.get()) {
             return Err(Box::new(refuse(Code::QueueFull).retry(self.queue_retry(terms))));
--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -57,6 +57,8 @@
     Deadline,
     /// The instance is stopping.
     Draining,
+    /// Every availability zone with endpoints that the instance may use is drained.
+    ZoneDrained,
     /// The caller cancelled the job.
     Cancelled,
     /// A task ran and failed.
--- a/crates/core/src/borrowing.rs
+++ b/crates/core/src/borrowing.rs
@@ -54,7 +54,7 @@
             return;
         }
         let remember = rules.lease / 2;
-        for (peer, idle) in self.idle_peers(rules.far, members) {
+        for (peer, idle) in self.idle_peers(pool, members) {
             let mut slots = idle.min(want);
             want -= slots;
             while slots > 0 {
@@ -81,7 +81,7 @@
         let (open, asked) = open.fold((0, 0), |(n, slots), ask| (n + 1, slots + ask.left));
         // Two peers are asked for a single slot, because either may be the first to have one.
         let mut want = want.max(2).saturating_sub(asked);
-        for peer in self.less_loaded(now, waiting, rules.far, members).into_iter().take(OPEN) {
+        for peer in self.less_loaded(now, waiting, pool, members).into_iter().take(OPEN) {
             if want == 0 || self.open(now) >= OPEN.max(open) {
                 return;
             }
@@ -119,10 +119,10 @@
     }
 
     // Peers known to be idle, the own zone first and then the most idle.
-    fn idle_peers(&self, far: bool, members: &Membership) -> Vec<(ShardId, u32)> {
+    fn idle_peers(&self, pool: &Pool, members: &Membership) -> Vec<(ShardId, u32)> {
         let zone = &members.me().zone;
-        let idle = members.peers().iter().filter(|peer| peer.idle > 0 && lends(peer, members));
-        let mut idle: Vec<_> = idle.filter(|peer| far || peer.zone == *zone).collect();
+        let idle = members.peers().iter().filter(|peer| peer.idle > 0);
+        let mut idle: Vec<_> = idle.filter(|peer| lends(peer, pool, members)).collect();
         idle.sort_by_key(|peer| (peer.zone != *zone, std::cmp::Reverse(peer.idle)));
         idle.into_iter().map(|peer| (peer.shard.clone(), peer.idle)).collect()
     }
@@ -132,16 +132,15 @@
         &self,
         now: Time,
         waiting: u32,
-        far: bool,
+        pool: &Pool,
         members: &Membership,
     ) -> Vec<ShardId> {
         let zone = &members.me().zone;
         let asked = |peer: &ShardId| {
             self.asks.iter().any(|ask| ask.peer == *peer && now < ask.until && ask.left > 0)
         };
-        let peers = members.peers().iter().filter(|peer| lends(peer, members));
+        let peers = members.peers().iter().filter(|peer| lends(peer, pool, members));
         let peers = peers.filter(|peer| peer.queued == 0 || peer.queued < waiting / 2);
-        let peers = peers.filter(|peer| far || peer.zone == *zone);
         let mut peers: Vec<_> = peers.filter(|peer| !asked(&peer.shard)).collect();
         peers.sort_by_key(|peer| (peer.zone != *zone, peer.queued));
         peers.into_iter().map(|peer| peer.shard.clone()).collect()
@@ -224,8 +223,11 @@
     ) {
         let lease = pool.rules().lease;
         let mut changed = Vec::new();
-        for loan in pool.loans_mut() {
-            let usable = if now < loan.end { loan.slots } else { 0 };
+        // The lender may learn of the drain later.
+        let drained: Vec<bool> =
+            pool.loans().iter().map(|loan| pool.is_drained(loan.worker)).collect();
+        for (loan, drained) in pool.loans_mut().iter_mut().zip(drained) {
+            let usable = if now < loan.end && !drained { loan.slots } else { 0 };
             let kept = if waiting > 0 { usable.max(loan.used) } else { loan.used };
             let due = now + lease / 2 >= loan.end;
             // The first renewal may be lost. A loan on which nothing more may start is only kept
@@ -275,8 +277,11 @@
     }
 }
 
-fn lends(peer: &Peer, members: &Membership) -> bool {
-    !peer.leaving || (peer.zone == members.me().zone && members.stop_together())
+fn lends(peer: &Peer, pool: &Pool, members: &Membership) -> bool {
+    let near = peer.zone == members.me().zone;
+    // A shard lends only slots of its own zone.
+    let reachable = (near || pool.rules().far) && !pool.drains().has(&peer.zone);
+    reachable && (!peer.leaving || (near && members.stop_together()))
 }
 
 fn endpoint_of(lend: &Lend, pool: &Pool) -> Option<Endpoint> {
--- a/crates/core/src/cluster.rs
+++ b/crates/core/src/cluster.rs
@@ -4,7 +4,9 @@
 
 use cranberryhatch_schema::peer::envelope::Body;
 use cranberryhatch_settings::InForce;
-use cranberryhatch_types::{Incarnation, InstanceId, ShardId, Span, TeamId, Time, WorkerId};
+use cranberryhatch_types::{
+    Incarnation, InstanceId, ShardId, Span, TeamId, Time, WorkerId, ZoneId,
+};
 
 use crate::{
     Command, Counter, Endpoint, Event, Identity, Listing, Missing, Need, Pool, Signal, Slot,
@@ -56,6 +58,9 @@
     need: Option<Need>,
     listed: usize,
     last: Option<Time>,
+    // Zones with endpoints that stay, sorted; none until the list was read.
+    zones: Option<Vec<ZoneId>>,
+    stranded: bool,
 }
 
 impl Cluster {
@@ -74,6 +79,8 @@
             need: None,
             listed: 0,
             last: None,
+            zones: None,
+            stranded: false,
         }
     }
 
@@ -98,7 +105,7 @@
             Event::Peer { from, incarnation, body } => {
                 self.heard(now, from, *incarnation, body, out);
             }
-            Event::Settings(settings) => self.put_in_force(now, settings),
+            Event::Settings(settings) => self.put_in_force(now, settings, out),
             Event::Drain => {
                 let load = self.load(now);
                 self.members.drain(now, load, out);
@@ -110,10 +117,14 @@
         self.settle(now, out);
     }
 
-    fn put_in_force(&mut self, now: Time, settings: &Arc<InForce>) {
+    fn put_in_force(&mut self, now: Time, settings: &Arc<InForce>, out: &mut Vec<Command>) {
         if settings.version() > self.version {
             self.version = settings.version();
             self.pool.set_rules(now, Rules::from(&**settings.local()));
+            if self.pool.set_drains(now, settings.drains()) {
+                let zones = settings.drains().zones().to_vec();
+                out.push(Command::State(StateChange::ZonesDrained(zones)));
+            }
             self.quota.set(Arc::clone(settings));
             self.quota.changed(now, &self.members);
             self.measure();
@@ -137,9 +148,13 @@
             self.reassign(now);
         }
         self.listed = 0;
+        let zones = self.zones.insert(Vec::new());
         for row in list {
-            let Listing::Endpoint { id, leaving, .. } = row else { continue };
+            let Listing::Endpoint { id, zone, leaving, .. } = row else { continue };
             self.listed += 1;
+            if !leaving && let Err(place) = zones.binary_search(zone) {
+                zones.insert(place, zone.clone());
+            }
             if self.pool.listed(now, id, *leaving) {
                 out.push(Command::State(StateChange::WorkerLeaving(id.clone())));
             }
@@ -242,12 +257,40 @@
         self.borrowing.settle(now, self.allowed, &mut self.pool, out);
         let need = self.need.unwrap_or_default();
         self.borrowing.seek(now, self.allowed, &need, &self.pool, &mut self.members, out);
+        let stranded = self.lacks_endpoints();
+        if std::mem::replace(&mut self.stranded, stranded) != stranded {
+            out.push(Command::State(StateChange::Stranded(stranded)));
+        }
         let broken = self.pool.invariants.take() + self.quota.take_broken();
         if broken > 0 {
             out.push(Command::Count(Counter::InvariantsBroken, broken));
         }
     }
 
+    // Until the list was read, any zone with instances may have endpoints.
+    fn lacks_endpoints(&self) -> bool {
+        let drains = self.pool.drains();
+        if drains.is_empty() {
+            return false;
+        }
+        let mut zones = self
+            .zones
+            .clone()
+            .unwrap_or_else(|| self.members.peers().iter().map(|peer| peer.zone.clone()).collect());
+        let own = &self.members.me().zone;
+        if self.pool.is_occupied() {
+            zones.push(own.clone());
+        }
+        let rules = self.pool.rules();
+        drains.strands(own, rules.borrow && rules.far, &zones)
+    }
+
+    /// Whether the drains of zones leave this shard without any endpoint.
+    #[must_use]
+    pub const fn is_stranded(&self) -> bool {
+        self.stranded && self.pool.free() == 0
+    }
+
     /// What this shard has not got yet, sorted.
     #[must_use]
     pub fn missing(&self) -> Vec<Missing> {
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -14,6 +14,8 @@
     JobsAdopted,
     /// Jobs refused as not run.
     JobsRefused,
+    /// Jobs that were not run because every zone with endpoints is drained.
+    JobsRefusedDrained,
     /// Jobs that completed.
     JobsComplete,
     /// Jobs that failed.
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -177,6 +177,7 @@
             self.queue.set_fair(settings.local().fair_enabled);
             self.queue.unblock();
             self.settings = Some(settings);
+            self.refuse_stranded(turn);
         }
         turn.check(self.version() >= before, "the version in force never falls");
     }
@@ -198,6 +199,7 @@
                 Due::Forward(request) => self.forward_due(turn, request),
             }
         }
+        self.refuse_stranded(turn);
         self.spend_budget(turn.now);
         self.retention.expire(turn.now);
         self.queue.unblock();
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -9,6 +9,7 @@
     abandoned::{AbandonedClaim, Write},
     attempt::Owner,
     job::{Job, Phase, TaskState},
+    stranded,
     timers::Due,
     turn::Turn,
 };
@@ -125,7 +126,12 @@
         }
         if outcome == Outcome::NotRun && !job.adopted {
             let sole = job.sole || matches!(job.phase, Phase::Running(_));
-            let answer = Answer::unstarted(job.spec.key.clone(), code, sole);
+            let answer = if code == Code::ZoneDrained {
+                turn.count(Counter::JobsRefusedDrained);
+                stranded::refusal(job.spec.key.clone(), sole)
+            } else {
+                Answer::unstarted(job.spec.key.clone(), code, sole)
+            };
             return self.withdraw(turn, no, &answer, sole, stops);
         }
         let answer = Answer::new(job.spec.key.clone(), outcome).code(code);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -169,6 +169,11 @@
         self.tasks.iter().any(|task| matches!(task, TaskState::Done(_)))
     }
 
+    /// Whether no task of it can have run, here or at another holder.
+    pub(crate) fn is_unstarted(&self) -> bool {
+        self.sent == 0 && !self.lapsed && !self.adopted && !self.ran()
+    }
+
     /// Takes the results of all tasks in their order.
     pub(crate) fn results(&self) -> Vec<Payload> {
         let result = |task: &TaskState| match task {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -64,6 +64,7 @@
 mod run_times;
 mod slab_map;
 mod state_change;
+mod stranded;
 mod succession;
 mod takeover;
 mod task_answer;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,9 +1,11 @@
 //! Workers and their slots: owned, lent and borrowed.
 
+mod drain;
 mod loans;
 mod placement;
 mod worker;
 
+use cranberryhatch_settings::Drains;
 use cranberryhatch_types::{RackId, ShardId, Span, Time, WorkerId, ZoneId};
 use worker::{Class, Hot, Worker, rank};
 
@@ -62,6 +64,7 @@
 pub struct Pool {
     zone: ZoneId,
     rules: Rules,
+    drains: Drains,
     workers: Vec<Worker>,
     // What placement reads of each worker, apart from the rest so that a scan stays in the cache.
     hot: Vec<Hot>,
@@ -93,6 +96,7 @@
         Self {
             zone,
             rules: Rules::default(),
+            drains: Drains::default(),
             workers: Vec::new(),
             hot: Vec::new(),
             ranks: Vec::new(),
@@ -154,7 +158,8 @@
         });
         let listed = self.leaving.binary_search_by(|(id, _)| id.cmp(&endpoint.worker));
         let listed = listed.ok().map(|place| self.leaving[place].1);
-        self.workers.push(Worker { listed, ..Worker::new(endpoint) });
+        let drained = self.drains.has(&endpoint.zone);
+        self.workers.push(Worker { listed, drained, ..Worker::new(endpoint) });
         no
     }
 
@@ -186,6 +191,7 @@
         }
         worker.limit.resize(worker.endpoint.slots.get(), endpoint.slots.get());
         worker.endpoint = endpoint.clone();
+        worker.drained = self.drains.has(&endpoint.zone);
         let busy = worker.used + worker.borrowed_used;
         worker.view = endpoint.free.get().saturating_add(busy).min(endpoint.slots.get());
         let settled = worker.guard.is_some_and(|guard| now >= guard);
--- a/crates/core/src/pool/placement.rs
+++ b/crates/core/src/pool/placement.rs
@@ -83,6 +83,8 @@
         self.invariants.check(within, "slots lent and held exceed a worker's slots");
         let late = worker.leaving().is_some_and(|since| now.since(since) > bound);
         self.invariants.check(!late, "a task is sent to a leaving endpoint after the bound");
+        let drained = worker.drained;
+        self.invariants.check(!drained, "a task is placed in a drained zone");
         self.refresh(now, no);
         Slot { worker: no, loan, start: now }
     }
--- a/crates/core/src/pool/worker.rs
+++ b/crates/core/src/pool/worker.rs
@@ -14,6 +14,8 @@
     pub(super) silent: bool,
     pub(super) says: Option<Time>,
     pub(super) listed: Option<Time>,
+    // Its zone is drained.
+    pub(super) drained: bool,
     pub(super) owned: bool,
     pub(super) guard: Option<Time>,
     // Since when the guard stands.
@@ -79,6 +81,7 @@
             silent: false,
             says: None,
             listed: None,
+            drained: false,
             owned: false,
             guard: None,
             gained: Time::ZERO,
@@ -104,7 +107,7 @@
     }
 
     pub(super) fn usable(&self) -> bool {
-        self.up && !self.silent && self.leaving().is_none()
+        self.up && !self.silent && !self.drained && self.leaving().is_none()
     }
 
     pub(super) fn cap(&self, rules: &Rules) -> u32 {
--- a/crates/core/src/state_change.rs
+++ b/crates/core/src/state_change.rs
@@ -1,6 +1,6 @@
 //! Changes of state that are worth a log line.
 
-use cranberryhatch_types::{Holder, WorkerId};
+use cranberryhatch_types::{Holder, WorkerId, ZoneId};
 use strum::{Display, EnumDiscriminants, EnumString};
 
 /// A change of state of a shard.
@@ -10,6 +10,10 @@
 pub enum StateChange {
     /// A version of the settings came in force.
     SettingsInForce(u64),
+    /// Availability zones that are drained from now on; the others are not.
+    ZonesDrained(Vec<ZoneId>),
+    /// Whether the drains leave the shard without any endpoint, from now on.
+    Stranded(bool),
     /// A worker was seen for the first time, or again.
     WorkerUp(WorkerId),
     /// A worker does not answer.
--- /dev/null
+++ b/crates/core/src/stranded.rs
@@ -0,0 +1,30 @@
+//! Refusals of a shard that the drains of zones leave without any endpoint.
+
+use cranberryhatch_types::{JobKey, Span};
+
+use crate::{Answer, Code, Dispatcher, JobNo, turn::Turn};
+
+/// When a refused caller should come back. An operator restores a zone, so that earlier retries
+/// only add load.
+const RETRY: Span = Span::from_secs(5);
+
+impl Dispatcher {
+    /// Gives up the jobs of which nothing was started, while no endpoint may be used.
+    pub(crate) fn refuse_stranded(&mut self, turn: &mut Turn) {
+        if !self.cluster.is_stranded() {
+            return;
+        }
+        let jobs = self.jobs.iter().filter(|(_, job)| job.is_unstarted());
+        let jobs: Vec<JobNo> = jobs.map(|(no, _)| no).collect();
+        for no in jobs {
+            self.give_up(turn, no, Code::ZoneDrained);
+        }
+    }
+}
+
+/// The refusal of a job that no endpoint may run.
+pub(crate) fn refusal(key: JobKey, sole: bool) -> Answer {
+    Answer::unstarted(key, Code::ZoneDrained, sole)
+        .retry(RETRY)
+        .detail("every availability zone with endpoints is drained")
+}
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -44,6 +44,9 @@
     "health.failures = 1",
 ];
 
+/// Drains that sequences combine with these changes.
+const DRAINS: [&str; 4] = ["", "", "[zone z1]\nzone.drained = on", "[zone z2]\nzone.drained = on"];
+
 /// A message under way.
 #[derive(Clone, Debug)]
 enum Flight {
@@ -280,7 +283,10 @@
     fn set_settings(&mut self, choice: u8) {
         let lapsed = if self.lapsed { "on" } else { "off" };
         let extra = TREES[usize::from(choice) % TREES.len()];
-        let text = format!("[root]\nretry.lapsed = {lapsed}\n{extra}\n");
+        let drain = DRAINS[usize::from(choice) / TREES.len() % DRAINS.len()];
+        let text = format!(
+            "[root]\nretry.lapsed = {lapsed}\n{extra}\n[deployment model]\nzones.names = z1 z2\n{drain}\n"
+        );
         let version = self.settings.len() as u64 + 1;
         let tree = |zone: &ZoneId| {
             let tree = Tree::parse(&text).expect("the trees of the model are valid");
@@ -455,6 +461,14 @@
         if node.leaving.iter().any(|told| late(&told)) {
             self.oracle.fail(format!("{} is sent to {}, which leaves", start.name, start.worker));
         }
+        let zone = usize::from(node.zone == self.zones[1]);
+        let settings = (node.version as usize).checked_sub(1).map(|at| &self.settings[at].1[zone]);
+        let place = self.workers.iter().find(|worker| worker.id == start.worker);
+        if let (Some(settings), Some(place)) = (settings, place)
+            && settings.drains().has(&place.zone)
+        {
+            self.oracle.fail(format!("{} is sent to drained {}", start.name, place.zone));
+        }
         let life = node.life;
         self.push(Flight::Start { node: n, life, holder, start, late: false });
     }
--- a/crates/entry/src/api/answer_body.rs
+++ b/crates/entry/src/api/answer_body.rs
@@ -86,6 +86,7 @@
                 | Code::NeverFits
                 | Code::QueueFull
                 | Code::Draining
+                | Code::ZoneDrained
                 | Code::SettingsUnavailable
                 | Code::PlatformUnavailable),
             ),
--- a/crates/settings/src/in_force.rs
+++ b/crates/settings/src/in_force.rs
@@ -5,7 +5,7 @@
 use cranberryhatch_schema::Values;
 use cranberryhatch_types::{Kind, TeamId, ZoneId};
 
-use crate::Tree;
+use crate::{Drains, Tree};
 
 /// A settings tree with its version, and a cache of resolved values.
 #[derive(Debug)]
@@ -14,6 +14,7 @@
     tree: Tree,
     zone: ZoneId,
     local: Arc<Values>,
+    drains: Drains,
     cache: Mutex<Vec<CacheEntry>>,
 }
 
@@ -27,7 +28,8 @@
     #[must_use]
     pub fn new(version: u64, tree: Tree, zone: ZoneId) -> Self {
         let local = Arc::new(tree.resolve(&zone, None, None));
-        Self { version, tree, zone, local, cache: Mutex::default() }
+        let drains = Drains::of(&tree);
+        Self { version, tree, zone, local, drains, cache: Mutex::default() }
     }
 
     /// Version of the tree.
@@ -48,6 +50,12 @@
         &self.local
     }
 
+    /// Drained availability zones.
+    #[must_use]
+    pub const fn drains(&self) -> &Drains {
+        &self.drains
+    }
+
     /// Values for a kind of job of a team.
     #[must_use]
     pub fn of(&self, team: &TeamId, kind: &Kind) -> Arc<Values> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod change;
 mod checks;
+mod drains;
 mod in_force;
 mod path;
 mod process;
@@ -24,6 +25,7 @@
 mod tree_error;
 
 pub use change::Change;
+pub use drains::Drains;
 pub use in_force::InForce;
 pub use path::Path;
 pub use process::{LogFormat, ProcessConfig, ProcessError};
