feat(entry): zone drains in the administration API and the command line

Cause: placing knows drained zones, but an operator had to edit the tree and could not see what still runs in a zone.

Change: GET /v1/admin/zones; `warnings` in the answer to PUT /v1/admin/settings, also logged, when drains leave instances without any endpoint; gauge zones-drained; `cranberryhatch zone drain|restore|list`; warnings on standard error for every change of the tree.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use clap::{Parser, Subcommand};
+use cranberryhatch_types::ZoneId;
 use strum::{Display, EnumString};
 
 /// Submits work to cranberryhatch and operates it.
@@ -67,6 +68,9 @@
     Instances,
     /// Lists workers.
     Workers,
+    /// Drains and restores availability zones.
+    #[command(subcommand)]
+    Zone(ZoneCommand),
     /// Checks a settings tree without sending it.
     Check {
         /// File with the tree.
@@ -141,6 +145,29 @@
     History,
 }
 
+/// Commands on availability zones.
+#[derive(Subcommand)]
+pub enum ZoneCommand {
+    /// Places no new task on endpoints of a zone; tasks that run there end.
+    Drain {
+        /// Zone.
+        zone: ZoneId,
+        /// Reason, for the audit trail.
+        #[arg(long, default_value = "zone drain")]
+        why: String,
+    },
+    /// Places tasks on endpoints of a zone again.
+    Restore {
+        /// Zone.
+        zone: ZoneId,
+        /// Reason, for the audit trail.
+        #[arg(long, default_value = "zone restore")]
+        why: String,
+    },
+    /// Lists zones with what runs there.
+    List,
+}
+
 /// Commands on jobs.
 #[derive(Subcommand)]
 pub enum JobCommand {
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_http::{ClientError, Problem};
 use cranberryhatch_settings::TreeError;
-use cranberryhatch_types::ParseError;
+use cranberryhatch_types::{ParseError, ZoneId};
 
 use crate::exit::Exit;
 
@@ -50,6 +50,9 @@
     /// No such key.
     #[error("no setting {0}; see docs/OPERATIONS.md for all")]
     UnknownKey(String),
+    /// The deployment has no such availability zone.
+    #[error("the deployment's zones.names has no zone {0}")]
+    UnknownZone(ZoneId),
     /// The tree has faults.
     #[error("{}", faults(.0))]
     Tree(TreeError),
@@ -64,9 +67,11 @@
             Self::Lost(_) => Exit::Unknown,
             Self::Problem(problem) if problem.code == "version-conflict" => Exit::Conflict,
             Self::Problem(problem) if problem.status >= 500 => Exit::NotRun,
-            Self::Problem(_) | Self::Tree(_) | Self::Parse(_) | Self::UnknownKey(_) => {
-                Exit::Refused
-            }
+            Self::Problem(_)
+            | Self::Tree(_)
+            | Self::Parse(_)
+            | Self::UnknownKey(_)
+            | Self::UnknownZone(_) => Exit::Refused,
             Self::NoServer
             | Self::NoToken
             | Self::Unreadable(_)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod output;
 mod settings;
 mod views;
+mod zone;
 
 use std::process::ExitCode;
 
@@ -47,6 +48,7 @@
                 Command::Keys { count } => views::keys(&client, *count, args.output),
                 Command::Instances => views::instances(&client, args.output),
                 Command::Workers => views::workers(&client, args.output),
+                Command::Zone(command) => zone::run(&client, command, args.output),
                 Command::Completion { .. } | Command::Check { .. } | Command::Explain { .. } => {
                     Ok(Exit::Success)
                 }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -23,9 +23,10 @@
 const HISTORY: [&str; 5] = ["to", "from", "when", "who", "why"];
 
 /// A tree as an instance has it in force.
-struct Versioned {
+pub struct Versioned {
     version: u64,
-    tree: Tree,
+    /// The tree.
+    pub tree: Tree,
 }
 
 /// Checks a file and prints every fault.
@@ -63,7 +64,11 @@
     }
 }
 
-fn fetch(client: &ApiClient) -> Result<Versioned, Failure> {
+/// Reads the newest tree that an instance knows.
+///
+/// # Errors
+/// When no instance answers, or the answer is no tree.
+pub fn fetch(client: &ApiClient) -> Result<Versioned, Failure> {
     let response = client.send(&Method::GET, SETTINGS, &[], &Bytes::new(), Duration::ZERO)?;
     let version = response.headers().get("etag").and_then(|tag| tag.to_str().ok());
     let version = version.and_then(|tag| tag.trim_matches('"').parse().ok());
@@ -137,7 +142,12 @@
     put(client, &now, &tree, why, output)
 }
 
-fn put(
+/// Puts a tree in force in place of `now`, and prints the changes; warnings of the instance go to
+/// standard error.
+///
+/// # Errors
+/// When the instance refuses the tree, or somebody else was first.
+pub fn put(
     client: &ApiClient,
     now: &Versioned,
     tree: &Tree,
@@ -147,7 +157,11 @@
     let version = now.version.to_string();
     let headers = [("if-match", version.as_str()), ("x-reason", why)];
     let body = Bytes::from(tree.to_ini());
-    client.send(&Method::PUT, SETTINGS, &headers, &body, Duration::ZERO)?;
+    let response = client.send(&Method::PUT, SETTINGS, &headers, &body, Duration::ZERO)?;
+    let answer: Value = serde_json::from_slice(response.body())?;
+    for warning in answer["warnings"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+        eprintln!("cranberryhatch: warning: {warning}");
+    }
     print_changes(&now.tree.diff(tree), output)?;
     Ok(Exit::Success)
 }
@@ -162,7 +176,11 @@
     Ok(Exit::Success)
 }
 
-fn print_changes(changes: &[Change], output: Output) -> Result<(), Failure> {
+/// Prints changes of a tree.
+///
+/// # Errors
+/// When standard output cannot be written.
+pub fn print_changes(changes: &[Change], output: Output) -> Result<(), Failure> {
     let rows: Vec<Value> = changes
         .iter()
         .map(|change| {
--- a/crates/entry/src/api/admin.rs
+++ b/crates/entry/src/api/admin.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_core::{Answer, Dispatcher, Event};
 use cranberryhatch_http::{Problem, reply_json};
 use cranberryhatch_store::{RowName, Scan};
-use cranberryhatch_types::{JobKey, Span};
+use cranberryhatch_types::{JobKey, Span, ZoneId};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -12,7 +12,9 @@
 use super::{AnswerBody, Api, allow, bearer, query, settings_write::AUDIT_TABLE, wrong_token};
 use crate::{
     claims::{self, ClaimRow},
+    endpoints::ZoneView,
     peers::PeerShard,
+    settings_store::Current,
     watch::{TREE_ROW, settings_row},
 };
 
@@ -45,7 +47,7 @@
         let keys = path.strip_prefix("keys/");
         let methods = match path {
             "settings" => "GET, PUT",
-            "settings/history" | "instances" | "workers" => "GET",
+            "settings/history" | "instances" | "workers" | "zones" => "GET",
             _ if keys.is_some() => "GET",
             _ => return Err(Problem::new(StatusCode::NOT_FOUND, "no-such-path", path)),
         };
@@ -59,6 +61,7 @@
             "settings" => self.settings_text().await,
             "settings/history" => self.history(request).await,
             "instances" => Ok(reply_json(StatusCode::OK, &self.instances())),
+            "zones" => Ok(reply_json(StatusCode::OK, &self.zones(&current))),
             "workers" => Ok(reply_json(StatusCode::OK, &self.endpoints.views())),
             _ => self.key(keys.unwrap_or_default()).await,
         }
@@ -129,6 +132,20 @@
         views
     }
 
+    /// Zones of the deployment, and others that have endpoints.
+    fn zones(&self, current: &Current) -> Vec<ZoneView> {
+        let mut zones = current.settings.tree().zones();
+        zones.extend(self.endpoints.zones());
+        zones.sort_unstable();
+        zones.dedup();
+        let drains = current.settings.drains();
+        let view = |zone: ZoneId| {
+            let drained = drains.has(&zone);
+            self.endpoints.zone_view(zone, drained)
+        };
+        zones.into_iter().map(view).collect()
+    }
+
     async fn key(&self, path: &str) -> Result<Response<Bytes>, Problem> {
         let key: JobKey = path.parse().map_err(|error: cranberryhatch_types::ParseError| {
             Problem::new(StatusCode::BAD_REQUEST, "bad-key", error.to_string())
--- a/crates/entry/src/api/settings_write.rs
+++ b/crates/entry/src/api/settings_write.rs
@@ -51,9 +51,10 @@
         let text = std::str::from_utf8(request.body()).map_err(|error| {
             Problem::new(StatusCode::BAD_REQUEST, "not-utf8", error.to_string())
         })?;
-        if let Err(error) = Tree::parse(text) {
-            return Ok(faults(&error));
-        }
+        let tree = match Tree::parse(text) {
+            Ok(tree) => tree,
+            Err(error) => return Ok(faults(&error)),
+        };
         let when = self.clock.wall().as_ms();
         let audit = json!({ "who": operator, "when": when, "from": from, "why": why });
         let expect = if from == 0 { Expect::Absent } else { Expect::Version(from) };
@@ -68,7 +69,7 @@
             ],
         };
         match self.store.write(&txn, WRITE_LIMIT).await {
-            Ok(TxnResult::Written(version)) => Ok(self.in_force(version, text)),
+            Ok(TxnResult::Written(version)) => Ok(self.in_force(version, text, &tree)),
             Ok(TxnResult::Conflicts(conflicts)) => {
                 let row = conflicts.into_iter().find(|conflict| conflict.index == 0);
                 let now = row.and_then(|conflict| conflict.row).map_or(0, |row| row.version);
@@ -83,17 +84,36 @@
         }
     }
 
-    fn in_force(&self, version: u64, text: &str) -> Response<Bytes> {
+    fn in_force(&self, version: u64, text: &str, tree: &Tree) -> Response<Bytes> {
         // The text was checked before it was written.
         let _ = self.settings.accept(version, text);
         for instance in self.peers.ids() {
             let offer = SettingsOffer { version, tree: text.to_owned() };
             self.peers.send(0, &ShardId { instance, shard: 0 }, Body::SettingsOffer(offer));
         }
-        let mut response = reply_json(StatusCode::OK, &json!({ "version": version }));
+        let warnings = self.warnings(tree);
+        for warning in &warnings {
+            log::warn!(version = version; "{warning}");
+        }
+        let body = json!({ "version": version, "warnings": warnings });
+        let mut response = reply_json(StatusCode::OK, &body);
         response.headers_mut().insert(header::ETAG, etag(version));
         response
     }
+
+    /// What an operator should know of an accepted tree. Drains are judged by the endpoints that
+    /// this instance knows, or by the zones of the deployment where it knows none.
+    fn warnings(&self, tree: &Tree) -> Vec<String> {
+        let known = self.endpoints.zones();
+        let occupied = if known.is_empty() { tree.zones() } else { known };
+        let warning = |zone| {
+            format!(
+                "instances of zone {zone} refuse jobs as zone-drained: \
+                 every zone whose endpoints they may use is drained"
+            )
+        };
+        tree.stranded(&occupied).iter().map(warning).collect()
+    }
 }
 
 /// Key of the audit row of the change that replaced a version; sorts by version.
--- a/crates/entry/src/endpoints/mod.rs
+++ b/crates/entry/src/endpoints/mod.rs
@@ -4,6 +4,7 @@
 mod settling;
 mod view;
 mod worker;
+mod zone_view;
 
 use std::{
     net::SocketAddr,
@@ -21,6 +22,7 @@
 use answers::{Beat, Fenced, task_answer};
 pub use view::WorkerView;
 pub use worker::Worker;
+pub use zone_view::ZoneView;
 
 use crate::clock::Clock;
 
@@ -119,6 +121,26 @@
         workers.iter().map(|(_, worker)| WorkerView::new(worker, now)).collect()
     }
 
+    /// Zones that have endpoints, sorted.
+    #[must_use]
+    pub fn zones(&self) -> Vec<ZoneId> {
+        let workers = self.workers.read().unwrap_or_else(PoisonError::into_inner);
+        let mut zones: Vec<ZoneId> = workers.iter().map(|(_, w)| w.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    /// What is known of the endpoints of a zone.
+    #[must_use]
+    pub fn zone_view(&self, zone: ZoneId, drained: bool) -> ZoneView {
+        let now = self.clock.now();
+        let workers = self.workers.read().unwrap_or_else(PoisonError::into_inner);
+        let mut view = ZoneView::new(zone, drained);
+        workers.iter().for_each(|(_, worker)| view.add(worker, now));
+        view
+    }
+
     fn worker(&self, id: &WorkerId) -> Option<Arc<Worker>> {
         let workers = self.workers.read().unwrap_or_else(PoisonError::into_inner);
         let place = workers.binary_search_by(|(known, _)| known.cmp(id)).ok()?;
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -429,6 +429,7 @@
                 Arc::clone(&self.shards),
                 Arc::clone(&self.replies),
                 Arc::clone(&self.backlog),
+                Arc::clone(&self.settings),
             )),
         ]
     }
@@ -440,6 +441,7 @@
     shards: Arc<Shards>,
     replies: Arc<Replies>,
     backlog: Arc<Backlog>,
+    settings: Arc<SettingsStore>,
 ) {
     loop {
         Timer::after(GAUGES).await;
@@ -450,6 +452,7 @@
         let (claims, records) = backlog.waiting();
         metrics.gauge(IoGauge::ClaimsWaiting, (claims + records) as u64);
         metrics.gauge(IoGauge::SettingsVersion, shards.version());
+        metrics.gauge(IoGauge::ZonesDrained, settings.drained_zones() as u64);
         metrics.count_io(IoCounter::RecordsDropped, backlog.take_dropped());
     }
 }
--- a/crates/entry/src/settings_store.rs
+++ b/crates/entry/src/settings_store.rs
@@ -68,6 +68,12 @@
         self.current().map_or(0, |current| current.settings.version())
     }
 
+    /// Number of availability zones that are drained.
+    #[must_use]
+    pub fn drained_zones(&self) -> usize {
+        self.current().map_or(0, |current| current.settings.drains().zones().len())
+    }
+
     /// Lease of a holder.
     #[must_use]
     pub fn holder_lease(&self) -> Span {
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -56,6 +56,8 @@
     ClaimsWaiting,
     /// Version of the settings in force.
     SettingsVersion,
+    /// Availability zones that are drained.
+    ZonesDrained,
 }
 
 /// Durations.
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -140,8 +140,13 @@
     }
 
     fn add_endpoint(&mut self, number: usize) {
+        self.add_endpoint_in(number, "z1");
+    }
+
+    /// Adds an endpoint of a zone to the list, which is published with the next instance.
+    pub fn add_endpoint_in(&mut self, number: usize, zone: &str) {
         let id = format!("w{number}");
-        let args = ["endpoint", "--listen", "127.0.0.1:0", "--zone", "z1", "--rack", "r0"];
+        let args = ["endpoint", "--listen", "127.0.0.1:0", "--zone", zone, "--rack", "r0"];
         let args = EndpointArgs::parse_from(args.into_iter().chain(["--worker", &id]));
         let standin = EndpointStandin::new(args, self.runtime.executor(), None).expect("endpoint");
         let standin = Arc::new(standin);
@@ -154,7 +159,7 @@
             id,
             addr: served.addr,
             peer: None,
-            zone: "z1".parse().expect("id"),
+            zone: zone.parse().expect("id"),
             rack: Some("r0".parse().expect("id")),
             state: State::Live,
         });
@@ -189,13 +194,20 @@
 
     /// Starts an instance with addresses of its own and lists it.
     pub fn entry(&mut self, id: &str) -> Entry {
-        let entry = self.start(id, free_addr(), free_addr());
+        self.entry_in(id, "z1", self.platform.addr)
+    }
+
+    /// Starts an instance of a zone that finds the platform at an address, and lists it.
+    pub fn entry_in(&mut self, id: &str, zone: &str, platform: SocketAddr) -> Entry {
+        let mut config = self.config(id, free_addr(), free_addr(), 2);
+        (config.zone, config.platform) = (zone.parse().expect("id"), platform);
+        let entry = run(config);
         self.listing.push(Listed {
             role: Role::Entry,
             id: id.to_owned(),
             addr: entry.addr,
             peer: Some(entry.peer),
-            zone: "z1".parse().expect("id"),
+            zone: zone.parse().expect("id"),
             rack: None,
             state: State::Live,
         });
@@ -232,12 +244,7 @@
 
     /// Starts an instance at addresses.
     pub fn start_shards(&self, id: &str, addr: SocketAddr, peer: SocketAddr, shards: u32) -> Entry {
-        let config = self.config(id, addr, peer, shards);
-        let stop = Arc::new(AtomicBool::new(false));
-        let flag = Arc::clone(&stop);
-        let run = move || Instance::run(&config, &flag).expect("an instance that ends well");
-        let thread = Some(std::thread::spawn(run));
-        Entry { addr, peer, id: id.to_owned(), stop, thread }
+        run(self.config(id, addr, peer, shards))
     }
 
     pub fn send(&self, addr: SocketAddr, request: Request<Bytes>) -> Response<Bytes> {
@@ -276,6 +283,16 @@
     }
 }
 
+/// Runs an instance on a thread of its own.
+fn run(config: ProcessConfig) -> Entry {
+    let (addr, peer, id) = (config.listen, config.peer, config.id.to_string());
+    let stop = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&stop);
+    let run = move || Instance::run(&config, &flag).expect("an instance that ends well");
+    let thread = Some(std::thread::spawn(run));
+    Entry { addr, peer, id, stop, thread }
+}
+
 pub fn post(path: &str, token: &str, body: &Value) -> Request<Bytes> {
     Request::post(path)
         .header("authorization", format!("Bearer {token}"))
