test(fleet): callers of the load harness wait as long as their kind

The limit followed from the drawn run times of the job, so that the scheduler was told through `left_ms` what no caller knows. It now follows from the mean run time of the kind.

--- a/crates/fleet/tests/load/mod.rs
+++ b/crates/fleet/tests/load/mod.rs
@@ -79,6 +79,8 @@
     /// Run time of each task on a worker of factor 1.
     pub times: Vec<u64>,
     pub objective: u64,
+    /// Time until the caller gives a try up.
+    pub limit: u64,
     pub born: u64,
     /// When the present try was sent.
     pub sent: u64,
@@ -181,6 +183,7 @@
                     zone: pick(&kind.zones, rng),
                     times,
                     objective: longest * 8 / 5 + 60,
+                    limit: 3 * (scaled(1, kind.mean) * 16 / 5 + 60),
                     born: ms,
                     sent: ms,
                     tries: 0,
@@ -270,7 +273,7 @@
         call.tries += 1;
         call.waiting =
             (0..call.times.len()).map(|task| u32::try_from(task).expect("few")).collect();
-        let (limit, tries) = (self.now + 3 * call.objective, call.tries);
+        let (limit, tries) = (self.now + call.limit, call.tries);
         self.at(limit, Event::Limit(number, tries));
         self.at(self.now + WAY, Event::Ask(number));
     }
@@ -291,7 +294,7 @@
             need: Some((&need(kind.cores)).into()),
             declared_ms: kind.declared,
             age_ms: ms(self.now - call.sent),
-            left_ms: ms((call.sent + 3 * call.objective).saturating_sub(self.now)),
+            left_ms: ms((call.sent + call.limit).saturating_sub(self.now)),
             rack: kind.rack.to_owned(),
             begun: call.begun.is_some(),
             zone: call.zone.to_owned(),
@@ -324,7 +327,7 @@
         let near = kind.rack.is_empty() || machine.labels.iter().any(|label| label == kind.rack);
         let factor = value_at(&machine.slow, self.now, 1.0) * if near { 1.0 } else { OTHER_RACK };
         let base = call.times[usize::try_from(place.task).expect("small")];
-        let took = times(base, factor);
+        let took = scaled(base, factor);
         self.runs.insert((place.worker.clone(), number, place.task), (self.now, took));
         let run = u64::from(place.run_ms);
         self.at(self.now + took, Event::End(number, place.task, place.worker.clone(), run));
@@ -398,7 +401,7 @@
         let runs = self.runs.iter().filter(|((id, ..), _)| *id == machine.id);
         let held = runs.map(|((_, call, task), (since, _))| {
             let kind = &self.kinds[self.calls[*call].kind];
-            let left = times(1, kind.mean).saturating_sub(self.now - since).max(1);
+            let left = scaled(1, kind.mean).saturating_sub(self.now - since).max(1);
             Held {
                 run: Some(Run { job: name(*call), step: 0, task: *task, run: 1 }),
                 need: Some((&need(kind.cores)).into()),
@@ -437,11 +440,11 @@
     const SPREAD: f64 = 0.4;
     // Sum of twelve even numbers: nearly a standard normal one.
     let normal = (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0;
-    times(1, mean * (SPREAD * normal - SPREAD * SPREAD / 2.0).exp())
+    scaled(1, mean * (SPREAD * normal - SPREAD * SPREAD / 2.0).exp())
 }
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive and small")]
-fn times(ms: u64, factor: f64) -> u64 {
+fn scaled(ms: u64, factor: f64) -> u64 {
     let ms = f64::from(u32::try_from(ms).expect("a short time"));
     (ms * factor).round().max(1.0) as u64
 }
