feat(fleet): refuse by a forecast of slots, and spread the returns

Cause: refusing divided the work ahead by 0.85 of all cores and looked at the first task of a job only. It did not know that tasks of a third of a worker run two or three at a time, what runs ends when, or that jobs of smaller priority numbers which have not arrived yet go first. Under a lasting overload the least urgent kind waited until its last useful start and was then refused.

Ruled out: the fluid form (rest of what runs + work ahead) / slots takes the mean rest of all runs for the first end, and refuses a job that has nothing ahead (by reasoning, not measured).

Change: `forecast.rs` keeps a curve of slots that become free, by size and label, from the workers and the expected ends of their runs; what waits takes slots in its order, and expected arrivals (`arrivals.rs`) of smaller priority numbers before it. A job is refused in the pass in which it is asked for if its last task gets no useful start (`refusing.rs`). `returns.rs` books when refused callers come back. `bias.rs` corrects the expected run times of a kind for sums over many tasks. Late jobs no longer go behind timely ones of a larger priority number. A scheduler that does not know a tenth of the listed workers counts no arrivals, since the test of a zone that is back fails otherwise (jobs refused within 120 ms of the end of the cut).

Changed test: the cases of refusing.rs get workers instead of a sum of cores, since `hopeless` takes a forecast. All old cases are there with the same outcome; "no worker" has a second one. The bound on `retry` is the forecast start, or 2 s where the forecast has none.

--- /dev/null
+++ b/crates/fleet/src/arrivals.rs
@@ -0,0 +1,103 @@
+//! Work that callers ask for, by service and priority.
+//!
+//! The load it answers is a lasting overload: a job that waits is overtaken by jobs of smaller
+//! priority numbers that have not arrived yet, so the work ahead of it is more than what waits.
+
+use cranberryhatch_types::Time;
+
+use crate::VecMap;
+
+/// Time constant of the estimate that follows a change, in milliseconds.
+const FAST_MS: f64 = 200.0;
+/// Time constant of the estimate that averages over single jobs, in milliseconds.
+const SLOW_MS: f64 = 1_000.0;
+/// Share of the fast estimate that counts when it is below the slow one: a burst that ends is
+/// forgotten before the slow estimate shows its end.
+const FALL: f64 = 1.5;
+/// Largest number of services and priorities whose arrivals are estimated.
+const FLOWS: usize = 256;
+
+/// Work that arrives.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rate {
+    /// Room asked for, in thousandths of a core per millisecond.
+    pub room: f64,
+    /// Work, in thousandths of a core times milliseconds per millisecond.
+    pub work: f64,
+}
+
+impl Rate {
+    /// Mean run time of a task, weighted by its room, in milliseconds.
+    #[must_use]
+    pub fn mean_ms(&self) -> f64 {
+        if self.room > 0.0 { self.work / self.room } else { 0.0 }
+    }
+
+    fn add(&mut self, room: f64, work: f64, time_ms: f64) {
+        self.room += room / time_ms;
+        self.work += work / time_ms;
+    }
+
+    fn fade(&mut self, factor: f64) {
+        self.room *= factor;
+        self.work *= factor;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Flow {
+    fast: Rate,
+    slow: Rate,
+    at: Time,
+}
+
+impl Flow {
+    fn age(&mut self, now: Time) {
+        let passed = ms(now, self.at);
+        self.at = now;
+        self.fast.fade((-passed / FAST_MS).exp());
+        self.slow.fade((-passed / SLOW_MS).exp());
+    }
+
+    fn rate(&self, now: Time) -> Rate {
+        let passed = ms(now, self.at);
+        let (fast, slow) = ((-passed / FAST_MS).exp(), (-passed / SLOW_MS).exp());
+        let (fast, slow) = (self.fast.work * fast * FALL, self.slow.work * slow);
+        let work = fast.min(slow);
+        let mean = self.slow.mean_ms();
+        Rate { room: if mean > 0.0 { work / mean } else { 0.0 }, work }
+    }
+}
+
+/// Arrivals of all services and priorities.
+#[derive(Debug, Default)]
+pub struct Arrivals {
+    flows: VecMap<(String, u32), Flow>,
+}
+
+impl Arrivals {
+    /// Counts a job that has just arrived: the room of all its tasks, and their work.
+    pub fn count(&mut self, service: &str, priority: u32, room: f64, work: f64, now: Time) {
+        let key = (service.to_owned(), priority);
+        if self.flows.len() >= FLOWS && !self.flows.contains(&key) {
+            self.flows.retain(|_, flow| now.since(flow.at).as_ms() < 10_000);
+            if self.flows.len() >= FLOWS {
+                return;
+            }
+        }
+        let flow = self.flows.entry(key, Flow::default);
+        flow.age(now);
+        flow.fast.add(room, work, FAST_MS);
+        flow.slow.add(room, work, SLOW_MS);
+    }
+
+    /// What arrives for a service, by priority from the smallest number on.
+    pub fn of(&self, service: &str, now: Time) -> impl Iterator<Item = (u32, Rate)> {
+        let own = self.flows.iter().filter(move |((known, _), _)| known == service);
+        own.map(move |((_, priority), flow)| (*priority, flow.rate(now)))
+    }
+}
+
+fn ms(now: Time, earlier: Time) -> f64 {
+    f64::from(u32::try_from(now.since(earlier).as_ms()).unwrap_or(u32::MAX))
+}
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -78,52 +78,72 @@
     (born + objective - expected, useful_until.min(limit) - expected)
 }
 
-/// All waiting tasks in the order in which they get room.
+/// All waiting tasks in the order in which they get room: by priority, and within a priority what
+/// cannot be on time behind all that can.
 #[derive(Debug, Default)]
 pub struct Backlog {
-    timely: Vec<Waiting>,
-    late: Vec<Waiting>,
+    entries: Vec<Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    waiting: Waiting,
+    late: bool,
+}
+
+impl Entry {
+    fn new(waiting: Waiting, now: Time) -> Self {
+        let late = now > waiting.on_time && !waiting.begun;
+        Self { waiting, late }
+    }
+
+    fn compare(&self, other: &Self) -> Ordering {
+        let class = |entry: &Self| (entry.waiting.priority, entry.late);
+        class(self).cmp(&class(other)).then_with(|| {
+            if self.late {
+                self.waiting.useful.cmp(&other.waiting.useful)
+            } else {
+                self.waiting.compare(&other.waiting)
+            }
+        })
+    }
 }
 
 impl Backlog {
     /// Adds tasks, behind those that come before them.
     pub fn add(&mut self, waiting: Waiting, now: Time) {
-        if now > waiting.on_time && !waiting.begun {
-            let place = self.late.partition_point(|known| known.useful <= waiting.useful);
-            self.late.insert(place, waiting);
-            return;
-        }
-        let place = self.timely.partition_point(|known| known.compare(&waiting).is_le());
-        self.timely.insert(place, waiting);
+        let entry = Entry::new(waiting, now);
+        let place = self.entries.partition_point(|known| known.compare(&entry).is_le());
+        self.entries.insert(place, entry);
     }
 
-    /// Moves what cannot be on time any more behind all that can.
+    /// Moves what cannot be on time any more behind all of its priority that can.
     pub fn age(&mut self, now: Time) {
-        let is_late = |waiting: &Waiting| now > waiting.on_time && !waiting.begun;
-        if !self.timely.iter().any(is_late) {
+        let is_late =
+            |entry: &Entry| !entry.late && now > entry.waiting.on_time && !entry.waiting.begun;
+        if !self.entries.iter().any(is_late) {
             return;
         }
-        let (late, timely) = std::mem::take(&mut self.timely).into_iter().partition(is_late);
-        self.timely = timely;
-        for waiting in late {
+        let (late, kept) = std::mem::take(&mut self.entries).into_iter().partition(is_late);
+        self.entries = kept;
+        for Entry { waiting, .. } in late {
             self.add(waiting, now);
         }
     }
 
     /// Entries in the order in which they get room.
     pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
-        self.timely.iter().chain(&self.late)
+        self.entries.iter().map(|entry| &entry.waiting)
     }
 
     /// Entries in the order in which they get room, to take tasks from them.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Waiting> {
-        self.timely.iter_mut().chain(&mut self.late)
+        self.entries.iter_mut().map(|entry| &mut entry.waiting)
     }
 
     /// Removes the entries for which `gone` holds.
     pub fn remove(&mut self, mut gone: impl FnMut(&Waiting) -> bool) {
-        self.timely.retain(|waiting| !gone(waiting));
-        self.late.retain(|waiting| !gone(waiting));
+        self.entries.retain(|entry| !gone(&entry.waiting));
     }
 
     /// Removes entries without tasks.
@@ -134,12 +154,12 @@
     /// Number of entries.
     #[must_use]
     pub const fn len(&self) -> usize {
-        self.timely.len() + self.late.len()
+        self.entries.len()
     }
 
     /// Whether nothing waits.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
-        self.timely.is_empty() && self.late.is_empty()
+        self.entries.is_empty()
     }
 }
--- /dev/null
+++ b/crates/fleet/src/forecast.rs
@@ -0,0 +1,279 @@
+//! Forecast of capacity: when the tasks that wait find a placement.
+//!
+//! The load it answers is tasks of a third to two thirds of a worker: how many run at a time follows
+//! from how many fit on each worker, not from the sum of all cores, and a task gets its slot when a
+//! run ends, not when the whole work ahead is done.
+//!
+//! Time is divided into steps. A curve holds for each step how many slots of one size become free in
+//! it. Work takes the earliest slots and gives them back when it ends.
+
+use std::collections::VecDeque;
+
+use cranberryhatch_types::{Span, Time};
+
+use crate::{Need, Site, Waiting, arrivals::Rate};
+
+/// Length of a step in milliseconds.
+const STEP_MS: u32 = 5;
+/// Number of steps; what starts later than the last one is taken to start then.
+const STEPS: usize = 1_000;
+/// Largest number of sizes and labels with a curve of their own; jobs of further ones are not refused
+/// by the forecast.
+const CURVES: usize = 8;
+/// Slots that are less than this, in parts of one, are not looked for.
+const TRIFLE: f64 = 1e-6;
+
+/// A size of tasks and the label that they ask for.
+#[derive(Clone, Debug)]
+struct Size {
+    need: Need,
+    label: String,
+    // Slots on all workers, whether free or not.
+    slots: f64,
+    // Share of the room of the service that the workers with the label have.
+    share: f64,
+}
+
+impl Size {
+    /// Slots of this size that a slot of another one takes up.
+    fn ratio(&self, other: &Self) -> f64 {
+        if self.label == other.label || other.label.is_empty() {
+            if other.slots > 0.0 { self.slots / other.slots } else { 0.0 }
+        } else if self.label.is_empty() {
+            cores(&other.need) / cores(&self.need)
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Slots of one size over time.
+#[derive(Clone, Debug)]
+struct Curve {
+    size: Size,
+    // Slots that become free in each step and are not taken.
+    free: Vec<f64>,
+    // No slot is free before this step.
+    first: usize,
+}
+
+impl Curve {
+    fn add(&mut self, step: usize, count: f64) {
+        if let Some(free) = self.free.get_mut(step) {
+            *free += count;
+            self.first = self.first.min(step);
+        }
+    }
+
+    /// The step in which the last of `count` tasks that take some steps each starts; none if that is too
+    /// far away.
+    fn last_start(&self, count: f64, steps: usize) -> Option<usize> {
+        let mut left = count;
+        // Slots that tasks of the same job give back, and when.
+        let mut back = VecDeque::new();
+        for (step, free) in self.free.iter().enumerate().skip(self.first) {
+            let mut free = *free;
+            while let Some((_, slots)) = back.pop_front_if(|(at, _)| *at <= step) {
+                free += slots;
+            }
+            if left <= free + TRIFLE {
+                return Some(step);
+            }
+            if free > TRIFLE {
+                back.push_back((step + steps, free));
+                left -= free;
+            }
+        }
+        None
+    }
+
+    /// Takes the earliest slots for some steps.
+    fn take(&mut self, count: f64, steps: usize) {
+        let mut left = count;
+        while left > TRIFLE && self.first < STEPS {
+            let step = self.first;
+            let taken = left.min(self.free[step]);
+            self.free[step] -= taken;
+            left -= taken;
+            if self.free[step] <= TRIFLE {
+                self.first = step + 1;
+            }
+            self.add(step + steps, taken);
+        }
+    }
+
+    /// Takes slots for some steps for `count` tasks that arrive in each step.
+    ///
+    /// A task takes the slot that became free last, so that slots which the arrivals do not need stay
+    /// free from their first step on.
+    fn take_each(&mut self, count: f64, steps: usize) {
+        let mut waiting = 0.0;
+        let mut known: Vec<usize> = Vec::new();
+        for step in 0..STEPS {
+            waiting += count;
+            if self.free[step] > TRIFLE {
+                known.push(step);
+            }
+            while let Some(latest) = known.last().copied().filter(|_| waiting > TRIFLE) {
+                let taken = f64::min(waiting, self.free[latest]);
+                self.free[latest] -= taken;
+                waiting -= taken;
+                self.add(step + steps, taken);
+                if self.free[latest] <= TRIFLE {
+                    known.pop();
+                }
+            }
+        }
+        self.first = self.free.iter().position(|free| *free > TRIFLE).unwrap_or(STEPS);
+    }
+}
+
+/// Forecast for the workers of one service.
+#[derive(Clone, Debug)]
+pub struct Forecast {
+    curves: Vec<Curve>,
+}
+
+impl Forecast {
+    /// Time that it covers.
+    pub const LENGTH: Span = Span::from_ms(STEPS as u64 * STEP_MS as u64);
+
+    /// A forecast for the sizes and labels of what waits, with what runs on the workers of a service.
+    pub fn new<'a>(
+        waiting: impl Iterator<Item = &'a Waiting>,
+        sites: impl Iterator<Item = &'a Site>,
+        now: Time,
+    ) -> Self {
+        let mut curves: Vec<Curve> = Vec::new();
+        for waiting in waiting {
+            if curves.len() < CURVES && !curves.iter().any(|curve| is_for(curve, waiting)) {
+                curves.push(Curve {
+                    size: Size {
+                        need: waiting.need,
+                        label: waiting.label.clone(),
+                        slots: 0.0,
+                        share: 0.0,
+                    },
+                    free: vec![0.0; STEPS],
+                    first: STEPS,
+                });
+            }
+        }
+        let mut room = 0.0;
+        for site in sites.filter(|site| site.is_usable()) {
+            room += cores(&site.listed.room);
+            for curve in &mut curves {
+                if site.listed.has_label(&curve.size.label) {
+                    curve.size.share += cores(&site.listed.room);
+                    add_site(curve, site, now);
+                }
+            }
+        }
+        for curve in &mut curves {
+            curve.size.share /= f64::max(room, 1.0);
+        }
+        Self { curves }
+    }
+
+    /// Slots of the size of a waiting task on all workers that may run it.
+    #[must_use]
+    pub fn slots(&self, waiting: &Waiting) -> f64 {
+        self.curve(waiting).map_or(0.0, |curve| curve.size.slots)
+    }
+
+    /// Share of these slots that arrivals of `work` (thousandths of a core) need.
+    #[must_use]
+    pub fn load(&self, waiting: &Waiting, work: f64) -> f64 {
+        self.curve(waiting).map_or(0.0, |curve| {
+            let slots = work * curve.size.share / cores(&curve.size.need);
+            slots / curve.size.slots.max(1.0)
+        })
+    }
+
+    /// Time for which all tasks of an entry take all these slots, in milliseconds.
+    #[must_use]
+    pub fn length(&self, waiting: &Waiting, mean_ms: f64) -> f64 {
+        count(waiting) * mean_ms / self.slots(waiting).max(1.0)
+    }
+
+    fn curve(&self, waiting: &Waiting) -> Option<&Curve> {
+        self.curves.iter().find(|curve| is_for(curve, waiting))
+    }
+
+    /// Expected time until the last task starts, for a mean run time in milliseconds; none if that is
+    /// past the end of the forecast or there are too many sizes.
+    #[must_use]
+    pub fn last_start(&self, waiting: &Waiting, mean_ms: f64) -> Option<Span> {
+        let step = self.curve(waiting)?.last_start(count(waiting), steps(mean_ms))?;
+        Some(Span::from_ms(step as u64 * u64::from(STEP_MS)))
+    }
+
+    /// Takes slots for all tasks of an entry, of a mean run time in milliseconds.
+    pub fn place(&mut self, waiting: &Waiting, mean_ms: f64) {
+        let Some(own) = self.curve(waiting).map(|curve| curve.size.clone()) else { return };
+        for curve in &mut self.curves {
+            let slots = count(waiting) * curve.size.ratio(&own);
+            curve.take(slots, steps(mean_ms));
+        }
+    }
+
+    /// Takes slots for work that arrives from now on and goes first.
+    pub fn expect(&mut self, rate: Rate) {
+        let (length, mean) = (f64::from(STEP_MS), steps(rate.mean_ms()));
+        for curve in &mut self.curves {
+            let slots = rate.room * length * curve.size.share / cores(&curve.size.need);
+            if slots > TRIFLE {
+                curve.take_each(slots, mean);
+            }
+        }
+    }
+}
+
+fn is_for(curve: &Curve, waiting: &Waiting) -> bool {
+    curve.size.need == waiting.need && curve.size.label == waiting.label
+}
+
+/// Adds the slots of a worker at the times at which they become free.
+fn add_site(curve: &mut Curve, site: &Site, now: Time) {
+    let all = curve.size.need.times_in(&site.listed.room);
+    if all == 0 {
+        return;
+    }
+    let opens = step_at(site.opens(now), now);
+    let mut ends: Vec<(Time, Need)> = site.ends(now).collect();
+    ends.sort_by_key(|(end, _)| *end);
+    if site.is_suspect() {
+        let last = ends.last().map_or(0, |(end, _)| step_at(*end, now));
+        curve.size.slots += 1.0;
+        curve.add(last.max(opens), 1.0);
+        return;
+    }
+    curve.size.slots += f64::from(all);
+    let mut room = *site.free();
+    let mut known = curve.size.need.times_in(&room);
+    curve.add(opens, f64::from(known));
+    for (end, need) in ends {
+        room = room.with(&need);
+        let fitting = curve.size.need.times_in(&room).min(all);
+        curve.add(step_at(end, now).max(opens), f64::from(fitting.saturating_sub(known)));
+        known = known.max(fitting);
+    }
+}
+
+fn step_at(time: Time, now: Time) -> usize {
+    let steps = time.since(now).as_ms() / u64::from(STEP_MS);
+    usize::try_from(steps).unwrap_or(STEPS)
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
+fn steps(ms: f64) -> usize {
+    (ms / f64::from(STEP_MS)).round().clamp(1.0, 10.0 * 1_000.0) as usize
+}
+
+fn count(waiting: &Waiting) -> f64 {
+    f64::from(u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX))
+}
+
+fn cores(need: &Need) -> f64 {
+    f64::from(need.cores.get().max(1))
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,10 @@
 //! assert!(!node.is_ready());
 //! ```
 
+mod arrivals;
 mod backlog;
+mod bias;
+mod forecast;
 mod front;
 mod held;
 mod job;
@@ -38,6 +41,7 @@
 mod owner;
 mod placing;
 mod refusing;
+mod returns;
 mod roster;
 mod run_key;
 mod run_life;
@@ -50,7 +54,10 @@
 mod vec_map;
 mod worker;
 
+pub use arrivals::{Arrivals, Rate};
 pub use backlog::{Backlog, Waiting, latest_starts};
+pub use bias::RunBias;
+pub use forecast::Forecast;
 pub use front::{Front, RUN_GONE, is_sampled};
 pub use held::{Held, Stage};
 pub use job::{Job, Policy, Step};
@@ -64,7 +71,8 @@
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
 };
 pub use owner::Owner;
-pub use refusing::{Hopeless, hopeless};
+pub use refusing::{Cause, Hopeless, hopeless};
+pub use returns::Returns;
 pub use roster::{Known, Roster, Standing};
 pub use run_key::{RunKey, TaskKey};
 pub use run_life::{LEASE, RUN_LIFE, lease_length};
--- a/crates/fleet/src/need.rs
+++ b/crates/fleet/src/need.rs
@@ -21,6 +21,27 @@
         self.cores <= room.cores && self.memory <= room.memory && self.accels <= room.accels
     }
 
+    /// How many tasks of this size fit into `room`; one task that asks for nothing fits once.
+    #[must_use]
+    pub fn times_in(&self, room: &Self) -> u32 {
+        let parts = [
+            room.cores.get().checked_div(self.cores.get()),
+            room.memory.get().checked_div(self.memory.get()),
+            room.accels.get().checked_div(self.accels.get()),
+        ];
+        parts.into_iter().flatten().min().unwrap_or(1)
+    }
+
+    /// This room and `part` of it that becomes free.
+    #[must_use]
+    pub const fn with(&self, part: &Self) -> Self {
+        Self {
+            cores: Cores::new(self.cores.get().saturating_add(part.cores.get())),
+            memory: Count::new(self.memory.get().saturating_add(part.memory.get())),
+            accels: Accels::new(self.accels.get().saturating_add(part.accels.get())),
+        }
+    }
+
     /// What is left of this room without `part`.
     #[must_use]
     pub const fn without(&self, part: &Self) -> Self {
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,8 +4,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Waiting,
-    backlog::latest_starts, note::Note, output::Message, refusing,
+    Arrivals, Backlog, Forecast, Listing, Need, Output, Returns, RunBias, RunKey, RunTimes, Site,
+    Sites, TaskKey, VecMap, Waiting, backlog::latest_starts, note::Note, output::Message, refusing,
 };
 
 /// Largest number of jobs whose first failure is remembered.
@@ -16,6 +16,13 @@
 /// nothing is refused before its end, unless all listed workers are known.
 /// They report at once, and open their workers within 250 ms after all of them restarted.
 const REPORTS: Span = Span::from_ms(400);
+/// Part of the listed workers that has to be known for a forecast to count arrivals: nine of ten.
+const KNOWN: usize = 9;
+const KNOWN_OF: usize = 10;
+/// Time from a grant to the start of the run.
+const START: Span = Span::from_ms(4);
+/// Age up to which a job that is asked for counts as one that arrives. Older ones waited at another scheduler.
+const ARRIVING: Span = Span::from_ms(200);
 /// Time in which other instances take over the workers when all were lost with their owners: the
 /// time until a silent instance counts as gone, and a report.
 const TAKEOVERS: Span = Span::from_ms(1_000);
@@ -26,15 +33,22 @@
     backlog: Backlog,
     sites: Sites,
     times: RunTimes,
+    bias: RunBias,
+    arrivals: Arrivals,
+    returns: Returns,
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
     dirty: bool,
+    // Whether tasks were asked for since it was last worked out what is hopeless.
+    asked: bool,
     // When owners were last expected to report all their workers; none while another instance schedules.
     since: Option<Time>,
     // Whether all listed workers have been reported since then.
     complete: bool,
-    // When it last knew of a worker that takes tasks.
-    room_known: Time,
+    // Number of listed workers.
+    listed: usize,
+    // When it last knew of a worker that takes tasks, by service.
+    room_known: VecMap<String, Time>,
 }
 
 impl Scheduler {
@@ -72,8 +86,18 @@
             avoid: ask.avoid,
             begun: ask.begun,
         };
+        if !waiting.begun && ask.age_ms <= to_u32(ARRIVING.as_ms()) {
+            self.count_arrival(&waiting, now);
+        }
         self.backlog.add(waiting, now);
-        self.dirty = true;
+        (self.dirty, self.asked) = (true, true);
+    }
+
+    fn count_arrival(&mut self, waiting: &Waiting, now: Time) {
+        let tasks = u32::try_from(waiting.tasks.len()).unwrap_or(u32::MAX);
+        let room = f64::from(tasks) * f64::from(waiting.need.cores.get());
+        let work = room * self.bias.mean_ms(&waiting.kind, waiting.expected);
+        self.arrivals.count(&waiting.service, waiting.priority, room, work, now);
     }
 
     fn unknown_tasks(&self, front: &InstanceId, ask: &Ask) -> Vec<u32> {
@@ -134,20 +158,29 @@
             if known.is_none() {
                 self.sites.insert(Site::new(listed.clone(), owner.clone(), room.token));
             }
+            let mut left = Vec::new();
             let held = room.held.into_iter().filter_map(|held| {
+                let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
+                if span > Span::ZERO {
+                    left.push((key.task.clone(), span));
+                }
                 Some((key.task, Need::from(&held.need?)))
             });
-            let held = held.collect();
+            let held: Vec<_> = held.collect();
             self.sites.change(&id, |site| {
                 site.listed = listed.clone();
                 site.owner = owner.clone();
                 site.token = room.token;
                 site.open = room.open;
                 site.report(held, now);
+                for (task, left) in left {
+                    site.expect_end(&task, left, left, now);
+                }
             });
             self.dirty = true;
         }
+        self.listed = listing.all().len();
         self.complete = self.complete || self.knows(listing);
     }
 
@@ -158,6 +191,7 @@
 
     /// Takes a new list of workers.
     pub fn listed(&mut self, listing: &Listing) {
+        self.listed = listing.all().len();
         self.sites.retain(|site| match listing.get(site.id()) {
             Some(listed) => {
                 site.listed = listed.clone();
@@ -175,6 +209,7 @@
         let took = Span::from_ms(freed.took_ms.into());
         if how == How::Done && !freed.kind.is_empty() {
             self.times.learn(&freed.kind, took);
+            self.bias.learn(&freed.kind, took, Span::from_ms(freed.expected_ms.into()));
         }
         let guilty = how == How::Failed && self.suspect(&run.task.job, &worker);
         let expected = Span::from_ms(freed.expected_ms.into());
@@ -215,11 +250,22 @@
         self.dirty = false;
         self.backlog.age(now);
         self.grant(now, out);
+        // Until the next tick, ends only shorten the wait of what is not refused yet.
+        if !(tick || std::mem::take(&mut self.asked)) || self.backlog.is_empty() {
+            return;
+        }
         if self.complete || now.since(*self.since.get_or_insert(now)) >= REPORTS {
             self.refuse(now, out);
         }
     }
 
+    /// Whether so many workers are out of reach that their return changes every forecast: what arrives
+    /// later may find them.
+    fn is_cut_off(&self) -> bool {
+        let known = self.sites.iter().count();
+        known * KNOWN_OF < self.listed * KNOWN
+    }
+
     /// Whether the room of all listed workers is known.
     fn knows(&self, listing: &Listing) -> bool {
         let listed = listing.all();
@@ -249,7 +295,11 @@
                 });
                 let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
                 let id = site.id().clone();
-                self.sites.change(&id, |site| site.grant(key, waiting.need, now));
+                let mean = self.bias.mean(&waiting.kind, waiting.expected);
+                self.sites.change(&id, |site| {
+                    site.grant(key.clone(), waiting.need, now);
+                    site.expect_end(&key, START + mean, mean, now);
+                });
             }
             waiting.tasks = left;
             if places.is_empty() {
@@ -271,13 +321,25 @@
         services.sort();
         services.dedup();
         for service in services {
-            let cores = self.cores(&service);
-            if cores > 0 {
-                self.room_known = now;
-            } else if now.since(self.room_known) < TAKEOVERS {
+            let has_room = |site: &&Site| site.is_usable() && site.listed.service == service;
+            let sites: Vec<&Site> = self.sites.iter().filter(has_room).collect();
+            let known = self.room_known.entry(service.clone(), || Time::ZERO);
+            if !sites.is_empty() {
+                *known = now;
+            } else if now.since(*known) < TAKEOVERS {
                 continue;
             }
-            for hopeless in refusing::hopeless(&self.backlog, &service, cores, now) {
+            let own = self.backlog.iter().filter(|waiting| waiting.service == service);
+            let forecast = Forecast::new(own, sites.into_iter(), now);
+            let mut arrivals: Vec<_> = self.arrivals.of(&service, now).collect();
+            if self.is_cut_off() {
+                arrivals.clear();
+            }
+            let mean = |waiting: &Waiting| self.bias.mean_ms(&waiting.kind, waiting.expected);
+            let (backlog, returns) = (&self.backlog, &mut self.returns);
+            let found =
+                refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
+            for hopeless in found {
                 let gone = |waiting: &Waiting| waiting.job == hopeless.job;
                 let Some(front) = self.backlog.iter().find(|w| gone(w)).map(|w| w.front.clone())
                 else {
@@ -287,20 +349,13 @@
                 let refusal = Refusal {
                     job: hopeless.job,
                     retry_ms: to_u32(hopeless.retry.as_ms()),
-                    ahead_ms: to_u32(hopeless.ahead.as_ms()),
+                    ahead_ms: to_u32(hopeless.ahead.unwrap_or(Forecast::LENGTH).as_ms()),
                 };
                 out.send(&front, Message::Refusal(refusal));
             }
         }
     }
 
-    /// Room of all workers of a service that take work, in thousandths of a core.
-    fn cores(&self, service: &str) -> u64 {
-        let usable = |site: &&Site| site.is_usable() && site.listed.service == service;
-        let sites = self.sites.iter().filter(usable);
-        sites.map(|site| u64::from(site.listed.room.cores.get()) / site.caution()).sum()
-    }
-
     /// Number of steps that wait, and of workers that take tasks.
     #[must_use]
     pub fn load(&self, now: Time) -> (usize, usize) {
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -15,6 +15,13 @@
 const PAUSE_DOUBLINGS: u32 = 3;
 /// Pause after a start that the owner or the worker refused; a new owner reports within 100 ms.
 const NO_ROOM_PAUSE: Span = Span::from_ms(100);
+/// Time after which a worker whose owner says nothing is expected to take tasks: the owner is heard again, or
+/// another one takes the worker over.
+const SILENCE: Span = Span::from_ms(200);
+/// Part of its expected run time that a run has left, at least, as long as it has not ended.
+const LEFT_PARTS: u64 = 4;
+/// Run time that is left of a run of which nothing is known.
+const UNKNOWN_LEFT: Span = Span::from_ms(200);
 /// Logarithm of the slowness from which a worker gets one task at a time.
 const SLOW: f64 = 0.7;
 /// Share of a new sample in the learnt slowness.
@@ -28,6 +35,8 @@
     task: TaskKey,
     need: Need,
     at: Time,
+    // Expected end, and the run time from which it follows; none if they are not known.
+    end: Option<(Time, Span)>,
 }
 
 /// One worker.
@@ -96,14 +105,31 @@
         self.open && !self.listed.draining
     }
 
-    /// Divisor of its room in forecasts: a worker that misbehaves gets one task at a time.
+    /// When it is expected to take tasks.
     #[must_use]
-    pub const fn caution(&self) -> u64 {
-        if self.is_suspect() { 4 } else { 1 }
+    pub fn opens(&self, now: Time) -> Time {
+        let heard = if self.silent { now + SILENCE } else { now };
+        heard.max(self.paused_until)
+    }
+
+    /// Expected ends of what it holds, and the room that each gives back.
+    pub fn ends(&self, now: Time) -> impl Iterator<Item = (Time, Need)> {
+        self.places.iter().map(move |place| {
+            let left = |(end, run): (Time, Span)| end.max(now + run / LEFT_PARTS);
+            (place.end.map_or(now + UNKNOWN_LEFT, left), place.need)
+        })
+    }
+
+    /// Learns how long a task that it holds has left, and the run time from which that follows.
+    pub fn expect_end(&mut self, task: &TaskKey, left: Span, run: Span, now: Time) {
+        if let Some(place) = self.places.iter_mut().find(|place| place.task == *task) {
+            place.end.get_or_insert((now + left, run));
+        }
     }
 
     /// Whether it gets one task at a time until one goes well.
-    const fn is_suspect(&self) -> bool {
+    #[must_use]
+    pub const fn is_suspect(&self) -> bool {
         self.failures > 0 || self.pauses > 0 || self.slowness > SLOW
     }
 
@@ -116,7 +142,7 @@
 
     /// Grants room to a task.
     pub fn grant(&mut self, task: TaskKey, need: Need, now: Time) {
-        self.places.push(Place { task, need, at: now });
+        self.places.push(Place { task, need, at: now, end: None });
         self.recount();
     }
 
@@ -131,9 +157,12 @@
         // The owner has said what room there is since the last refusal.
         self.paused_until = if self.pauses == 0 { Time::ZERO } else { self.paused_until };
         let known = |task: &TaskKey| held.iter().any(|(other, _)| other == task);
+        let end_of = |task: &TaskKey| self.places.iter().find(|place| place.task == *task)?.end;
+        let ends: Vec<_> = held.iter().map(|(task, _)| end_of(task)).collect();
         self.places.retain(|place| now.since(place.at) < UNUSED_AFTER && !known(&place.task));
-        let old = now - UNUSED_AFTER;
-        self.places.extend(held.into_iter().map(|(task, need)| Place { task, need, at: old }));
+        let at = now - UNUSED_AFTER;
+        let held = held.into_iter().zip(ends);
+        self.places.extend(held.map(|((task, need), end)| Place { task, need, at, end }));
         self.recount();
     }
 
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -3,21 +3,57 @@
 
 mod common;
 
-use common::{listed, need, waiting};
+use common::{listed, need, site, waiting};
 use cranberryhatch_fleet::{
-    Backlog, Command, Listing, Message, Output, Scheduler, Waiting, hopeless,
+    Backlog, Command, Forecast, Hopeless, Listing, Message, Output, Rate, Returns, Scheduler, Site,
+    TaskKey, Waiting, hopeless,
 };
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
-use cranberryhatch_types::Time;
+use cranberryhatch_types::{Span, Time};
 
 struct Case {
     name: &'static str,
     queued: Vec<Waiting>,
-    cores: u64,
+    workers: Vec<Site>,
+    /// Room that jobs of priority 0 ask for, in thousandths of a core.
+    urgent: f64,
     now: u64,
     refused: &'static [&'static str],
 }
 
+/// Workers of 32 cores, two slots each.
+fn idle(count: usize) -> Vec<Site> {
+    (0..count).map(|number| site(&format!("w-{number}"), "a", 32_000)).collect()
+}
+
+/// Workers of 32 cores on which two tasks run that have `left` ms left.
+fn busy(count: usize, left: u64) -> Vec<Site> {
+    let run = |mut site: Site| {
+        for task in 0..2 {
+            let key = TaskKey { job: "other".to_owned(), step: 0, task };
+            site.grant(key.clone(), need(14_000), Time::ZERO);
+            site.expect_end(&key, Span::from_ms(left), Span::from_ms(100), Time::ZERO);
+        }
+        site
+    };
+    idle(count).into_iter().map(run).collect()
+}
+
+fn labelled(job: &str, label: &str) -> Waiting {
+    Waiting { label: label.to_owned(), ..waiting(job, 75, 150) }
+}
+
+fn refused(queued: Vec<Waiting>, workers: &[Site], urgent: f64, now: u64) -> Vec<Hopeless> {
+    let mut backlog = Backlog::default();
+    for waiting in queued {
+        backlog.add(waiting, Time::ZERO);
+    }
+    let now = Time::from_ms(now);
+    let forecast = Forecast::new(backlog.iter(), workers.iter(), now);
+    let arrivals = [(0, Rate { room: urgent / 100.0, work: urgent })];
+    hopeless(&backlog, "svc", forecast, &arrivals, |_| 100.0, &mut Returns::default(), now)
+}
+
 /// Jobs of two tasks of 14 cores and 100 ms each, so 2,800 core-milliseconds.
 fn jobs(count: usize, useful: u64) -> Vec<Waiting> {
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
@@ -27,54 +63,137 @@
 #[test]
 fn a_job_is_refused_when_the_work_ahead_leaves_no_useful_start() {
     let cases = [
-        Case { name: "nothing waits", queued: vec![], cores: 32_000, now: 0, refused: &[] },
         Case {
-            name: "two jobs on one worker: the second waits 103 ms of its 150",
+            name: "nothing waits",
+            queued: vec![],
+            workers: idle(1),
+            urgent: 0.0,
+            now: 0,
+            refused: &[],
+        },
+        Case {
+            name: "two jobs on one worker: the second waits 100 ms of its 150",
             queued: jobs(2, 150),
-            cores: 32_000,
+            workers: idle(1),
+            urgent: 0.0,
             now: 0,
             refused: &[],
         },
         Case {
-            name: "five jobs on one worker: the third waits 206 ms of 150; all behind it too",
+            name: "five jobs on one worker: the third waits 200 ms of 150; all behind it too",
             queued: jobs(5, 150),
-            cores: 32_000,
+            workers: idle(1),
+            urgent: 0.0,
             now: 0,
             refused: &["c", "d", "e"],
         },
         Case {
             name: "five jobs on four workers",
             queued: jobs(5, 150),
-            cores: 128_000,
+            workers: idle(4),
+            urgent: 0.0,
             now: 0,
             refused: &[],
         },
-        Case { name: "no worker at all", queued: jobs(1, 150), cores: 0, now: 0, refused: &[] },
+        Case {
+            name: "no worker at all",
+            queued: jobs(1, 150),
+            workers: vec![],
+            urgent: 0.0,
+            now: 0,
+            refused: &[],
+        },
+        Case {
+            name: "no worker at all: those behind the first",
+            queued: jobs(3, 150),
+            workers: vec![],
+            urgent: 0.0,
+            now: 0,
+            refused: &["b", "c"],
+        },
         Case {
             name: "the last useful start has passed",
             queued: jobs(1, 150),
-            cores: 32_000,
+            workers: idle(1),
+            urgent: 0.0,
             now: 151,
             refused: &["a"],
         },
         Case {
             name: "a job that has begun is never refused",
             queued: vec![Waiting { begun: true, ..waiting("a", 10, 20) }],
-            cores: 32_000,
+            workers: idle(1),
+            urgent: 0.0,
             now: 100,
             refused: &[],
         },
+        Case {
+            name: "what runs ends in time",
+            queued: jobs(1, 150),
+            workers: busy(1, 120),
+            urgent: 0.0,
+            now: 0,
+            refused: &[],
+        },
+        Case {
+            name: "what runs ends too late",
+            queued: jobs(1, 150),
+            workers: busy(1, 180),
+            urgent: 0.0,
+            now: 0,
+            refused: &["a"],
+        },
+        Case {
+            name: "the first task has a useful start, the last one has none",
+            queued: vec![Waiting { tasks: vec![0, 1, 2, 3, 4], ..waiting("a", 75, 150) }],
+            workers: idle(1),
+            urgent: 0.0,
+            now: 0,
+            refused: &["a"],
+        },
+        Case {
+            name: "urgent arrivals take all room that becomes free",
+            queued: jobs(1, 150),
+            workers: busy(1, 50),
+            urgent: 56_000.0,
+            now: 0,
+            refused: &["a"],
+        },
+        Case {
+            name: "urgent arrivals leave half of the room",
+            queued: jobs(1, 300),
+            workers: busy(2, 50),
+            urgent: 28_000.0,
+            now: 0,
+            refused: &[],
+        },
+        Case {
+            name: "32 cores have one slot of 20 cores, not 1.6",
+            queued: vec![
+                Waiting { need: need(20_000), ..waiting("a", 75, 150) },
+                Waiting { need: need(20_000), ..waiting("b", 76, 250) },
+            ],
+            workers: idle(1),
+            urgent: 0.0,
+            now: 0,
+            refused: &["b"],
+        },
+        Case {
+            name: "only workers with the label count",
+            queued: vec![labelled("a", "rack-b"), labelled("b", "rack-b"), labelled("c", "rack-b")],
+            workers: vec![site("w", "b", 32_000), site("v", "a", 64_000)],
+            urgent: 0.0,
+            now: 0,
+            refused: &["c"],
+        },
     ];
-    for Case { name, queued, cores, now, refused } in cases {
-        let mut backlog = Backlog::default();
-        for waiting in queued {
-            backlog.add(waiting, Time::ZERO);
-        }
-        let found = hopeless(&backlog, "svc", cores, Time::from_ms(now));
+    for Case { name, queued, workers, urgent, now, refused: expected } in cases {
+        let found = refused(queued, &workers, urgent, now);
         let names: Vec<&str> = found.iter().map(|hopeless| hopeless.job.as_str()).collect();
-        assert_eq!(names, refused, "{name}");
+        assert_eq!(names, expected, "{name}");
         for hopeless in &found {
-            assert!(hopeless.retry >= hopeless.ahead, "{name}: comes back before there is room");
+            let room = hopeless.ahead.unwrap_or(Span::from_secs(2));
+            assert!(hopeless.retry >= room, "{name}: comes back before there is room");
         }
     }
 }
