--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,8 +24,11 @@
 //! assert!(!node.is_ready());
 //! ```
 
+mod arrivals;
 mod backlog;
+mod bias;
 mod drains;
+mod forecast;
 mod front;
 mod held;
 mod job;
@@ -40,6 +43,7 @@
 mod owner;
 mod placing;
 mod refusing;
+mod returns;
 mod roster;
 mod run_key;
 mod run_life;
@@ -52,8 +56,11 @@
 mod vec_map;
 mod worker;
 
+pub use arrivals::{Arrivals, Rate};
 pub use backlog::{Backlog, Waiting, latest_starts};
+pub use bias::RunBias;
 pub use drains::{DrainRead, Recency, ZoneChange, ZoneDrains};
+pub use forecast::Forecast;
 pub use front::{Front, RUN_GONE, is_sampled};
 pub use held::{Held, Stage};
 pub use job::{Job, Policy, Step};
@@ -68,7 +75,8 @@
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
 };
 pub use owner::Owner;
-pub use refusing::{Hopeless, hopeless};
+pub use refusing::{Cause, Hopeless, hopeless};
+pub use returns::Returns;
 pub use roster::{Known, Roster, Standing};
 pub use run_key::{RunKey, TaskKey};
 pub use run_life::{LEASE, RUN_LIFE, lease_length};
