feat(fleet): resolve unanswered orders within a few round trips

Cause: a start without answer was awaited for 200 ms (60 ms on a worker that had lost an answer), then held until a look that was sent after the end of a stop's time or of its lease. Nothing was learnt while a look waited for an end, and one look without answer closed its worker to starts for 100 ms and let its lease run out.

Ruled out: a shorter fixed time, which a slow instance takes late answers for losses with; a higher fencing token instead of a stop, which also voids the other starts under way on the worker and the grants under the old token; a stop sent together with the first look, which would end runs whose answer alone was lost.

Change: the time for an answer is estimated over all workers of an instance (RFC 6298, 30 ms to the former fixed times, doubling while no order is answered). After a start without answer a look is sent at once, beside one that waits; a run that it does not list is stopped, and a look after the accepted stop that does not list it proves that it never ran (HOW_UNANSWERED). The end of a lease is no proof any more: until a stop is accepted such a run is held for 13 s. Looks and stops without answer are repeated at once, a worker is closed after four looks in a row or 475 ms of silence. Where orders get lost, looks wait for half of the expected rest of the next run to end, 60 ms at most. Answers that waited for a process that stood still count as no loss. Run times are left out only if the look that listed the end followed a lost one. Held.left_ms is filled. Log lines unanswered and resolved, metrics for both.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -147,7 +147,7 @@
                 let stop = async move {
                     let id = worker.id.clone();
                     let accepted = edge.port.stop(Order { worker, token, patience }, &run).await;
-                    edge.decide(|node, now, _| node.stopped(&id, &run, accepted, now));
+                    edge.decide(|node, now, out| node.stopped(&id, &run, accepted, now, out));
                 };
                 self.executor.spawn(stop).detach();
             }
@@ -207,6 +207,11 @@
                 Meters::count(&self.meters.runs, &how.as_str_name());
                 Meters::observe(&self.meters.run_time, *took);
             }
+            Note::Unanswered { order, .. } => Meters::count(&self.meters.unanswered, order),
+            Note::Resolved { order, outcome, took, .. } => {
+                Meters::count(&self.meters.resolved, outcome);
+                Meters::observe_kind(&self.meters.unanswered_time, &order.to_string(), *took);
+            }
             _ => {}
         }
         if self.journal.note(note, now) {
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -84,6 +84,12 @@
     pub version: Gauge<u64, AtomicU64>,
     /// Time since the list of workers was last read.
     pub list_age_ms: Gauge<u64, AtomicU64>,
+    /// Orders to workers that got no answer in time, by kind of order.
+    pub unanswered: Family<Cause, Counter>,
+    /// Orders without answer of which it is known what became of them, by that.
+    pub resolved: Family<Cause, Counter>,
+    /// Time from an order without answer until it was known what became of it, by kind of order.
+    pub unanswered_time: Times,
 }
 
 impl Default for Meters {
@@ -113,6 +119,9 @@
             peers: Gauge::default(),
             version: Gauge::default(),
             list_age_ms: Gauge::default(),
+            unanswered: Family::default(),
+            resolved: Family::default(),
+            unanswered_time: Family::new_with_constructor(times),
         };
         meters.register();
         meters
@@ -153,6 +162,13 @@
         r.register("peers", "Peers in reach", self.peers.clone());
         r.register("settings_version", "Settings in force", self.version.clone());
         r.register("worker_list_age_ms", "Age of the list of workers", self.list_age_ms.clone());
+        r.register("unanswered_orders", "Orders without answer", self.unanswered.clone());
+        r.register("resolved_orders", "Orders that were resolved", self.resolved.clone());
+        r.register(
+            "unanswered_seconds",
+            "Order without answer to its resolution",
+            self.unanswered_time.clone(),
+        );
     }
 
     /// Counts one of a family.
--- a/crates/edge/tests/meters.rs
+++ b/crates/edge/tests/meters.rs
@@ -1,7 +1,7 @@
 //! Guards against metrics that a collector cannot read, or that mix what an operator must tell apart.
 
 use cranberryhatch_edge::Meters;
-use cranberryhatch_fleet::{Refusal, StartRefusal};
+use cranberryhatch_fleet::{OrderKind, Refusal, Resolution, StartRefusal};
 use cranberryhatch_types::Span;
 
 #[test]
@@ -12,8 +12,14 @@
     Meters::count(&meters.answers, &Refusal::Overload);
     Meters::count(&meters.answers, &Refusal::UnknownKind);
     Meters::count(&meters.refused_starts, &StartRefusal::Outdated);
+    Meters::count(&meters.unanswered, &OrderKind::Start);
+    Meters::count(&meters.resolved, &Resolution::NeverRan);
+    Meters::observe_kind(&meters.unanswered_time, "start", Span::from_ms(70));
     let text = meters.text();
     let lines = [
+        "cranberryhatch_unanswered_orders_total{cause=\"start\"} 1",
+        "cranberryhatch_resolved_orders_total{cause=\"never-ran\"} 1",
+        "cranberryhatch_unanswered_seconds_bucket{le=\"0.1\",kind=\"start\"} 1",
         "cranberryhatch_refused_starts_total{cause=\"outdated\"} 1",
         "cranberryhatch_worker_silence_ms 0",
         "cranberryhatch_queue_seconds_bucket{le=\"0.05\",kind=\"thumbnail\"} 1",
--- /dev/null
+++ b/crates/fleet/src/answer_times.rs
@@ -0,0 +1,93 @@
+//! Time for the answer to an order, learnt from the answers to earlier ones.
+
+use cranberryhatch_types::Span;
+
+/// Share of a new sample in the mean, as in RFC 6298.
+const MEAN_SHARE: f64 = 0.125;
+/// Share of a new sample in the variation, as in RFC 6298.
+const VARIATION_SHARE: f64 = 0.25;
+/// Times the variation that is added to the mean, as in RFC 6298.
+const VARIATIONS: f64 = 4.0;
+/// Answers that are needed before the estimate is used.
+const SAMPLES: u32 = 8;
+/// Unanswered orders in a row, on any workers, that do not make the time longer.
+const MISSES_ALLOWED: u32 = 2;
+/// Doublings of the time at most.
+const DOUBLINGS: u32 = 4;
+/// Share of a new order in the share of lost ones.
+const LOSS_SHARE: f64 = 1.0 / 64.0;
+/// Share of lost orders from which looks wait for a shorter time.
+const LOSSY: f64 = 0.02;
+
+/// Times from orders to their answers over all workers of an instance.
+///
+/// An answer that comes after its time is not seen, so a slow instance would take all orders for lost and
+/// never learn better. The time therefore doubles while no order at all gets an answer.
+///
+/// ```
+/// use cranberryhatch_fleet::AnswerTimes;
+/// use cranberryhatch_types::Span;
+///
+/// let mut times = AnswerTimes::default();
+/// let most = Span::from_ms(200);
+/// assert_eq!(times.timeout(most), most);
+/// (0..20).for_each(|_| times.answered(Some(Span::from_ms(2))));
+/// assert_eq!(times.timeout(most), Span::from_ms(30));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnswerTimes {
+    mean: f64,
+    variation: f64,
+    samples: u32,
+    misses: u32,
+    loss: f64,
+}
+
+impl AnswerTimes {
+    /// Shortest time for an answer; an instance with a small share of a core reads answers some ten
+    /// milliseconds late.
+    pub const LEAST: Span = Span::from_ms(30);
+
+    /// Learns from an answer; the time is none if the worker waited before it answered.
+    pub fn answered(&mut self, took: Option<Span>) {
+        self.misses = 0;
+        self.loss -= LOSS_SHARE * self.loss;
+        let Some(took) = took else { return };
+        let ms = f64::from(u32::try_from(took.as_ms()).unwrap_or(u32::MAX));
+        if self.samples == 0 {
+            (self.mean, self.variation) = (ms, ms / 2.0);
+        } else {
+            self.variation += VARIATION_SHARE * ((self.mean - ms).abs() - self.variation);
+            self.mean += MEAN_SHARE * (ms - self.mean);
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Learns that an order got no answer; `counts` tells whether it says something about losses, which
+    /// a further one on a silent worker does not.
+    pub fn missed(&mut self, counts: bool) {
+        self.misses = self.misses.saturating_add(1);
+        if counts {
+            self.loss += LOSS_SHARE * (1.0 - self.loss);
+        }
+    }
+
+    /// Time for an answer, `most` at most.
+    #[must_use]
+    pub fn timeout(&self, most: Span) -> Span {
+        if self.samples < SAMPLES {
+            return most;
+        }
+        let doublings = self.misses.saturating_sub(MISSES_ALLOWED).min(DOUBLINGS);
+        let ms = self.mean + VARIATIONS * self.variation;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
+        let span = Span::from_ms(ms.ceil() as u64).max(Self::LEAST);
+        (span * (1 << doublings)).min(most)
+    }
+
+    /// Whether orders get lost.
+    #[must_use]
+    pub fn is_lossy(&self) -> bool {
+        self.loss >= LOSSY
+    }
+}
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::{Held as HeldMessage, Start};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
-use crate::{Need, RunKey};
+use crate::{Asked, Need, RunKey};
 
 /// Slack in a forecast of progress, for the delay of reports.
 const STALL_SLACK: Span = Span::from_ms(50);
@@ -16,6 +16,9 @@
 /// has at least 2.5 times left, and one that stands still has no end.
 const LEFT_LIMIT: u64 = 2_500;
 
+/// Divisor of the time for which a run is overdue that gives the time that it is expected to have left.
+const OVERDUE_SHARE: u64 = 4;
+
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -26,11 +29,13 @@
         /// When that answer came.
         since: Time,
     },
-    /// The start got no answer. A look that was sent later than `until` and does not list the run
-    /// shows that it never starts.
+    /// The start got no answer, so the run may be at work, or may be later.
     Doubtful {
-        /// End of its lease, or of the time that a stop takes.
-        until: Time,
+        /// Number of the last look that was sent before; a later one shows whether it is at work.
+        asked: u64,
+        /// Number of the last look that was sent before the worker accepted a stop; none before. A later
+        /// one that does not list the run shows that it never starts.
+        accepted: Option<u64>,
     },
 }
 
@@ -61,8 +66,12 @@
     pub stopping: Option<Time>,
     /// Whether it is stopped for lack of progress.
     pub stalled: bool,
+    /// When the first stop was sent that got no answer, if none was accepted since.
+    pub stop_lost: Option<Time>,
     /// Progress in percent.
     pub percent: u32,
+    /// When the worker was last seen to say so.
+    pub progressed: Time,
     /// Whether its run time is not known: an earlier owner started it, or its end may have been seen
     /// late.
     pub mistimed: bool,
@@ -86,7 +95,9 @@
             stage: Stage::Starting,
             stopping: None,
             stalled: false,
+            stop_lost: None,
             percent: 0,
+            progressed: now,
             mistimed: false,
         })
     }
@@ -99,20 +110,48 @@
 
     /// The report of it for the scheduler.
     #[must_use]
-    pub fn report(&self) -> HeldMessage {
-        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()), left_ms: 0 }
+    pub fn report(&self, now: Time) -> HeldMessage {
+        let left_ms = u32::try_from(self.left(now).as_ms()).unwrap_or(u32::MAX);
+        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()), left_ms }
+    }
+
+    /// Expected time until its end, from its progress if there is any.
+    #[must_use]
+    pub fn left(&self, now: Time) -> Span {
+        let since = match self.stage {
+            Stage::AtWork { since } => since,
+            Stage::Starting | Stage::Doubtful { .. } => self.sent,
+        };
+        let ran = now.since(since);
+        let total = match u64::from(self.percent.min(100)) {
+            0 => self.expected,
+            percent => {
+                let seen = self.progressed.since(since).as_ms() * 100 / percent;
+                // A run that was found on the worker was at work before.
+                Span::from_ms(seen).max(self.expected / 2)
+            }
+        };
+        let left = Span::from_ms(total.as_ms().saturating_sub(ran.as_ms()));
+        // The longer a run is overdue, the longer it is expected to go on.
+        left.max(Span::from_ms(ran.as_ms().saturating_sub(total.as_ms()) / OVERDUE_SHARE))
     }
 
-    /// Whether a look that was sent at `asked` and does not list the run shows that it is gone.
+    /// Whether a look that does not list the run shows that it is gone.
     #[must_use]
-    pub fn is_gone(&self, asked: Time) -> bool {
+    pub fn is_gone(&self, asked: Asked) -> bool {
         match self.stage {
             Stage::Starting => false,
-            Stage::AtWork { since } => asked > since,
-            Stage::Doubtful { until } => asked > until,
+            Stage::AtWork { since } => asked.at > since,
+            Stage::Doubtful { accepted, .. } => accepted.is_some_and(|last| asked.number > last),
         }
     }
 
+    /// Whether its start may still be carried out, at any time.
+    #[must_use]
+    pub const fn is_unproven(&self) -> bool {
+        matches!(self.stage, Stage::Starting | Stage::Doubtful { accepted: None, .. })
+    }
+
     /// Whether starting again elsewhere is faster than waiting for the end.
     ///
     /// A task that was stopped before for this reason may simply be long, so it gets more time.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,8 @@
 //! assert!(!node.is_ready());
 //! ```
 
+mod answer_times;
+mod asked;
 mod backlog;
 mod front;
 mod held;
@@ -50,6 +52,8 @@
 mod vec_map;
 mod worker;
 
+pub use answer_times::AnswerTimes;
+pub use asked::Asked;
 pub use backlog::{Backlog, Waiting, latest_starts};
 pub use front::{Front, RUN_GONE, is_sampled};
 pub use held::{Held, Stage};
@@ -58,7 +62,7 @@
 pub use members::{Counted, Member, Members, Owners, text_hash};
 pub use need::Need;
 pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
-pub use note::{DropCause, Note, StartRefusal};
+pub use note::{DropCause, Note, OrderKind, Resolution, StartRefusal};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -344,8 +344,16 @@
     }
 
     /// Takes what a worker says to a stop.
-    pub fn stopped(&mut self, worker: &WorkerId, run: &RunKey, accepted: bool, now: Time) {
-        self.owner.stopped(worker, run, accepted, now);
+    pub fn stopped(
+        &mut self,
+        worker: &WorkerId,
+        run: &RunKey,
+        accepted: bool,
+        now: Time,
+        out: &mut Output,
+    ) {
+        self.owner.stopped(worker, run, accepted, now, out);
+        self.settle(now, false, out);
     }
 
     /// This instance is asked to stop and has a grace period: it takes no duties any more, and answers
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -214,6 +214,58 @@
         /// How long.
         gap: Span,
     },
+    /// An order to a worker got no answer in time; it may have been carried out, or may be later.
+    Unanswered {
+        /// The worker.
+        worker: WorkerId,
+        /// The order.
+        order: OrderKind,
+        /// The run to start or to stop.
+        run: Option<RunKey>,
+        /// Time for which the answer was awaited.
+        waited: Span,
+    },
+    /// It is known what became of an order without answer.
+    Resolved {
+        /// The worker.
+        worker: WorkerId,
+        /// The order.
+        order: OrderKind,
+        /// The run to start or to stop.
+        run: Option<RunKey>,
+        /// What became of it.
+        outcome: Resolution,
+        /// Time since the order was sent first.
+        took: Span,
+    },
+}
+
+/// An order to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum OrderKind {
+    /// To start a run.
+    Start,
+    /// To stop a run.
+    Stop,
+    /// To say what runs.
+    Look,
+}
+
+/// What became of an order without answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Resolution {
+    /// The run is at work.
+    Running,
+    /// The run was at work and ended.
+    Ended,
+    /// The run never was at work, and never will be.
+    NeverRan,
+    /// The same order was answered when it was sent again.
+    Answered,
+    /// Not known: its worker was silent until the order could not be carried out any more.
+    GivenUp,
 }
 
 /// Why an owner refused a start.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -12,10 +12,10 @@
 use relink::Unsure;
 
 use crate::{
-    Command, Held, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
+    AnswerTimes, Command, Held, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
     held::Stage,
     members::{Owners, text_hash},
-    note::Note,
+    note::{Note, OrderKind, Resolution},
     output::Message,
     worker::Charge,
 };
@@ -26,8 +26,12 @@
 const IDLE_LOOK: Span = Span::from_ms(3_000);
 /// Time after which a stop that was accepted and does not show is sent again.
 const STOP_AGAIN: Span = Span::from_ms(250);
-/// Time after which a stop that was not accepted is sent again; a round trip takes 2 ms.
+/// Time after which a stop that was refused is sent again; a round trip takes 2 ms.
 const LOST_STOP_AGAIN: Span = Span::from_ms(60);
+/// Longest time after which an order without answer was seen to be carried out, and a second.
+const LATE_LIMIT: Span = Span::from_secs(13);
+/// Time between two ticks from which this process stood still; ticks come every 20 ms.
+const STANDSTILL: Span = Span::from_ms(60);
 /// Time that fronts have to claim runs that a new owner found.
 const CLAIM_WAIT: Span = Span::from_ms(300);
 /// Time between two looks under no token at a worker that does not answer.
@@ -75,6 +79,10 @@
     // Opened workers that run nothing, of which the fronts do not know yet.
     found_idle: Vec<Takeover>,
     unsure: Unsure,
+    answers: AnswerTimes,
+    // When the last tick was, and when a gap between two ticks last ended.
+    ticked: Option<Time>,
+    stood: Time,
 }
 
 impl Owner {
@@ -94,6 +102,9 @@
             strays: Vec::new(),
             found_idle: Vec::new(),
             unsure: Unsure::default(),
+            answers: AnswerTimes::default(),
+            ticked: None,
+            stood: Time::ZERO,
         }
     }
 
@@ -160,13 +171,26 @@
     fn end(&mut self, id: &WorkerId, run: &RunKey, how: How, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(place) = worker.held.iter().position(|held| held.run == *run) else { return };
-        let mut held = worker.held.remove(place);
-        held.mistimed |= worker.was_lost_since(held.sent);
+        let held = worker.held.remove(place);
         let how = if how == How::Stopped && held.stalled { How::Stalled } else { how };
         let took = match held.stage {
             Stage::AtWork { since } => now.since(since),
             Stage::Starting | Stage::Doubtful { .. } => now.since(held.sent),
         };
+        if matches!(held.stage, Stage::Doubtful { .. }) {
+            let outcome = match how {
+                How::Unanswered => Resolution::NeverRan,
+                _ if worker.dark => Resolution::GivenUp,
+                _ => Resolution::Ended,
+            };
+            out.note(Note::Resolved {
+                worker: id.clone(),
+                order: OrderKind::Start,
+                run: Some(run.clone()),
+                outcome,
+                took: now.since(held.sent),
+            });
+        }
         out.note(Note::RunEnded { run: run.clone(), worker: id.clone(), how, took });
         self.unsure.report(&held.front, &ended_message(&held.run, id.as_str(), how, took), now);
         self.tell_end(&held, id.as_str(), how, took, out);
@@ -224,11 +248,11 @@
     }
 }
 
-fn push_stop(worker: &Worker, run: &RunKey, now: Time, out: &mut Output) {
+fn push_stop(worker: &Worker, run: &RunKey, answers: &AnswerTimes, now: Time, out: &mut Output) {
     out.commands.push(Command::StopRun {
         worker: Box::new(Listed::clone(&worker.listed)),
         token: worker.token,
-        patience: worker.patience(now),
+        patience: worker.patience(answers, now),
         run: run.clone(),
     });
 }
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::{How, Room};
 use cranberryhatch_types::{Time, WorkerId};
 
-use super::{Owner, REPORT_EVERY, STOP_AGAIN, push_stop};
+use super::{LATE_LIMIT, Owner, REPORT_EVERY, STANDSTILL, STOP_AGAIN, push_stop};
 use crate::{Held, Listing, Output, RunKey, held::Stage, members::Owners, note::DropCause};
 
 impl Owner {
@@ -17,6 +17,10 @@
         out: &mut Output,
     ) {
         self.wall_ms = wall_ms;
+        if self.ticked.is_some_and(|at| now.since(at) >= STANDSTILL) {
+            self.stood = now;
+        }
+        self.ticked = Some(now);
         let ids: Vec<WorkerId> = self.workers.iter().map(|(id, _)| id.clone()).collect();
         for id in &ids {
             self.settle_claims(id, now, out);
@@ -41,17 +45,27 @@
             }
         }
         for run in stops {
-            push_stop(worker, &run, now, out);
+            push_stop(worker, &run, &self.answers, now, out);
         }
     }
 
+    /// Whether this process stood still since `at`, so that what it waited for may have come in time.
+    pub(super) fn stood_since(&self, at: Time, now: Time) -> bool {
+        let overdue = self.ticked.is_some_and(|ticked| now.since(ticked) >= STANDSTILL);
+        overdue || self.stood > at
+    }
+
     /// Reports the runs of a worker that does not answer once their lease has ended.
+    ///
+    /// A start without answer may be carried out later than that where leases count from the arrival.
     pub(super) fn lapse(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get(id) else { return };
         if !worker.dark || now < worker.lease_end {
             return;
         }
-        let runs: Vec<RunKey> = worker.held.iter().map(|held| held.run.clone()).collect();
+        let is_over = |held: &&Held| !held.is_unproven() || now.since(held.sent) >= LATE_LIMIT;
+        let runs: Vec<RunKey> =
+            worker.held.iter().filter(is_over).map(|held| held.run.clone()).collect();
         for run in runs {
             self.end(id, &run, How::Stopped, now, out);
         }
@@ -95,7 +109,7 @@
             .map(|(id, worker)| Room {
                 worker: id.to_string(),
                 token: worker.token,
-                held: worker.held.iter().map(Held::report).collect(),
+                held: worker.held.iter().map(|held| held.report(now)).collect(),
                 open: worker.is_open(),
                 standing: None,
                 born_ms: 0,
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -5,54 +5,81 @@
 
 use super::{DARK_LOOK, IDLE_LOOK, Owner, PROBE_AGAIN, how, push_stop};
 use crate::{
-    Command, LookAnswer, Looked, Members, Output, Seen,
+    AnswerTimes, Asked, Command, Held, LookAnswer, Looked, Members, Output, RunKey, Seen, Worker,
     held::Stage,
-    note::{DropCause, Note},
+    note::{DropCause, Note, OrderKind, Resolution},
     worker::Charge,
 };
 
 impl Owner {
     /// Takes what a worker says to a look.
     pub fn looked(&mut self, looked: Looked, members: &Members, now: Time, out: &mut Output) {
-        let Looked { worker: id, token, asked, answer } = looked;
+        let Looked { worker: id, token, asked: at, answer } = looked;
         let id = &id;
+        let stood = self.stood_since(at, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.token != token || worker.looking != Some(asked) {
+        if worker.token != token {
             return;
         }
-        worker.looking = None;
+        let Some(asked) = worker.take_asked(at) else { return };
+        if answer != LookAnswer::Lost {
+            let took = (asked.wait == Span::ZERO && !stood).then(|| now.since(at));
+            self.answers.answered(took);
+            worker.count_order(true, now);
+        }
         if matches!(worker.charge, Charge::Probing { .. }) {
-            return self.probed(id, &answer, now, out);
+            return self.probed(id, asked, &answer, now, out);
         }
         match answer {
             LookAnswer::Seen(seen) => {
                 worker.set_clock(seen.clock, now);
                 worker.refusals = 0;
+                // An end that was listed after looks without answer may be older.
+                let gap = stood || worker.misses > 0;
+                worker.misses = 0;
+                if let Some(from) = worker.missed_from.take() {
+                    out.note(Note::Resolved {
+                        worker: id.clone(),
+                        order: OrderKind::Look,
+                        run: None,
+                        outcome: Resolution::Answered,
+                        took: now.since(from),
+                    });
+                }
                 if std::mem::take(&mut worker.dark) {
                     self.changed.push(id.clone());
                 }
                 match worker.charge {
                     Charge::Probing { .. } => {}
                     Charge::Opening { .. } => self.opened(id, &seen, members, now, out),
-                    Charge::Claiming { .. } | Charge::Open => self.seen(id, asked, &seen, now, out),
+                    Charge::Claiming { .. } | Charge::Open => {
+                        self.seen(id, asked, &seen, gap, now, out);
+                    }
                 }
             }
             LookAnswer::Fenced => self.fenced(id, now, out),
             LookAnswer::OtherLife => self.drop_worker(id, DropCause::OtherLife, now, out),
-            LookAnswer::Lost => self.lost(id, now, out),
+            LookAnswer::Lost => self.lost(id, asked, now, out),
         }
     }
 
-    /// Takes the state of a worker that obeys.
-    pub(super) fn seen(
+    /// Takes the state of a worker that obeys; `gap` tells whether its ends may be older than the answer.
+    fn seen(
         &mut self,
         id: &WorkerId,
-        asked: Time,
+        asked: Asked,
         seen: &Seen,
+        gap: bool,
         now: Time,
         out: &mut Output,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        // The worker answered another look later, and that answer was read before: it had the ends of
+        // this one, and what runs may have ended since.
+        if seen.clock < worker.seen_clock {
+            return;
+        }
+        worker.seen_clock = seen.clock;
         let mut ends = Vec::new();
         for end in &seen.ended {
             if end.number <= worker.acked {
@@ -61,40 +88,47 @@
             worker.acked = end.number;
             ends.push((end.run.clone(), how(end.how)));
         }
-        let mut stops = Vec::new();
-        for running in &seen.running {
-            match worker.held.iter_mut().find(|held| held.run == running.run) {
-                Some(held) => {
-                    held.percent = running.percent;
-                    if matches!(held.stage, Stage::Doubtful { .. }) {
-                        held.stage = Stage::AtWork { since: held.sent };
-                    }
-                }
-                None => stops.push(running.run.clone()),
-            }
-        }
-        for held in &worker.held {
+        let mut stops = take_running(worker, asked, seen, now, out);
+        for held in &mut worker.held {
             let listed = seen.running.iter().any(|running| running.run == held.run)
                 || seen.ended.iter().any(|end| end.run == held.run);
-            if !listed && held.is_gone(asked) {
-                ends.push((held.run.clone(), How::Stopped));
+            if listed {
+                continue;
+            }
+            if held.is_gone(asked) {
+                let how = match held.stage {
+                    Stage::Doubtful { .. } => How::Unanswered,
+                    Stage::Starting | Stage::AtWork { .. } => How::Stopped,
+                };
+                ends.push((held.run.clone(), how));
+            } else if matches!(held.stage, Stage::Doubtful { asked: last, .. } if asked.number > last)
+                && held.stopping.is_none()
+            {
+                // It may still be started.
+                held.stopping = Some(now);
+                stops.push(held.run.clone());
             }
         }
+        for held in &mut worker.held {
+            held.mistimed |= gap && ends.iter().any(|(run, _)| *run == held.run);
+        }
         for run in stops {
-            push_stop(worker, &run, now, out);
+            push_stop(worker, &run, &self.answers, now, out);
         }
         for (run, how) in ends {
             self.end(id, &run, how, now, out);
         }
-        self.stop_stalled(id, now, out);
+        self.stop_stalled(id, seen, now, out);
     }
 
     /// Stops runs that would end sooner if they were started again elsewhere.
-    pub(super) fn stop_stalled(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
+    fn stop_stalled(&mut self, id: &WorkerId, seen: &Seen, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut stops = Vec::new();
         for held in &mut worker.held {
-            if held.stopping.is_none() && held.is_stalled(now) {
+            // Progress that was not seen is no lack of progress.
+            let listed = seen.running.iter().any(|running| running.run == held.run);
+            if listed && held.stopping.is_none() && held.is_stalled(now) {
                 held.stopping = Some(now);
                 held.stalled = true;
                 out.note(Note::Stalled {
@@ -108,20 +142,36 @@
             }
         }
         for run in stops {
-            push_stop(worker, &run, now, out);
+            push_stop(worker, &run, &self.answers, now, out);
         }
     }
 
     /// A look got no answer.
-    pub(super) fn lost(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
+    pub(super) fn lost(&mut self, id: &WorkerId, asked: Asked, now: Time, out: &mut Output) {
+        let stood = self.stood_since(asked.at, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.lost_at = Some(now);
         if worker.is_unopened() {
+            worker.lost_at = Some(now);
             worker.charge = Charge::Probing { at: now + PROBE_AGAIN };
             worker.token = 0;
             return;
         }
         if !worker.dark {
+            let (worker, waited) = (id.clone(), now.since(asked.at));
+            out.note(Note::Unanswered { worker, order: OrderKind::Look, run: None, waited });
+        }
+        worker.missed_from.get_or_insert(asked.at);
+        if stood {
+            // The answer may have waited for this process.
+            worker.misses = worker.misses.max(1);
+        } else {
+            self.answers.missed(worker.misses == 0);
+            worker.count_order(false, now);
+            worker.misses += 1;
+        }
+        let is_doubtful = |held: &Held| matches!(held.stage, Stage::Doubtful { .. });
+        worker.wants_check |= worker.held.iter().any(is_doubtful);
+        if !worker.dark && worker.is_silent(now) {
             worker.dark = true;
             out.note(Note::WorkerDark {
                 worker: id.clone(),
@@ -137,7 +187,12 @@
         let me = self.me.clone();
         self.seen_by(&me, now, now);
         for (_, worker) in self.workers.iter_mut() {
-            if worker.looking.is_some() {
+            if let Some(looking) = worker.looking {
+                // Looks are told apart by the time at which they were sent.
+                let free = worker.checking.is_none() && looking.at < now;
+                if worker.wants_check && free && !worker.dark && worker.charge == Charge::Open {
+                    worker.checking = Some(push_look(worker, &self.answers, true, now, out));
+                }
                 continue;
             }
             let busy = !worker.held.is_empty();
@@ -145,26 +200,81 @@
                 Charge::Probing { at } | Charge::Opening { at } => now >= at,
                 // A lease must not be extended for runs that nobody claims.
                 Charge::Claiming { .. } => false,
-                Charge::Open => busy || worker.dark || now.since(worker.looked) >= IDLE_LOOK,
+                Charge::Open => {
+                    let idle = now.since(worker.looked) >= IDLE_LOOK;
+                    busy || worker.dark || worker.misses > 0 || idle
+                }
             };
-            if !due || (worker.dark && now.since(worker.looked) < DARK_LOOK) {
+            let same = worker.checking.is_some_and(|checking| checking.at == now);
+            if !due || same || (worker.dark && now.since(worker.looked) < DARK_LOOK) {
                 continue;
             }
-            // A worker whose last look got no answer must be able to let the lease end.
-            let leases = busy && !worker.dark && !worker.is_unopened();
-            let lease = if leases { worker.lease(now) } else { None };
-            let wait = if leases { worker.look_wait(now) } else { Span::ZERO };
-            worker.looking = Some(now);
-            worker.looked = now;
-            out.commands.push(Command::Look {
-                worker: Box::new(worker.listed.clone()),
-                token: worker.token,
-                patience: worker.patience(now),
-                acked: worker.acked,
-                lease,
-                wait,
-                fresh: worker.dark,
-            });
+            let at_once = worker.wants_check || worker.misses > 0;
+            worker.looking = Some(push_look(worker, &self.answers, at_once, now, out));
         }
     }
 }
+
+/// Takes what runs on a worker; runs that have to be stopped.
+fn take_running(
+    worker: &mut Worker,
+    asked: Asked,
+    seen: &Seen,
+    now: Time,
+    out: &mut Output,
+) -> Vec<RunKey> {
+    let mut stops = Vec::new();
+    for running in &seen.running {
+        let Some(held) = worker.held.iter_mut().find(|held| held.run == running.run) else {
+            stops.push(running.run.clone());
+            continue;
+        };
+        held.percent = running.percent;
+        held.progressed = now;
+        match held.stage {
+            Stage::AtWork { .. } => continue,
+            // A stop that was wanted has waited until the run is at work.
+            Stage::Starting if held.stopping.is_some() => {
+                held.stopping = Some(now);
+                stops.push(held.run.clone());
+            }
+            Stage::Starting => {}
+            Stage::Doubtful { .. } => out.note(Note::Resolved {
+                worker: worker.listed.id.clone(),
+                order: OrderKind::Start,
+                run: Some(held.run.clone()),
+                outcome: Resolution::Running,
+                took: now.since(held.sent),
+            }),
+        }
+        // Until its start is answered, nobody knows when it was carried out.
+        held.mistimed = true;
+        held.stage = Stage::AtWork { since: asked.at };
+    }
+    stops
+}
+
+/// Sends a look; `at_once` tells whether the worker answers without waiting for an end.
+fn push_look(
+    worker: &mut Worker,
+    answers: &AnswerTimes,
+    at_once: bool,
+    now: Time,
+    out: &mut Output,
+) -> Asked {
+    // A worker that is silent must be able to let the lease end.
+    let leases = !worker.held.is_empty() && !worker.dark && !worker.is_unopened();
+    let lease = if leases { worker.lease(now) } else { None };
+    let wait = if leases && !at_once { worker.look_wait(answers, now) } else { Span::ZERO };
+    let asked = worker.ask(wait, now);
+    out.commands.push(Command::Look {
+        worker: Box::new(worker.listed.clone()),
+        token: worker.token,
+        patience: worker.patience(answers, now),
+        acked: worker.acked,
+        lease,
+        wait,
+        fresh: worker.dark || worker.misses > 0,
+    });
+    asked
+}
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -5,11 +5,11 @@
 
 use super::{LOST_STOP_AGAIN, Owner, STOP_AGAIN, ended_message, push_stop, send_end};
 use crate::{
-    Command, Held, Output, RunKey, StartAnswer,
+    AnswerTimes, Command, Held, Output, RunKey, StartAnswer,
     held::Stage,
-    note::{DropCause, Note, StartRefusal},
+    note::{DropCause, Note, OrderKind, Resolution, StartRefusal},
     output::{Lease, Message},
-    worker::{Charge, STOP_TIME, Worker},
+    worker::{Charge, Worker},
 };
 
 impl Owner {
@@ -24,6 +24,7 @@
         if known.iter().any(|known| known.run == held.run) {
             return;
         }
+        let answers = self.answers;
         let (lease, worker) = match self.place(&id, &held, &start, now) {
             Ok(placed) => placed,
             Err(cause) => return self.refuse(&id, &held, cause, now, out),
@@ -31,7 +32,7 @@
         out.commands.push(Command::StartRun {
             worker: Box::new(worker.listed.clone()),
             token: worker.token,
-            patience: worker.patience(now),
+            patience: worker.patience(&answers, now),
             run: held.run.clone(),
             payload: start.payload,
             lease,
@@ -106,27 +107,51 @@
         if self.stray_answered(id, run, answer, out) {
             return;
         }
+        let sent = self.workers.get(id).and_then(|worker| worker.sent_at(run));
+        let stood = sent.is_some_and(|sent| self.stood_since(sent, now));
         let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(clock) = clock {
             worker.set_clock(clock, now);
         }
+        if !matches!(answer, StartAnswer::Lost | StartAnswer::Unsent) {
+            self.answers.answered(sent.filter(|_| !stood).map(|sent| now.since(sent)));
+            worker.count_order(true, now);
+        }
         let Some(place) = worker.held.iter().position(|held| held.run == *run) else { return };
         match answer {
             StartAnswer::Started => {
                 let held = &mut worker.held[place];
                 held.stage = Stage::AtWork { since: now };
+                held.mistimed = stood;
                 if held.stopping.is_some() {
                     held.stopping = Some(now);
-                    push_stop(worker, run, now, out);
+                    push_stop(worker, run, &self.answers, now, out);
                 }
             }
             StartAnswer::Lost => {
-                worker.lost_at = Some(now);
-                let until = worker.lease_end;
+                if !stood {
+                    self.answers.missed(worker.misses == 0);
+                    worker.count_order(false, now);
+                }
+                let asked = worker.looks;
                 let held = &mut worker.held[place];
-                held.stage = Stage::Doubtful { until };
-                held.stopping = Some(now);
-                push_stop(worker, run, now, out);
+                let waited = now.since(held.sent);
+                let (worker_id, order) = (id.clone(), OrderKind::Start);
+                let run = Some(run.clone());
+                out.note(Note::Unanswered { worker: worker_id, order, run: run.clone(), waited });
+                if held.stage != Stage::Starting {
+                    // A look showed it at work.
+                    let (worker, outcome) = (id.clone(), Resolution::Running);
+                    return out.note(Note::Resolved { worker, order, run, outcome, took: waited });
+                }
+                held.stage = Stage::Doubtful { asked, accepted: None };
+                held.mistimed = true;
+                let unwanted = held.stopping.is_some();
+                worker.wants_check = true;
+                if let (true, Some(run)) = (unwanted, run) {
+                    worker.held[place].stopping = Some(now);
+                    push_stop(worker, &run, &self.answers, now, out);
+                }
             }
             StartAnswer::Fenced => {
                 self.end(id, run, How::NoRoom, now, out);
@@ -160,25 +185,52 @@
         if held.stopping.is_none() {
             held.stopping = Some(now);
             if held.stage != Stage::Starting {
-                push_stop(worker, &run, now, out);
+                push_stop(worker, &run, &self.answers, now, out);
             }
         }
     }
 
     /// Takes the answer to a stop.
-    pub fn stopped(&mut self, id: &WorkerId, run: &RunKey, accepted: bool, now: Time) {
+    pub fn stopped(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        accepted: bool,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let sent = self.workers.get(id).and_then(|worker| worker.stop_sent_at(run));
+        let stood = sent.is_some_and(|sent| self.stood_since(sent, now));
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if !accepted {
-            worker.lost_at = Some(now);
+        if accepted {
+            self.answers.answered(None);
+        } else if !stood {
+            self.answers.missed(worker.misses == 0);
+        }
+        if accepted || !stood {
+            worker.count_order(accepted, now);
         }
+        let looks = worker.looks;
         let Some(held) = worker.held.iter_mut().find(|held| held.run == *run) else { return };
+        let (worker_id, order) = (id.clone(), OrderKind::Stop);
         if !accepted {
-            held.stopping = Some(now + LOST_STOP_AGAIN - STOP_AGAIN);
+            let waited = sent.map_or(Span::ZERO, |sent| now.since(sent));
+            held.stop_lost.get_or_insert(now - waited);
+            out.note(Note::Unanswered { worker: worker_id, order, run: Some(run.clone()), waited });
+            // One that was refused and not lost is not sent again at the pace of the refusals.
+            let pause = if waited < AnswerTimes::LEAST { LOST_STOP_AGAIN } else { Span::ZERO };
+            held.stopping = Some(now + pause - STOP_AGAIN);
+            return self.stop_again(id, now, out);
+        }
+        if let Some(from) = held.stop_lost.take() {
+            let (run, outcome) = (Some(run.clone()), Resolution::Answered);
+            let took = now.since(from);
+            out.note(Note::Resolved { worker: worker_id, order, run, outcome, took });
         }
-        if let (true, Stage::Doubtful { until }) = (accepted, &mut held.stage) {
-            // The worker refuses the run from now on, and what it had started ends. A stop that is sent
-            // again must not put that off.
-            *until = (*until).min(now + STOP_TIME);
+        if let Stage::Doubtful { accepted, .. } = &mut held.stage {
+            // The worker refuses the run from now on. A stop that is sent again must not put that off.
+            accepted.get_or_insert(looks);
+            worker.wants_check = true;
         }
     }
 
@@ -199,7 +251,7 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, now, out);
+                push_stop(worker, &run, &self.answers, now, out);
             }
         }
     }
--- a/crates/fleet/src/owner/relink.rs
+++ b/crates/fleet/src/owner/relink.rs
@@ -83,7 +83,7 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, now, out);
+                push_stop(worker, &run, &self.answers, now, out);
             }
         }
     }
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -7,7 +7,7 @@
     CLAIM_WAIT, Owner, REFUSED_PAUSE, REUNION, STRAY_LIMIT, ended_message, how, push_stop,
 };
 use crate::{
-    End, Held, LookAnswer, Members, Need, Output, RunKey, Seen,
+    Asked, End, Held, LookAnswer, Members, Need, Output, RunKey, Seen,
     held::Stage,
     note::{DropCause, Note},
     output::Message,
@@ -20,13 +20,14 @@
     pub(super) fn probed(
         &mut self,
         id: &WorkerId,
+        asked: Asked,
         answer: &LookAnswer,
         now: Time,
         out: &mut Output,
     ) {
         match answer {
             LookAnswer::OtherLife => self.drop_worker(id, DropCause::OtherLife, now, out),
-            LookAnswer::Lost => self.lost(id, now, out),
+            LookAnswer::Lost => self.lost(id, asked, now, out),
             LookAnswer::Seen(_) | LookAnswer::Fenced => {
                 let token = self.next_token(0);
                 let Some(worker) = self.workers.get_mut(id) else { return };
@@ -128,7 +129,7 @@
         worker.charge = Charge::Open;
         let token = worker.token;
         for run in stops {
-            push_stop(worker, &run, now, out);
+            push_stop(worker, &run, &self.answers, now, out);
         }
         out.note(Note::WorkerOpened { worker: id.clone(), token, found, kept });
         self.changed.push(id.clone());
@@ -195,7 +196,9 @@
         stage: Stage::AtWork { since: now },
         stopping: None,
         stalled: false,
+        stop_lost: None,
         percent: 0,
+        progressed: now,
         mistimed: true,
     }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -3,34 +3,36 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{
-    Held, Listed,
-    held::Stage,
+    AnswerTimes, Asked, Held, Listed, RunKey,
     output::Lease,
     run_life::{LEASE_SLACK, lease_length},
 };
 
-/// Time that a stop takes on a worker, with some slack; the platform's bound is 50 ms.
-pub const STOP_TIME: Span = Span::from_ms(80);
-
 /// Time that a worker may wait for an end before it answers a look.
 ///
 /// A quarter of the lease, so that two looks can be lost before a lease ends.
 const LOOK_WAIT: Span = Span::from_ms(240);
-/// The same for a worker that has not answered a look lately: ends are not seen while an answer is
-/// awaited that does not come. The mean run time is 60 ms to 900 ms.
+/// The same where orders get lost: ends are not seen while an answer is awaited that does not come. The
+/// mean run time is 60 ms to 900 ms.
 const LOSSY_LOOK_WAIT: Span = Span::from_ms(60);
 /// Shortest time for which a worker is asked to wait because a lease is short; a look costs a request.
 const LOOK_WAIT_MIN: Span = Span::from_ms(20);
 /// Shortest lease of a start: the wait of the look that extends it, and its way.
 const START_LEASE: Span = Span::from_ms(300);
-/// Time for the answer to an order; a round trip takes 2 ms, and an instance with a small share of a
-/// core reads it some ten milliseconds later.
+/// Longest time for the answer to an order; a round trip takes 2 ms, and an instance with a small share
+/// of a core reads it some ten milliseconds later.
 const PATIENCE: Span = Span::from_ms(200);
 /// The same for a worker whose answers get lost: until then it is not known whether a task has
 /// started, and it is not started elsewhere.
 const LOSSY_PATIENCE: Span = Span::from_ms(60);
 /// Time for which a worker counts as one whose answers get lost.
 const LOSSY_FOR: Span = Span::from_secs(3);
+/// Looks in a row without answer after which a worker gets no starts.
+const MISSES_LIMIT: u32 = 4;
+/// Silence after which it gets none even so, as its lease ends soon.
+const SILENCE_LIMIT: Span = Span::from_ms(475);
+/// Share of a new order in the share of lost ones.
+const LOSS_SHARE: f64 = 1.0 / 16.0;
 
 /// Whether this instance is in charge of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,13 +73,23 @@
     pub acked: u64,
     /// Runs on it.
     pub held: Vec<Held>,
-    /// When the look that is under way was sent.
-    pub looking: Option<Time>,
+    /// The look that is under way.
+    pub looking: Option<Asked>,
+    /// A further look, sent while `looking` may wait for an end.
+    pub checking: Option<Asked>,
+    /// Whether a look is wanted that is answered at once.
+    pub wants_check: bool,
+    /// Looks that were sent.
+    pub looks: u64,
+    /// Looks in a row that got no answer.
+    pub misses: u32,
+    /// When the first of them was sent.
+    pub missed_from: Option<Time>,
     /// When the last look was sent.
     pub looked: Time,
     /// When the worker last answered.
     pub answered: Time,
-    /// Whether the last look got no answer.
+    /// Whether it is silent: several looks in a row got no answer.
     pub dark: bool,
     /// When an order last got no answer.
     pub lost_at: Option<Time>,
@@ -85,6 +97,10 @@
     pub lease_end: Time,
     /// Looks at runs in a row that the worker refused for a higher token.
     pub refusals: u32,
+    /// The worker's clock when it answered the latest look that was read.
+    pub seen_clock: u64,
+    // Share of orders that got lost.
+    loss: f64,
     // The worker's clock and ours at the moment of its last answer.
     clock: Option<(u64, Time)>,
 }
@@ -100,12 +116,19 @@
             acked: 0,
             held: Vec::new(),
             looking: None,
+            checking: None,
+            wants_check: false,
+            looks: 0,
+            misses: 0,
+            missed_from: None,
             looked: Time::ZERO,
             answered: now,
             dark: false,
             lost_at: None,
             lease_end: Time::ZERO,
             refusals: 0,
+            seen_clock: 0,
+            loss: 0.0,
             clock: None,
         }
     }
@@ -128,37 +151,80 @@
         self.answered = now;
     }
 
+    /// Counts a look that is sent now.
+    pub fn ask(&mut self, wait: Span, now: Time) -> Asked {
+        self.looks += 1;
+        self.looked = now;
+        self.wants_check = false;
+        Asked { at: now, number: self.looks, wait }
+    }
+
+    /// Takes the look that was sent at `at` for over; none if none is under way.
+    pub fn take_asked(&mut self, at: Time) -> Option<Asked> {
+        let is_sent = |asked: &mut Asked| asked.at == at;
+        self.looking.take_if(is_sent).or_else(|| self.checking.take_if(is_sent))
+    }
+
+    /// When the start of a run was sent.
+    #[must_use]
+    pub fn sent_at(&self, run: &RunKey) -> Option<Time> {
+        self.held.iter().find(|held| held.run == *run).map(|held| held.sent)
+    }
+
+    /// When the last stop of a run was sent.
+    #[must_use]
+    pub fn stop_sent_at(&self, run: &RunKey) -> Option<Time> {
+        self.held.iter().find(|held| held.run == *run).and_then(|held| held.stopping)
+    }
+
+    /// Learns whether an order was answered.
+    pub fn count_order(&mut self, answered: bool, now: Time) {
+        if !answered {
+            self.lost_at = Some(now);
+        }
+        let lost = if answered { 0.0 } else { 1.0 };
+        self.loss += LOSS_SHARE * (lost - self.loss);
+    }
+
+    /// Share of orders that got lost, in thousandths.
+    #[must_use]
+    pub fn lost_permille(&self) -> u32 {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "0 to 1,000")]
+        let permille = (self.loss * 1_000.0).round() as u32;
+        permille
+    }
+
+    /// Whether it gets no starts any more after a look without answer.
+    #[must_use]
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.misses >= MISSES_LIMIT || now.since(self.answered) >= SILENCE_LIMIT
+    }
+
     /// Time that the worker may wait before it answers the next look.
     #[must_use]
-    pub fn look_wait(&self, now: Time) -> Span {
-        let longest = if self.is_lossy(now) { LOSSY_LOOK_WAIT } else { LOOK_WAIT };
+    pub fn look_wait(&self, answers: &AnswerTimes, now: Time) -> Span {
+        let longest = if self.is_lossy(now) || answers.is_lossy() {
+            // The sooner an end is expected, the more a lost look delays.
+            let left = self.held.iter().map(|held| held.left(now) / 2).min();
+            left.map_or(LOSSY_LOOK_WAIT, |left| left.clamp(LOOK_WAIT_MIN, LOSSY_LOOK_WAIT))
+        } else {
+            LOOK_WAIT
+        };
         // The next look extends the lease, so this one must be answered well before its end.
         let lease = self.lease_end.since(now + LEASE_SLACK) / 2;
-        let longest = longest.min(lease.max(LOOK_WAIT_MIN));
-        // A look that is sent later than this time tells whether a doubtful run is gone.
-        let doubts = self.held.iter().filter_map(|held| match held.stage {
-            Stage::Doubtful { until } => Some((until + Span::from_ms(1)).since(now)),
-            Stage::Starting | Stage::AtWork { .. } => None,
-        });
-        doubts.min().map_or(longest, |doubt| doubt.min(longest))
+        longest.min(lease.max(LOOK_WAIT_MIN))
     }
 
     /// Time for the answer to an order.
     #[must_use]
-    pub fn patience(&self, now: Time) -> Span {
-        if self.is_lossy(now) { LOSSY_PATIENCE } else { PATIENCE }
+    pub fn patience(&self, answers: &AnswerTimes, now: Time) -> Span {
+        answers.timeout(if self.is_lossy(now) { LOSSY_PATIENCE } else { PATIENCE })
     }
 
     fn is_lossy(&self, now: Time) -> bool {
         self.lost_at.is_some_and(|at| now.since(at) < LOSSY_FOR)
     }
 
-    /// Whether an end of a run that was started at `start` may have been seen late.
-    #[must_use]
-    pub fn was_lost_since(&self, start: Time) -> bool {
-        self.lost_at.is_some_and(|at| at >= start)
-    }
-
     /// A lease from now on for all that runs, and a note of when it ends at the latest; none if a
     /// front may give its run up before.
     pub fn lease(&mut self, now: Time) -> Option<Lease> {
