--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,9 @@
 //! assert!(!node.is_ready());
 //! ```
 
+mod answer_times;
 mod arrivals;
+mod asked;
 mod backlog;
 mod bias;
 mod drains;
@@ -56,7 +58,9 @@
 mod vec_map;
 mod worker;
 
+pub use answer_times::AnswerTimes;
 pub use arrivals::{Arrivals, Rate};
+pub use asked::Asked;
 pub use backlog::{Backlog, Waiting, latest_starts};
 pub use bias::RunBias;
 pub use drains::{DrainRead, Recency, ZoneChange, ZoneDrains};
@@ -69,7 +73,7 @@
 pub use members::{Counted, Member, Members, Owners, text_hash};
 pub use need::Need;
 pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
-pub use note::{DropCause, Note, StartRefusal};
+pub use note::{DropCause, Note, OrderKind, Resolution, StartRefusal};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
