feat(fleet): worker speeds, placing by time, probes and short pauses

Cause: placing knew cores only. A slow worker got tasks until its slowness passed a bound, run times of fast and slow workers made one mean, and a stalled or refused run closed a worker for 400 ms or more.

Change: the logarithm of the slowness with its weight, the median of the class as prior, a cumulative sum for changes; run times of kinds without the speed of the worker and without what all jobs of a kind declare wrong; a learnt factor for runs away from their rack; places that meet the objective first, the slowest of them that does, and a wait where a better worker is only busy; probes of slow workers with a growing window; pauses of 100 ms doubling to 3.2 s, at most 50 ms while over a third of a service is paused; owners report what they learnt, schedulers keep it over a change, another life starts without a past.

--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -33,8 +33,8 @@
         if number == filling {
             begin = Instant::now();
         }
-        let Some(site) = sites.choose(&waiting, NOW) else { break };
-        let (id, key) = (site.id().clone(), task(number));
+        let Some(choice) = sites.choose(&waiting, NOW) else { break };
+        let (id, key) = (choice.site.id().clone(), task(number));
         // Sizes differ a little, so that free rooms do.
         let need = need(TASK - number % 997);
         sites.change(&id, |site| site.grant(key.clone(), need, NOW));
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -169,6 +169,12 @@
         Note::Granted { job, tasks, slack } => {
             log::info!(job, tasks, slack_ms = slack.as_ms(); "{name}");
         }
+        Note::SpeedChanged { worker, slow, slowness, samples } => {
+            log::info!(
+                worker = worker.as_str(), slow, slowness_milli = slowness, samples; "{name}"
+            );
+        }
+        Note::Probed { worker, job } => log::info!(worker = worker.as_str(), job; "{name}"),
         Note::Refused { job, ahead } => log::info!(job, ahead_ms = ahead.as_ms(); "{name}"),
         Note::RunEnded { run, worker, how, took } => {
             let how = how.as_str_name();
--- /dev/null
+++ b/crates/fleet/src/learnt.rs
@@ -0,0 +1,138 @@
+//! What an instance has learnt about workers and kinds of jobs, apart from what runs now.
+
+use cranberryhatch_schema::fleet::{How, KindTime, Standing};
+use cranberryhatch_types::{Span, Time, WorkerId};
+
+use crate::{RunTimes, VecMap, speeds::Speed};
+
+/// Share of one order in the share of lost ones.
+const LOST_SHARE: f64 = 0.1;
+/// Share of one run in the average slowness.
+const AVERAGE_SHARE: f64 = 0.02;
+/// Logarithm of the least slowness of a worker on which a run was stopped for lack of progress.
+const STALLED: f64 = 1.4;
+
+/// What was learnt about one worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Record {
+    /// Its speed.
+    pub speed: Speed,
+    /// Failures in a row that may be its own.
+    pub failures: u32,
+    /// Share of its orders that got no answer lately.
+    pub lost: f64,
+    /// Life of the worker in Unix milliseconds; 0 if it is not known.
+    pub born_ms: u64,
+}
+
+impl Record {
+    /// Learns from the end of a run; `class` is the slowness of workers of its class, `guilty` tells whether
+    /// a failure may be the worker's.
+    pub fn learn(&mut self, how: How, sample: f64, class: f64, guilty: bool, now: Time) {
+        match how {
+            How::Done => {
+                self.failures = 0;
+                self.lost -= LOST_SHARE * self.lost;
+                self.speed.learn(sample, class, now);
+            }
+            How::Stalled => self.speed.learn(sample.max(class + STALLED), class, now),
+            // A run that was stopped would have taken longer.
+            How::Stopped if Speed::is_overdue(sample, self.speed.estimate(class, now)) => {
+                self.speed.learn(sample, class, now);
+            }
+            How::Failed if guilty => self.failures = self.failures.saturating_add(1),
+            How::Unanswered => self.lost += LOST_SHARE * (1.0 - self.lost),
+            How::Failed
+            | How::Stopped
+            | How::NotStarted
+            | How::NoRoom
+            | How::Old
+            | How::Unknown => {}
+        }
+    }
+
+    /// The report of it.
+    #[must_use]
+    pub fn report(&self, now: Time) -> Standing {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share")]
+        let lost = (self.lost * 1_000.0) as u32;
+        self.speed.report(self.failures, lost, now)
+    }
+
+    /// What a report tells.
+    #[must_use]
+    pub fn from_report(standing: &Standing, born_ms: u64, now: Time) -> Self {
+        Self {
+            speed: Speed::from_report(standing, now),
+            failures: standing.failures,
+            lost: f64::from(standing.lost_permille.min(1_000)) / 1_000.0,
+            born_ms,
+        }
+    }
+
+    /// Whether another record is of the same life of the worker, as far as is known.
+    #[must_use]
+    pub const fn is_life(&self, born_ms: u64) -> bool {
+        self.born_ms == 0 || born_ms == 0 || self.born_ms == born_ms
+    }
+}
+
+/// What an owner has learnt: its workers, and the kinds of jobs that ran there.
+#[derive(Debug, Default)]
+pub struct Learnt {
+    workers: VecMap<WorkerId, Record>,
+    kinds: RunTimes,
+    // Mean slowness of all runs, which stands for the class of a worker.
+    average: f64,
+}
+
+impl Learnt {
+    /// Learns from the end of a run whose time is known.
+    pub fn learn(
+        &mut self,
+        worker: &WorkerId,
+        how: How,
+        kind: &str,
+        took: Span,
+        expected: Span,
+        now: Time,
+    ) {
+        if how == How::Done && !self.kinds.knows(kind) {
+            return self.kinds.learn(kind, took, 0.0);
+        }
+        let sample = Speed::sample(took, expected);
+        let record = self.workers.entry(worker.clone(), Record::default);
+        record.learn(how, sample, self.average, true, now);
+        if how != How::Done {
+            return;
+        }
+        let slowness = record.speed.estimate(self.average, now);
+        if Speed::is_slow(slowness, self.average) {
+            return;
+        }
+        self.kinds.learn(kind, took, slowness - self.average);
+        self.average += AVERAGE_SHARE * (sample - self.average);
+    }
+
+    /// The report of a worker; none if nothing is known.
+    #[must_use]
+    pub fn standing(&self, worker: &WorkerId, now: Time) -> Option<Standing> {
+        self.workers.get(worker).map(|record| record.report(now))
+    }
+
+    /// The report of all kinds.
+    #[must_use]
+    pub fn kinds(&self) -> Vec<KindTime> {
+        self.kinds.report()
+    }
+
+    /// Forgets a worker whose life is over.
+    pub fn forget(&mut self, worker: &WorkerId) {
+        self.workers.remove(worker);
+    }
+
+    /// Keeps what is known of some workers.
+    pub fn retain(&mut self, keep: impl Fn(&WorkerId) -> bool) {
+        self.workers.retain(|worker, _| keep(worker));
+    }
+}
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -104,6 +104,24 @@
         /// Time left until the latest start that meets the objective.
         slack: Span,
     },
+    /// A worker turned slow for its class, or recovered.
+    SpeedChanged {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether it is slow now.
+        slow: bool,
+        /// Logarithm of its run times against those of the fastest class, in thousandths.
+        slowness: i32,
+        /// Runs behind it, older ones counting less.
+        samples: u32,
+    },
+    /// A task was given to a slow worker to see whether it has recovered.
+    Probed {
+        /// The worker.
+        worker: WorkerId,
+        /// The job.
+        job: String,
+    },
     /// The scheduler refused a job.
     Refused {
         /// The job.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -6,13 +6,13 @@
 mod relink;
 mod takeover;
 
-use cranberryhatch_schema::fleet::{Ended, Freed, How, Room, Rooms, Takeover};
+use cranberryhatch_schema::fleet::{Ended, Freed, How, KindTime, Room, Rooms, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use relink::Unsure;
 
 use crate::{
-    Command, Held, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
+    Command, Held, Learnt, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
     held::Stage,
     members::{Owners, text_hash},
     note::Note,
@@ -75,6 +75,7 @@
     // Opened workers that run nothing, of which the fronts do not know yet.
     found_idle: Vec<Takeover>,
     unsure: Unsure,
+    learnt: Learnt,
 }
 
 impl Owner {
@@ -94,6 +95,7 @@
             strays: Vec::new(),
             found_idle: Vec::new(),
             unsure: Unsure::default(),
+            learnt: Learnt::default(),
         }
     }
 
@@ -113,6 +115,7 @@
     pub fn assign(&mut self, listing: &Listing, owners: &Owners, wall_ms: u64, now: Time) {
         self.wall_ms = wall_ms;
         self.fenced.retain(|_, at| now.since(*at) < FENCED_PAUSE);
+        self.learnt.retain(|id| listing.get(id).is_some());
         for listed in listing.all() {
             if let Some(worker) = self.workers.get_mut(&listed.id) {
                 if worker.listed != *listed {
@@ -170,6 +173,9 @@
         out.note(Note::RunEnded { run: run.clone(), worker: id.clone(), how, took });
         self.unsure.report(&held.front, &ended_message(&held.run, id.as_str(), how, took), now);
         self.tell_end(&held, id.as_str(), how, took, out);
+        if !held.mistimed {
+            self.learnt.learn(id, how, &held.kind, took, held.expected, now);
+        }
         self.free(&held, id.as_str(), how, took, out);
     }
 
@@ -187,9 +193,9 @@
         out.send(scheduler, Message::Freed(freed));
     }
 
-    fn report_to_scheduler(&self, rooms: Vec<Room>, out: &mut Output) {
+    fn report_to_scheduler(&self, rooms: Vec<Room>, kinds: Vec<KindTime>, out: &mut Output) {
         if let Some(scheduler) = &self.scheduler {
-            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds: Vec::new() }));
+            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds }));
         }
     }
 
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -97,12 +97,13 @@
                 token: worker.token,
                 held: worker.held.iter().map(Held::report).collect(),
                 open: worker.is_open(),
-                standing: None,
+                standing: self.learnt.standing(id, now),
                 born_ms: 0,
             })
             .collect();
         if !rooms.is_empty() {
-            self.report_to_scheduler(rooms, out);
+            let kinds = if all { self.learnt.kinds() } else { Vec::new() };
+            self.report_to_scheduler(rooms, kinds, out);
         }
     }
 }
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -163,6 +163,7 @@
         out.note(Note::WorkerDropped { worker: id.clone(), cause });
         if cause == DropCause::OtherLife {
             // The life that ran them is over.
+            self.learnt.forget(id);
             for held in &worker.held {
                 self.tell_end(held, id.as_str(), How::Stopped, Span::ZERO, out);
             }
@@ -175,7 +176,7 @@
         } else if !worker.is_unopened() {
             // A worker that never obeyed this instance may be another's.
             let room = Room { worker: id.to_string(), token: worker.token, ..Room::default() };
-            self.report_to_scheduler(vec![room], out);
+            self.report_to_scheduler(vec![room], Vec::new(), out);
         }
     }
 }
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,8 +4,9 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Waiting,
-    backlog::latest_starts, note::Note, output::Message, refusing,
+    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Verdict,
+    Waiting, backlog::latest_starts, learnt::Record, note::Note, output::Message, placing::Choice,
+    probes::Probes, refusing, site::Run, waits::Waits,
 };
 
 /// Largest number of jobs whose first failure is remembered.
@@ -26,6 +27,12 @@
     backlog: Backlog,
     sites: Sites,
     times: RunTimes,
+    // What was learnt of workers that no owner reports now.
+    records: VecMap<WorkerId, Record>,
+    // Owners whose run times are counted in.
+    counted: Vec<InstanceId>,
+    // Probes of each service that has slow workers.
+    probes: VecMap<String, Probes>,
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
     dirty: bool,
@@ -51,6 +58,7 @@
         let objective = stretched + u64::from(ask.slack_ms);
         let born = now - Span::from_ms(ask.age_ms.into());
         let limit = now + Span::from_ms(ask.left_ms.into());
+        self.sites.learn_rack(&ask.rack);
         let (on_time, useful) = latest_starts(born, limit, Span::from_ms(objective), longest);
         let waiting = Waiting {
             front: front.clone(),
@@ -91,14 +99,22 @@
     /// Forgets the waiting tasks of an instance, and the workers that it owned.
     pub fn lose(&mut self, instance: &InstanceId) {
         self.backlog.remove(|waiting| waiting.front == *instance);
+        for site in self.sites.iter().filter(|site| site.owner == *instance) {
+            self.records.insert(site.id().clone(), *site.record());
+        }
         self.sites.retain(|site| site.owner != *instance);
     }
 
-    /// Forgets everything but run times: another instance schedules now.
+    /// Forgets what runs and waits, since another instance schedules now. What was learnt stays.
     pub fn resign(&mut self) {
+        for site in self.sites.iter() {
+            self.records.insert(site.id().clone(), *site.record());
+        }
         self.backlog = Backlog::default();
-        self.sites = Sites::default();
+        self.sites.clear();
         self.suspects = VecMap::default();
+        self.probes = VecMap::default();
+        self.counted = Vec::new();
         self.since = None;
         self.complete = false;
     }
@@ -113,6 +129,9 @@
 
     /// Gives back a place that was not used, or that the owner refused.
     pub fn unused(&mut self, worker: &WorkerId, task: &TaskKey, refused: bool, now: Time) {
+        for (_, probes) in self.probes.iter_mut().filter(|(_, probes)| probes.is_open(worker)) {
+            probes.ended(worker, None, now);
+        }
         let known = self.sites.change(worker, |site| {
             site.release(task);
             if refused {
@@ -132,8 +151,13 @@
                 continue;
             }
             if known.is_none() {
-                self.sites.insert(Site::new(listed.clone(), owner.clone(), room.token));
+                let mut site = Site::new(listed.clone(), owner.clone(), room.token);
+                if let Some(record) = self.records.remove(&id) {
+                    site.restore(record, now);
+                }
+                self.sites.insert(site);
             }
+            let standing = room.standing.map(|s| Record::from_report(&s, room.born_ms, now));
             let held = room.held.into_iter().filter_map(|held| {
                 let key = RunKey::from(&held.run?);
                 Some((key.task, Need::from(&held.need?)))
@@ -145,9 +169,17 @@
                 site.token = room.token;
                 site.open = room.open;
                 site.report(held, now);
+                site.set_life(room.born_ms, now);
+                if let Some(standing) = standing {
+                    site.restore_report(standing, now);
+                }
             });
             self.dirty = true;
         }
+        if !rooms.kinds.is_empty() && !self.counted.contains(owner) {
+            self.counted.push(owner.clone());
+            self.times.merge(&rooms.kinds);
+        }
         self.complete = self.complete || self.knows(listing);
     }
 
@@ -158,6 +190,7 @@
 
     /// Takes a new list of workers.
     pub fn listed(&mut self, listing: &Listing) {
+        self.records.retain(|id, _| listing.get(id).is_some());
         self.sites.retain(|site| match listing.get(site.id()) {
             Some(listed) => {
                 site.listed = listed.clone();
@@ -173,18 +206,59 @@
         let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
-        if how == How::Done && !freed.kind.is_empty() {
-            self.times.learn(&freed.kind, took);
+        let is_timed = !freed.kind.is_empty();
+        let run_known = self.sites.get(&worker).and_then(|site| site.run_of(&run.task));
+        let tells = self.times.knows(&freed.kind) && run_known.is_none_or(|run| run.known);
+        if let (true, Some(run)) = (tells && how == How::Done, run_known.filter(|r| r.away > 0.0))
+            && let Some(site) = self.sites.get(&worker).filter(|site| !site.is_slow())
+        {
+            let expected = Span::from_ms(freed.expected_ms.into());
+            self.sites.learn_away(run.away + site.surprise(took, expected));
+        }
+        if how == How::Done && is_timed {
+            self.learn_time(&freed.kind, &worker, &run.task, took);
         }
         let guilty = how == How::Failed && self.suspect(&run.task.job, &worker);
         let expected = Span::from_ms(freed.expected_ms.into());
         let known = self.sites.change(&worker, |site| {
+            let was_slow = site.is_known_slow(now);
             site.release(&run.task);
-            if !freed.kind.is_empty() {
+            if how == How::Done && is_timed && !tells {
+                site.acquit_all();
+            } else if is_timed {
                 site.learn(how, took, expected, guilty, now);
             }
+            let recovered = was_slow && !site.is_known_slow(now);
+            let is_slow = site.is_slow_run(took, expected);
+            (site.listed.service.clone(), site.is_paused(now), recovered, is_slow)
         });
-        self.dirty |= known.is_some();
+        let Some((service, is_paused, recovered, is_slow)) = known else { return };
+        self.dirty = true;
+        if is_paused {
+            self.sites.limit_pauses(&service, now);
+        }
+        if let Some(probes) =
+            self.probes.get_mut(&service).filter(|p| p.is_open(&worker) || recovered)
+        {
+            let good = match how {
+                How::Done if recovered => Some(true),
+                How::Done if is_timed && is_slow => Some(false),
+                How::Stalled | How::Failed => Some(false),
+                _ => None,
+            };
+            probes.ended(&worker, good, now);
+        }
+    }
+
+    /// Learns the run time of a kind, apart from the speed of the worker and the way to the data.
+    fn learn_time(&mut self, kind: &str, worker: &WorkerId, task: &TaskKey, took: Span) {
+        let site = self.sites.get(worker);
+        if site.is_some_and(Site::is_slow) {
+            return;
+        }
+        let pace = site.map_or(0.0, |site| site.pace().log());
+        let away = site.and_then(|site| site.run_of(task)).map_or(0.0, |run| run.away);
+        self.times.learn(kind, took, pace + away);
     }
 
     /// Whether the failure of a job may be the worker's: a job that fails on a second worker is
@@ -209,6 +283,10 @@
     /// Grants what room there is and refuses what cannot be served.
     pub fn run(&mut self, now: Time, tick: bool, out: &mut Output) {
         self.since.get_or_insert(now);
+        if tick || self.sites.is_stale() {
+            self.sites.assess(now);
+            self.watch_slow(now, out);
+        }
         if self.backlog.is_empty() || !(self.dirty || tick) {
             return;
         }
@@ -226,30 +304,79 @@
         !listed.is_empty() && listed.iter().all(|listed| self.sites.get(&listed.id).is_some())
     }
 
+    /// Notes workers that turned slow or recovered, and lets the first be probed.
+    fn watch_slow(&mut self, now: Time, out: &mut Output) {
+        let changed = |site: &&Site| site.is_slow() != site.noted_slow;
+        let changed: Vec<WorkerId> =
+            self.sites.iter().filter(changed).map(|site| site.id().clone()).collect();
+        for id in changed {
+            self.sites.change(&id, |site| {
+                site.noted_slow = site.is_slow();
+                let (slow, slowness, samples) =
+                    (site.is_slow(), site.slowness(now), site.samples(now));
+                out.note(Note::SpeedChanged { worker: id.clone(), slow, slowness, samples });
+            });
+            let Some(site) = self.sites.get(&id).filter(|site| site.is_slow()) else { continue };
+            let service = site.listed.service.clone();
+            self.probes.entry(service, || Probes::new(now)).hasten(now);
+        }
+        let slow: Vec<&Site> =
+            self.sites.slow().iter().filter_map(|id| self.sites.get(id)).collect();
+        self.probes.retain(|service, _| slow.iter().any(|site| site.listed.service == *service));
+    }
+
     fn grant(&mut self, now: Time, out: &mut Output) {
         let mut largest = self.sites.largest(now);
+        let mut waits = Waits::default();
         for waiting in self.backlog.iter_mut() {
-            if waiting.need.cores > largest {
+            if waiting.need.cores > largest || waits.holds(waiting, now) {
                 continue;
             }
             let mut places = Vec::new();
             let mut left = Vec::new();
+            let known = self.times.knows(&waiting.kind);
             for task in std::mem::take(&mut waiting.tasks) {
-                let Some(site) = self.sites.choose(waiting, now) else {
+                if !left.is_empty() {
+                    // The tasks of a step are alike.
                     left.push(task);
                     continue;
+                }
+                let probe = if places.is_empty() {
+                    probe(&self.sites, &mut self.probes, waiting, now, out)
+                } else {
+                    None
                 };
+                let choice =
+                    match probe.map_or_else(|| self.sites.place(waiting, now), Verdict::Run) {
+                        Verdict::Run(choice) => choice,
+                        Verdict::Wait(factor) => {
+                            waits.add(waiting, factor);
+                            left.push(task);
+                            continue;
+                        }
+                        Verdict::Full => {
+                            left.push(task);
+                            continue;
+                        }
+                    };
+                let (site, expected) = (choice.site, choice.expected(waiting));
                 places.push(Place {
                     task,
                     worker: site.id().to_string(),
                     owner: site.owner.to_string(),
-                    run_ms: to_u32(waiting.expected.as_ms()),
+                    run_ms: to_u32(expected.as_ms()),
                     token: site.token,
                     due_ms: to_u32(waiting.due.since(now).as_ms()),
                 });
                 let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
-                let id = site.id().clone();
-                self.sites.change(&id, |site| site.grant(key, waiting.need, now));
+                let run = Run { since: now, expected, away: choice.away_log, known };
+                let (id, is_probe) = (site.id().clone(), probe.is_some());
+                self.sites.change(&id, |site| {
+                    if is_probe {
+                        site.probed = now;
+                    }
+                    site.grant_run(key, waiting.need, run);
+                });
             }
             waiting.tasks = left;
             if places.is_empty() {
@@ -309,6 +436,22 @@
     }
 }
 
+/// A slow worker that the next task of a step is to probe.
+fn probe<'a>(
+    sites: &'a Sites,
+    probes: &mut VecMap<String, Probes>,
+    waiting: &Waiting,
+    now: Time,
+    out: &mut Output,
+) -> Option<Choice<'a>> {
+    let probes = probes.get_mut(&waiting.service).filter(|probes| probes.may_begin(now))?;
+    let choice = sites.probe(waiting, probes.is_overdue(now), now)?;
+    let worker = choice.site.id().clone();
+    probes.begin(worker.clone(), now);
+    out.note(Note::Probed { worker, job: waiting.job.clone() });
+    Some(choice)
+}
+
 fn to_u32(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/fleet/src/sites.rs
+++ b/crates/fleet/src/sites.rs
@@ -1,8 +1,33 @@
-//! All workers as the scheduler sees them, and an index of their free room.
+//! All workers as the scheduler sees them, and an index of their free room by pace.
 
-use cranberryhatch_types::{Cores, Time, WorkerId};
+use cranberryhatch_types::{Cores, Span, Time, WorkerId};
 
-use crate::{Site, VecMap, Waiting, placing};
+use crate::{
+    Site, VecMap, Waiting,
+    placing::{self, Choice, Worth},
+    racks::RackFactor,
+    speeds::{Classes, Pace},
+};
+
+/// Time between two comparisons of workers with their class.
+const COMPARE_EVERY: Span = Span::from_ms(500);
+/// Part of the workers of a service that may be paused at a time, as a divisor. More than a third of them
+/// have a cause in common, and the others could not carry their load.
+const PAUSED_PART: usize = 3;
+
+/// Most names of racks that are kept.
+const RACKS: usize = 1_000;
+
+/// What to do with a task.
+#[derive(Clone, Copy, Debug)]
+pub enum Verdict<'a> {
+    /// Run it here.
+    Run(Choice<'a>),
+    /// No worker on which it should run has room; one that has takes this many times the expected time.
+    Wait(f64),
+    /// No worker has room.
+    Full,
+}
 
 /// Workers by id, and by the cores that are free.
 ///
@@ -15,8 +40,15 @@
 #[derive(Debug, Default)]
 pub struct Sites {
     sites: VecMap<WorkerId, Site>,
-    // Sorted.
-    by_room: Vec<(Cores, WorkerId)>,
+    // Sorted workers of each pace.
+    by_room: VecMap<Pace, Vec<(Cores, WorkerId)>>,
+    slow: Vec<WorkerId>,
+    // Names of racks, which do not make a class; sorted.
+    racks: Vec<String>,
+    compared: Time,
+    rack: RackFactor,
+    // Whether workers came since classes were last compared.
+    stale: bool,
 }
 
 impl Sites {
@@ -32,22 +64,30 @@
     }
 
     /// Adds a worker, or replaces what is known of it.
-    pub fn insert(&mut self, site: Site) {
+    pub fn insert(&mut self, mut site: Site) {
+        site.classify(&self.racks);
         let id = site.id().clone();
-        self.forget_room(&id);
-        self.note_room(&id, site.free().cores);
+        if let Some((pace, cores)) = self.sites.get(&id).map(key) {
+            self.remove_room(&id, pace, cores);
+        }
+        self.note_room(&id, site.pace(), site.free().cores);
+        self.note_slow(&id, site.is_slow());
         self.sites.insert(id, site);
+        self.stale = true;
     }
 
     /// Changes a worker; none if it is not known.
     pub fn change<T>(&mut self, id: &WorkerId, change: impl FnOnce(&mut Site) -> T) -> Option<T> {
         let site = self.sites.get_mut(id)?;
-        let before = site.free().cores;
+        let (before, was_slow) = (key(site), site.is_slow());
         let result = change(site);
-        let after = site.free().cores;
+        let (after, is_slow) = (key(site), site.is_slow());
         if before != after {
-            self.remove_room(id, before);
-            self.note_room(id, after);
+            self.remove_room(id, before.0, before.1);
+            self.note_room(id, after.0, after.1);
+        }
+        if was_slow != is_slow {
+            self.note_slow(id, is_slow);
         }
         Some(result)
     }
@@ -62,48 +102,184 @@
     /// Keeps some of the workers, which may be changed.
     pub fn retain(&mut self, mut keep: impl FnMut(&mut Site) -> bool) {
         self.sites.retain(|_, site| keep(site));
-        self.by_room = self.iter().map(|site| (site.free().cores, site.id().clone())).collect();
-        self.by_room.sort();
+        for (_, site) in self.sites.iter_mut() {
+            site.classify(&self.racks);
+        }
+        self.stale = true;
+        self.index();
+    }
+
+    /// Forgets all workers; names of racks stay.
+    pub fn clear(&mut self) {
+        self.sites = VecMap::default();
+        self.by_room = VecMap::default();
+        self.slow.clear();
+    }
+
+    /// Learns that a label is the name of a rack.
+    pub fn learn_rack(&mut self, rack: &str) {
+        let Err(place) = self.racks.binary_search_by(|known| known.as_str().cmp(rack)) else {
+            return;
+        };
+        if rack.is_empty() || self.racks.len() >= RACKS {
+            return;
+        }
+        self.racks.insert(place, rack.to_owned());
+        for (_, site) in self.sites.iter_mut().filter(|(_, site)| site.listed.has_label(rack)) {
+            site.classify(&self.racks);
+            self.stale = true;
+        }
+    }
+
+    /// Works out the pace of all workers at this time.
+    pub fn assess(&mut self, now: Time) {
+        let compares = self.stale || now.since(self.compared) >= COMPARE_EVERY;
+        let classes = compares.then(|| {
+            Classes::of(self.iter().map(|site| (site.class(), &site.record().speed)), now)
+        });
+        if compares {
+            self.compared = now;
+            self.stale = false;
+        }
+        let mut moved = false;
+        for (_, site) in self.sites.iter_mut() {
+            let before = (site.pace(), site.is_slow());
+            if let Some(classes) = &classes {
+                site.compare(classes);
+            }
+            site.assess(now);
+            moved |= before != (site.pace(), site.is_slow());
+        }
+        if moved {
+            self.index();
+        }
+    }
+
+    /// Learns from a run away from the rack of its data.
+    pub fn learn_away(&mut self, sample: f64) {
+        self.rack.learn(sample);
+    }
+
+    /// Whether workers came since their classes were last compared.
+    #[must_use]
+    pub const fn is_stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Workers that are slow for their class.
+    #[must_use]
+    pub fn slow(&self) -> &[WorkerId] {
+        &self.slow
+    }
+
+    /// Shortens the pauses of a service of which many workers are paused: what they have in common is the
+    /// cause, and the others could not carry the load.
+    pub fn limit_pauses(&mut self, service: &str, now: Time) {
+        let of_service = |site: &&Site| site.listed.service == service && site.is_usable();
+        let (mut usable, mut paused) = (0, 0);
+        for site in self.iter().filter(of_service) {
+            usable += 1;
+            paused += usize::from(site.is_paused(now));
+        }
+        if paused * PAUSED_PART <= usable {
+            return;
+        }
+        let sites = self.sites.iter_mut().map(|(_, site)| site);
+        for site in sites.filter(|s| s.listed.service == service && s.is_paused(now)) {
+            site.shorten_pause(now);
+        }
     }
 
     /// Largest room of a worker that takes tasks.
     #[must_use]
     pub fn largest(&self, now: Time) -> Cores {
         let takes = |id: &WorkerId| self.get(id).is_some_and(|site| site.takes_tasks(now));
-        let largest = self.by_room.iter().rev().find(|(_, id)| takes(id));
-        largest.map(|(cores, _)| *cores).unwrap_or_default()
+        let largest = self.by_room.iter().filter_map(|(_, sites)| {
+            sites.iter().rev().find(|(_, id)| takes(id)).map(|(cores, _)| *cores)
+        });
+        largest.max().unwrap_or_default()
+    }
+
+    /// The place that costs a task least; none when no worker has room.
+    #[must_use]
+    pub fn choose(&self, waiting: &Waiting, now: Time) -> Option<Choice<'_>> {
+        let paces = self.by_room.iter().filter_map(|(pace, sites)| {
+            let first = sites.partition_point(|(cores, _)| *cores < waiting.need.cores);
+            let fitting = &sites[first..];
+            let sites = fitting.iter().filter_map(|(_, id)| self.get(id));
+            (!fitting.is_empty()).then_some((*pace, sites))
+        });
+        placing::choose(paces, waiting, &self.rack, now)
+    }
+
+    /// Where a task runs, or whether it waits for a worker on which it is worth more.
+    #[must_use]
+    pub fn place(&self, waiting: &Waiting, now: Time) -> Verdict<'_> {
+        let Some(choice) = self.choose(waiting, now) else { return Verdict::Full };
+        let worth = Worth::of(waiting, choice.factor, now);
+        let fastest = self.by_room.iter().find(|(_, sites)| !sites.is_empty());
+        if fastest.is_some_and(|(pace, _)| choice.factor > pace.factor())
+            && worth > Worth::OnTime
+            && placing::is_worth_waiting(self.iter(), worth, waiting, &self.rack, now)
+        {
+            return Verdict::Wait(choice.factor);
+        }
+        Verdict::Run(choice)
     }
 
-    /// The worker that fits a task best; none when no worker has room.
+    /// A slow worker that a task may probe, also an unsuitable one if `any`; the one that was probed least
+    /// lately.
     #[must_use]
-    pub fn choose(&self, waiting: &Waiting, now: Time) -> Option<&Site> {
-        let first = self.by_room.partition_point(|(cores, _)| *cores < waiting.need.cores);
-        placing::choose(
-            self.by_room[first..].iter().filter_map(|(_, id)| self.get(id)),
-            waiting,
-            now,
-        )
+    pub fn probe(&self, waiting: &Waiting, any: bool, now: Time) -> Option<Choice<'_>> {
+        let slow = self.slow.iter().filter_map(|id| self.get(id));
+        let may = slow
+            .filter(|site| site.is_known_slow(now) && placing::may_probe(site, waiting, any, now));
+        may.min_by_key(|site| site.probed).map(|site| placing::probe(site))
     }
 
-    fn forget_room(&mut self, id: &WorkerId) {
-        if let Some(cores) = self.sites.get(id).map(|site| site.free().cores) {
-            self.remove_room(id, cores);
+    fn index(&mut self) {
+        self.by_room = VecMap::default();
+        self.slow.clear();
+        for (id, site) in self.sites.iter() {
+            let (pace, cores) = key(site);
+            self.by_room.entry(pace, Vec::new).push((cores, id.clone()));
+            if site.is_slow() {
+                self.slow.push(id.clone());
+            }
         }
+        self.by_room.iter_mut().for_each(|(_, sites)| sites.sort());
     }
 
-    fn remove_room(&mut self, id: &WorkerId, cores: Cores) {
-        let place = self.by_room.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)));
-        if let Ok(place) = place {
-            self.by_room.remove(place);
+    fn note_slow(&mut self, id: &WorkerId, is_slow: bool) {
+        match (self.slow.binary_search(id), is_slow) {
+            (Ok(place), false) => {
+                self.slow.remove(place);
+            }
+            (Err(place), true) => self.slow.insert(place, id.clone()),
+            _ => {}
         }
     }
 
-    fn note_room(&mut self, id: &WorkerId, cores: Cores) {
-        let place = self.by_room.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)));
-        if let Err(place) = place {
-            self.by_room.insert(place, (cores, id.clone()));
+    fn remove_room(&mut self, id: &WorkerId, pace: Pace, cores: Cores) {
+        let Some(sites) = self.by_room.get_mut(&pace) else { return };
+        if let Ok(place) = sites.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)))
+        {
+            sites.remove(place);
         }
     }
+
+    fn note_room(&mut self, id: &WorkerId, pace: Pace, cores: Cores) {
+        let sites = self.by_room.entry(pace, Vec::new);
+        if let Err(place) = sites.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)))
+        {
+            sites.insert(place, (cores, id.clone()));
+        }
+    }
+}
+
+/// Place of a worker in the index.
+fn key(site: &Site) -> (Pace, Cores) {
+    (site.pace(), site.free().cores)
 }
 
 impl FromIterator<Site> for Sites {
--- a/crates/fleet/tests/placing.rs
+++ b/crates/fleet/tests/placing.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{need, site, waiting};
-use cranberryhatch_fleet::{Site, Sites, TaskKey, Waiting};
+use cranberryhatch_fleet::{Site, Sites, TaskKey, Verdict, Waiting};
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{Span, Time};
 
@@ -85,7 +85,7 @@
     ];
     for Case { name, sites, waiting, chosen } in cases {
         let sites: Sites = sites.into_iter().collect();
-        let found = sites.choose(&waiting, NOW).map(|site| site.id().to_string());
+        let found = sites.choose(&waiting, NOW).map(|choice| choice.site.id().to_string());
         assert_eq!(found.as_deref(), chosen, "{name}");
     }
 }
@@ -170,7 +170,7 @@
                 ..waiting("job", 100, 400)
             };
             let best = sites.iter().filter_map(|site| cost(site, &waiting)).min();
-            let found = sites.choose(&waiting, NOW).map(|site| cost(site, &waiting));
+            let found = sites.choose(&waiting, NOW).map(|choice| cost(choice.site, &waiting));
             assert_eq!(found, best.map(Some), "seed {seed}, change {number}");
             let open = sites.iter().filter(|site| site.takes_tasks(NOW));
             let largest = open.map(|site| site.free().cores).max().unwrap_or_default();
@@ -178,3 +178,231 @@
         }
     }
 }
+
+/// The choice as it was before speeds were known: the smallest cost in cores, the first of these in the
+/// order of free cores and ids.
+fn choice_by_room<'a>(sites: &'a Sites, waiting: &Waiting) -> Option<&'a Site> {
+    let with_cost = |site: &'a Site| Some((cost(site, waiting)?, site.free().cores, site.id()));
+    let best = sites.iter().filter_map(with_cost).min()?;
+    sites.get(best.2)
+}
+
+/// A second times the exponential of a logarithm.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "near a second")]
+fn span(log: f64) -> Span {
+    Span::from_ms((log.exp() * 1_000.0) as u64)
+}
+
+/// Guards against new rules that change what is placed where on workers that are alike (R10).
+#[test]
+fn on_workers_that_are_alike_the_choice_is_by_room() {
+    const WORKERS: usize = 60;
+    /// Largest logarithm of a run time against the expected one.
+    const SPREAD: f64 = 0.4;
+    for seed in 1..=200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let sites = (0..WORKERS)
+            .map(|number| site(&format!("w-{number}"), ["a", "b", "c"][number % 3], 48_000));
+        let mut sites: Sites = sites
+            .map(|mut site| {
+                site.listed.labels.truncate(1);
+                site
+            })
+            .collect();
+        for number in 0..200 {
+            let id = format!("w-{}", rng.usize(0..WORKERS)).parse().expect("an id");
+            let cores = rng.u32(1_000..24_000);
+            sites.change(&id, |site| match rng.usize(0..8) {
+                0..3 if need(cores).fits(site.free()) => site.grant(task(number), need(cores), NOW),
+                3..5 => site.release(&task(rng.u32(0..=number))),
+                _ => {
+                    let log = (rng.f64() * 2.0 - 1.0) * SPREAD;
+                    let took = span(log);
+                    site.learn(How::Done, took, Span::from_ms(1_000), false, NOW);
+                }
+            });
+            if number % 20 == 0 {
+                sites.assess(NOW);
+            }
+            // Any time left, also none.
+            let on_time = Time::from_ms(rng.u64(9_000..12_000));
+            let waiting = Waiting {
+                need: need(rng.u32(1_000..30_000)),
+                avoid: vec![format!("w-{}", rng.usize(0..WORKERS))],
+                on_time,
+                due: on_time + Span::from_ms(100),
+                useful: on_time + Span::from_ms(500),
+                ..waiting("job", 100, 400)
+            };
+            let before = choice_by_room(&sites, &waiting).map(Site::id);
+            let now = match sites.place(&waiting, NOW) {
+                Verdict::Run(choice) => Some(choice.site.id()),
+                Verdict::Wait(_) | Verdict::Full => None,
+            };
+            assert_eq!(now, before, "seed {seed}, change {number}");
+        }
+    }
+}
+
+/// A worker with runs of this length where 100 ms were expected.
+fn paced(id: &str, cores: u32, took: u64) -> Site {
+    let mut site = site(id, "a", cores);
+    site.listed.labels = vec![format!("class-{took}")];
+    for _ in 0..20 {
+        site.learn(How::Done, Span::from_ms(took), Span::from_ms(100), false, NOW);
+    }
+    site
+}
+
+/// Guards against tasks that miss their objective on slow workers, and against fast workers that are
+/// taken by tasks that meet it on slower ones too.
+#[test]
+fn a_task_goes_where_it_meets_its_objective() {
+    struct Speeds {
+        name: &'static str,
+        // Run time on each class, in milliseconds, and whether its workers are full.
+        classes: &'static [(u64, bool)],
+        // Time to the objective, and to the end of any use.
+        due: u64,
+        useful: u64,
+        chosen: Option<u64>,
+    }
+    let cases = [
+        Speeds {
+            name: "the slower one is good enough",
+            classes: &[(100, false), (200, false)],
+            due: 400,
+            useful: 900,
+            chosen: Some(200),
+        },
+        Speeds {
+            name: "only the fast one is in time",
+            classes: &[(100, false), (200, false)],
+            due: 160,
+            useful: 900,
+            chosen: Some(100),
+        },
+        Speeds {
+            name: "it waits for the fast one while that can be in time",
+            classes: &[(100, true), (200, false)],
+            due: 160,
+            useful: 900,
+            chosen: None,
+        },
+        Speeds {
+            name: "it is late anyway",
+            classes: &[(100, true), (200, false)],
+            due: 60,
+            useful: 900,
+            chosen: Some(200),
+        },
+        Speeds {
+            name: "the slow one is of no use, the fast one is",
+            classes: &[(100, true), (800, false)],
+            due: 60,
+            useful: 400,
+            chosen: None,
+        },
+        Speeds {
+            name: "all are too slow for the objective: nothing to wait for",
+            classes: &[(200, false), (200, true)],
+            due: 60,
+            useful: 900,
+            chosen: Some(200),
+        },
+    ];
+    for Speeds { name, classes, due, useful, chosen } in cases {
+        let mut sites = Sites::default();
+        for (class, (took, full)) in classes.iter().enumerate() {
+            for number in 0..4 {
+                let mut site = paced(&format!("w-{class}-{number}"), 32_000, *took);
+                if *full {
+                    site.grant(task(number), need(32_000), NOW);
+                }
+                sites.insert(site);
+            }
+        }
+        sites.assess(NOW);
+        let due = NOW + Span::from_ms(due);
+        let waiting = Waiting {
+            on_time: due - Span::from_ms(100),
+            due,
+            useful: NOW + Span::from_ms(useful) - Span::from_ms(100),
+            ..waiting("job", 100, 400)
+        };
+        let found = match sites.place(&waiting, NOW) {
+            Verdict::Run(choice) => Some(choice.site.listed.labels[0].clone()),
+            Verdict::Wait(_) | Verdict::Full => None,
+        };
+        assert_eq!(found, chosen.map(|took| format!("class-{took}")), "{name}");
+    }
+}
+
+/// Guards against workers that are closed for longer than what happened there tells.
+#[test]
+fn a_pause_is_as_long_as_the_evidence() {
+    struct Pause {
+        name: &'static str,
+        ends: Vec<How>,
+        // Whether it may take a task this long after the last end.
+        takes: &'static [(u64, bool)],
+    }
+    let cases = [
+        Pause {
+            name: "one start without answer",
+            ends: vec![How::Unanswered],
+            takes: &[(0, true)],
+        },
+        Pause { name: "one run that was stopped", ends: vec![How::Stopped], takes: &[(0, true)] },
+        Pause { name: "one failure", ends: vec![How::Failed], takes: &[(0, true)] },
+        Pause {
+            name: "two failures in a row",
+            ends: vec![How::Failed; 2],
+            takes: &[(0, false), (100, true)],
+        },
+        Pause {
+            name: "one run without progress",
+            ends: vec![How::Stalled],
+            takes: &[(0, false), (100, true)],
+        },
+        Pause {
+            name: "three starts in a row that the worker did not take",
+            ends: vec![How::NotStarted; 3],
+            takes: &[(300, false), (400, true)],
+        },
+        Pause {
+            name: "a success between them",
+            ends: vec![How::NotStarted, How::Done, How::NotStarted],
+            takes: &[(0, false), (100, true)],
+        },
+    ];
+    for Pause { name, ends, takes } in cases {
+        let mut site = site("w", "a", 32_000);
+        for how in ends {
+            site.learn(how, Span::from_ms(100), Span::from_ms(100), true, NOW);
+        }
+        for (after, takes) in takes {
+            let at = NOW + Span::from_ms(*after);
+            assert_eq!(site.takes_tasks(at), *takes, "{name}, {after} ms later");
+        }
+    }
+}
+
+/// Guards against a service that loses most of its workers to pauses whose cause is elsewhere.
+#[test]
+fn pauses_of_many_workers_are_short() {
+    for (bad, takes) in [(1, false), (3, false), (4, true), (9, true)] {
+        let mut sites: Sites = (0..9).map(|w| site(&format!("w-{w}"), "a", 32_000)).collect();
+        for number in 0..bad {
+            let id = format!("w-{number}").parse().expect("an id");
+            for _ in 0..4 {
+                let zero = Span::ZERO;
+                sites.change(&id, |site| site.learn(How::NotStarted, zero, zero, false, NOW));
+            }
+            sites.limit_pauses("svc", NOW);
+        }
+        let soon = NOW + Span::from_ms(60);
+        let found = sites.get(&"w-0".parse().expect("an id")).map(|site| site.takes_tasks(soon));
+        assert_eq!(found, Some(takes), "{bad} of 9 workers");
+    }
+}
