--- a/crates/fleet/tests/load/mod.rs
+++ b/crates/fleet/tests/load/mod.rs
@@ -8,9 +8,9 @@
 
 use std::collections::BTreeMap;
 
-use cranberryhatch_fleet::{Command, Listing, Message, Note, Output, Scheduler, TaskKey};
+use cranberryhatch_fleet::{Command, Learnt, Listing, Message, Note, Output, Scheduler, TaskKey};
 use cranberryhatch_schema::fleet::{Ask, Freed, Held, How, Place, Room, Rooms, Run};
-use cranberryhatch_types::{InstanceId, Time, WorkerId};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::common::{listed, need};
 
@@ -122,6 +122,10 @@
     count: u64,
     // Runs by worker: call, task, when the run started, how long it takes.
     runs: BTreeMap<(String, usize, u32), (u64, u64)>,
+    /// Starts: when, on which worker, of which call.
+    pub starts: Vec<(u64, String, usize)>,
+    // What the owner of each zone has learnt.
+    learnt: BTreeMap<&'static str, Learnt>,
 }
 
 fn instance(role: &str, zone: &str) -> InstanceId {
@@ -155,6 +159,8 @@
             events: BTreeMap::new(),
             count: 0,
             runs: BTreeMap::new(),
+            starts: Vec::new(),
+            learnt: BTreeMap::new(),
         };
         load.at(0, Event::Report);
         load.at(0, Event::Tick);
@@ -327,6 +333,7 @@
         let took = times(base, factor);
         self.runs.insert((place.worker.clone(), number, place.task), (self.now, took));
         let run = u64::from(place.run_ms);
+        self.starts.push((self.now, place.worker.clone(), number));
         self.at(self.now + took, Event::End(number, place.task, place.worker.clone(), run));
     }
 
@@ -351,6 +358,11 @@
             expected_ms: u32::try_from(ms.1).expect("a short run"),
             kind: self.kinds[self.calls[call].kind].name.to_owned(),
         };
+        let span = Span::from_ms;
+        let zone = self.machines.iter().find(|machine| machine.id == worker).map(|m| m.zone);
+        let learnt = self.learnt.entry(zone.expect("a worker")).or_default();
+        let id = worker.parse().expect("an id");
+        learnt.learn(&id, how, &freed.kind, span(ms.0), span(ms.1), Time::from_ms(self.now));
         self.at(self.now + WAY, Event::Freed(freed));
     }
 
@@ -382,13 +394,15 @@
 
     /// Owners report all their workers.
     fn report(&mut self) {
-        let mut zones: Vec<&str> = self.machines.iter().map(|machine| machine.zone).collect();
+        let mut zones: Vec<&'static str> =
+            self.machines.iter().map(|machine| machine.zone).collect();
         zones.sort_unstable();
         zones.dedup();
         for zone in zones {
             let own = self.machines.iter().filter(|machine| machine.zone == zone);
             let rooms = own.map(|machine| self.room(machine)).collect();
-            let rooms = Rooms { rooms, kinds: Vec::new() };
+            let kinds = self.learnt.get(zone).map(Learnt::kinds).unwrap_or_default();
+            let rooms = Rooms { rooms, kinds };
             let now = Time::from_ms(self.now);
             self.scheduler.rooms(&instance("owner", zone), rooms, &self.listing, now);
         }
@@ -406,7 +420,10 @@
             }
         });
         let (worker, held) = (machine.id.clone(), held.collect());
-        Room { worker, token: 1, held, open: true, ..Room::default() }
+        let id = machine.id.parse().expect("an id");
+        let learnt = self.learnt.get(machine.zone);
+        let standing = learnt.and_then(|learnt| learnt.standing(&id, Time::from_ms(self.now)));
+        Room { worker, token: 1, held, open: true, standing, ..Room::default() }
     }
 
     /// Jobs of a kind that were sent first between two times, with their outcomes.
