--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -6,13 +6,13 @@
 mod relink;
 mod takeover;
 
-use cranberryhatch_schema::fleet::{Ended, Freed, How, Room, Rooms, Takeover};
+use cranberryhatch_schema::fleet::{Ended, Freed, How, KindTime, Room, Rooms, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use relink::Unsure;
 
 use crate::{
-    AnswerTimes, Command, Held, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
+    AnswerTimes, Command, Held, Learnt, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
     held::Stage,
     members::{Owners, text_hash},
     note::{Note, OrderKind, Resolution},
@@ -85,6 +85,7 @@
     // When the last tick was, and when a gap between two ticks last ended.
     ticked: Option<Time>,
     stood: Time,
+    learnt: Learnt,
 }
 
 impl Owner {
@@ -108,6 +109,7 @@
             answers: AnswerTimes::default(),
             ticked: None,
             stood: Time::ZERO,
+            learnt: Learnt::default(),
         }
     }
 
@@ -128,6 +130,7 @@
         self.wall_ms = wall_ms;
         self.fenced.retain(|_, at| now.since(*at) < FENCED_PAUSE);
         self.relist(listing);
+        self.learnt.retain(|id| listing.get(id).is_some());
         for listed in listing.all() {
             if self.workers.contains(&listed.id) {
                 continue;
@@ -215,6 +218,9 @@
         out.note(Note::RunEnded { run: run.clone(), worker: id.clone(), how, took });
         self.unsure.report(&held.front, &ended_message(&held.run, id.as_str(), how, took), now);
         self.tell_end(&held, id.as_str(), how, took, out);
+        if !held.mistimed {
+            self.learnt.learn(id, how, &held.kind, took, held.expected, now);
+        }
         self.free(&held, id.as_str(), how, took, out);
     }
 
@@ -232,9 +238,9 @@
         out.send(scheduler, Message::Freed(freed));
     }
 
-    fn report_to_scheduler(&self, rooms: Vec<Room>, out: &mut Output) {
+    fn report_to_scheduler(&self, rooms: Vec<Room>, kinds: Vec<KindTime>, out: &mut Output) {
         if let Some(scheduler) = &self.scheduler {
-            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds: Vec::new() }));
+            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds }));
         }
     }
 
