--- a/crates/fleet/src/probes.rs
+++ b/crates/fleet/src/probes.rs
@@ -10,9 +10,9 @@
 const FIRST_WAIT: Span = Span::from_ms(500);
 /// The same after many of them.
 const LAST_WAIT: Span = Span::from_ms(4_800);
-/// From this wait on it grows by a tenth each time instead of doubling: workers that have been slow
+/// From this wait on it grows by a twentieth each time instead of doubling: workers that have been slow
 /// for some ten seconds are still found recovered within one to two.
-const SLOW_GROWTH_FROM: Span = Span::from_ms(1_200);
+const SLOW_GROWTH_FROM: Span = Span::from_ms(1_000);
 /// Time for which only suitable tasks are taken for a probe; none may come.
 const SUITABLE_ONLY: Span = Span::from_ms(500);
 /// Time after which a probe that is not over does not hold up another one.
@@ -92,7 +92,7 @@
                 let grown = if self.wait < SLOW_GROWTH_FROM {
                     (self.wait * 2).min(SLOW_GROWTH_FROM)
                 } else {
-                    self.wait * 11 / 10
+                    self.wait * 21 / 20
                 };
                 self.wait = grown.min(LAST_WAIT);
             }
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -346,7 +346,7 @@
     pub fn has_failed_probe(&self, now: Time) -> bool {
         let probe = |run: &Run| run.known && run.since == self.probed;
         let mut runs = self.places.iter().filter_map(|place| place.run).filter(probe);
-        runs.any(|run| Speed::is_slow(overdue(run, now), self.prior))
+        runs.any(|run| Speed::shows_slow(overdue(run, now), self.prior))
     }
 
     /// Takes the speeds of classes.
@@ -378,10 +378,10 @@
         Speed::sample(took, expected) - self.pace.log() - self.fastest
     }
 
-    /// Whether a run took as long as on a worker that is slow for the class.
+    /// Whether a run took so long that the worker is slow for its class.
     #[must_use]
     pub fn is_slow_run(&self, took: Span, expected: Span) -> bool {
-        Speed::is_slow(Speed::sample(took, expected), self.prior)
+        Speed::shows_slow(Speed::sample(took, expected), self.prior)
     }
 
     /// Learns from the end of a run; `guilty` tells whether a failure may be the worker's.
--- a/crates/fleet/src/speeds.rs
+++ b/crates/fleet/src/speeds.rs
@@ -188,6 +188,13 @@
         slowness - class > SLOW
     }
 
+    /// Whether a single run is so far above a class that its worker is slow: a worker that is not has such a
+    /// run less than once in a hundred times.
+    #[must_use]
+    pub fn shows_slow(sample: f64, class: f64) -> bool {
+        sample - class >= ALLOWANCE + DOUBTFUL
+    }
+
     /// Whether a run that is not over yet shows that the worker is slower than known.
     #[must_use]
     pub fn is_overdue(sample: f64, known: f64) -> bool {
