--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use cranberryhatch_fleet::{Listed, Need, Site, Sites, TaskKey, Waiting};
+use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{Accels, Cores, Count, Span, Time};
 
 use crate::Series;
@@ -15,16 +16,51 @@
 const BUSY: u32 = 8;
 const NOW: Time = Time::from_ms(10_000);
 
+/// Looks at the speeds of all workers for one point.
+const LOOKS: u32 = 200;
+/// Run times on the classes of workers where they differ, in milliseconds; 100 ms are expected.
+const CLASSES: [u64; 3] = [100, 160, 270];
+/// Runs from which the speed of each worker is known.
+const RUNS: u32 = 16;
+
 /// A grant, and the end of an earlier one, over all workers.
 pub(crate) fn grant_over_workers() -> Series {
-    let series = Series::new("grant of room to a task, and its end", "workers", "ns");
+    costs("grant of room to a task, and its end", |number| site(number, 100))
+}
+
+/// The same on workers of three classes.
+pub(crate) fn grant_over_classes() -> Series {
+    costs("grant on workers of three speeds, and its end", |number| {
+        site(number, CLASSES[number as usize % CLASSES.len()])
+    })
+}
+
+/// One look at the speeds of all workers.
+pub(crate) fn assess_over_workers() -> Series {
+    let cost = |workers: u32| {
+        let mut sites: Sites = (0..workers).map(|number| site(number, 100)).collect();
+        let begin = Instant::now();
+        (0..LOOKS).for_each(|_| sites.assess(NOW));
+        begin.elapsed().as_secs_f64() * 1e9 / f64::from(LOOKS)
+    };
+    [48, 350, 1_100, 3_000].into_iter().fold(
+        Series::new("look at the speeds of all workers", "workers", "ns"),
+        |series, workers| series.point(f64::from(workers), cost(workers)),
+    )
+}
+
+fn costs(name: &str, site: impl Fn(u32) -> Site) -> Series {
+    let cost = |workers| grant_cost(workers, &site);
     [48, 350, 1_100, 3_000]
         .into_iter()
-        .fold(series, |series, workers| series.point(f64::from(workers), grant_cost(workers)))
+        .fold(Series::new(name, "workers", "ns"), |series, workers| {
+            series.point(f64::from(workers), cost(workers))
+        })
 }
 
-fn grant_cost(workers: u32) -> f64 {
+fn grant_cost(workers: u32, site: impl Fn(u32) -> Site) -> f64 {
     let mut sites: Sites = (0..workers).map(site).collect();
+    sites.assess(NOW);
     let waiting = waiting();
     let mut held = std::collections::VecDeque::new();
     let mut begin = Instant::now();
@@ -56,18 +92,21 @@
     TaskKey { job: "00000000000000aa".to_owned(), step: 0, task }
 }
 
-fn site(number: u32) -> Site {
+fn site(number: u32, took: u64) -> Site {
     let listed = Listed {
         id: format!("w-{number:04}").parse().expect("an id"),
         service: "svc".to_owned(),
         addr: ([127, 0, 0, 1], 80).into(),
         zone: format!("z{}", number % 5),
-        labels: Vec::new(),
+        labels: vec![format!("class-{took}")],
         room: Need { memory: Count::new(65_536), ..need(2 * TASK) },
         draining: false,
     };
     let mut site = Site::new(listed, "e-1".parse().expect("a name"), 1);
     site.open = true;
+    for _ in 0..RUNS {
+        site.learn(How::Done, Span::from_ms(took), Span::from_ms(100), false, NOW);
+    }
     site
 }
 
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,7 +8,11 @@
 use cranberryhatch_types::{Incarnation, ShardId};
 use prost::Message;
 
-use crate::{Rig, Series, grants::grant_over_workers, resident_bytes};
+use crate::{
+    Rig, Series,
+    grants::{assess_over_workers, grant_over_classes, grant_over_workers},
+    resident_bytes,
+};
 
 /// Tasks started for one point.
 const TASKS: u64 = 100_000;
@@ -33,6 +37,8 @@
         tree_bytes_over_teams(),
         envelope_bytes_over_shards(),
         grant_over_workers(),
+        grant_over_classes(),
+        assess_over_workers(),
     ]
 }
 
