fix(fleet): a worker on trial stays so at another scheduler

Cause: a report of a single run was not taken by a scheduler that knew none, since it had to be more than one run ahead, and a worker that counted as recovered by one task got all its room from the next scheduler. Change: one run more is enough, and a worker with a single run gets one task at a time until the next one. The first grants of the next scheduler and of one that is elected again equal those of the last one on workers that are alike, of two classes and with a third of slow ones (test).

--- a/crates/fleet/src/speeds.rs
+++ b/crates/fleet/src/speeds.rs
@@ -246,7 +246,8 @@
             return Self { above, recent: log, count: 1.0, seen, ..Self::default() };
         }
         let weight = f64::from(standing.samples).min(MEMORY);
-        Self { mean: log, weight, seen, ..Self::default() }
+        // A worker that counts as recovered by a single task has one sample, too.
+        Self { mean: log, weight, seen, trial: standing.samples == 1, ..Self::default() }
     }
 
     /// Whether it saw a run that ended later than all that another estimate saw, by more than `ahead`.
@@ -259,7 +260,7 @@
     ///
     /// Both may come from the same runs, so they are not added.
     pub fn merge(&mut self, other: Self, now: Time) {
-        if other.weight(now) > self.weight(now) + 1.0 || (self.weight < 1.0 && other.is_doubtful())
+        if other.weight(now) >= self.weight(now) + 1.0 || (self.weight < 1.0 && other.is_doubtful())
         {
             *self = other;
         }
--- a/crates/fleet/tests/speeds.rs
+++ b/crates/fleet/tests/speeds.rs
@@ -3,9 +3,11 @@
 
 mod common;
 
-use common::{listed, site};
-use cranberryhatch_fleet::{Record, RunTimes, Site, Sites, Speed};
-use cranberryhatch_schema::fleet::{How, KindTime};
+use common::{listed, need, site};
+use cranberryhatch_fleet::{
+    Command, Learnt, Listing, Message, Output, Record, RunTimes, Scheduler, Site, Sites, Speed,
+};
+use cranberryhatch_schema::fleet::{Ask, Freed, How, KindTime, Room, Rooms, Run};
 use cranberryhatch_types::{Span, Time};
 
 const NOW: Time = Time::from_ms(1_000_000);
@@ -204,3 +206,117 @@
     times.merge(&report(6_000, 5));
     assert_eq!(times.report(), report(4_500, 20));
 }
+
+const WORKERS: usize = 12;
+/// Run time of the kind on the fastest workers, in milliseconds.
+const RUN_MS: u32 = 60;
+
+/// The workers that a scheduler grants to the first job; nothing waits for a probe yet.
+fn first_grant(scheduler: &mut Scheduler, declared_ms: u32) -> Vec<String> {
+    let ask = Ask {
+        job: "0000000000000001".to_owned(),
+        tasks: (0..6).collect(),
+        kind: "k".to_owned(),
+        service: "svc".to_owned(),
+        need: Some((&need(16_000)).into()),
+        declared_ms,
+        left_ms: 1_000,
+        zone: "a".to_owned(),
+        stretch: 1_600,
+        slack_ms: 60,
+        ..Ask::default()
+    };
+    let mut out = Output::default();
+    scheduler.ask(&"front".parse().expect("a name"), ask, NOW);
+    scheduler.run(NOW, true, &mut out);
+    let places = out.commands.into_iter().flat_map(|command| match command {
+        Command::Send { message: Message::Grant(grant), .. } => grant.places,
+        _ => Vec::new(),
+    });
+    places.map(|place| place.worker).collect()
+}
+
+/// Guards against a new scheduler that has to learn again which workers are slow, and how long a kind runs
+/// (R8).
+#[test]
+fn the_first_grant_of_another_scheduler_is_that_of_the_last_one() {
+    struct Case {
+        name: &'static str,
+        // Times as long as on the fastest, of a worker by its number.
+        factor: fn(usize) -> u32,
+        // Whether the new scheduler has scheduled before and is elected again.
+        again: bool,
+    }
+    let cases = [
+        Case { name: "alike", factor: |_| 1, again: false },
+        Case { name: "two classes", factor: |w| if w < 6 { 2 } else { 1 }, again: false },
+        Case { name: "a third is slow", factor: |w| if w % 3 == 0 { 5 } else { 1 }, again: false },
+        Case {
+            name: "the same one again",
+            factor: |w| if w % 3 == 0 { 5 } else { 1 },
+            again: true,
+        },
+    ];
+    let owner = "owner".parse().expect("a name");
+    for Case { name, factor, again } in cases {
+        let workers: Vec<String> = (0..WORKERS).map(|w| format!("w-{w:02}")).collect();
+        let mut listing = Listing::default();
+        let entry = |(number, id): (usize, &String)| {
+            let mut entry = listed(id, "a", 32_000);
+            if name == "two classes" {
+                entry.labels = vec![format!("class-{}", factor(number))];
+            }
+            entry
+        };
+        listing.replace(workers.iter().enumerate().map(entry).collect(), NOW);
+        let rooms = |learnt: &Learnt| {
+            let room = |id: &String| Room {
+                worker: id.clone(),
+                token: 1,
+                open: true,
+                standing: learnt.standing(&id.parse().expect("an id"), NOW),
+                ..Room::default()
+            };
+            Rooms { rooms: workers.iter().map(room).collect(), kinds: learnt.kinds() }
+        };
+        let mut learnt = Learnt::default();
+        let mut old = Scheduler::default();
+        old.rooms(&owner, rooms(&learnt), &listing, NOW);
+        old.run(NOW, true, &mut Output::default());
+        for run in 0..8 {
+            // The fastest end first, so that the kind is known when the slow ones end.
+            for number in (0..WORKERS).rev() {
+                let took = RUN_MS * factor(number);
+                let freed = Freed {
+                    run: Some(Run { job: "0".to_owned(), step: 0, task: run, run: 1 }),
+                    worker: workers[number].clone(),
+                    how: How::Done.into(),
+                    took_ms: took,
+                    expected_ms: RUN_MS,
+                    kind: "k".to_owned(),
+                };
+                old.freed(&freed, NOW);
+                let (took, expected) = (Span::from_ms(took.into()), Span::from_ms(RUN_MS.into()));
+                let id = workers[number].parse().expect("an id");
+                learnt.learn(&id, How::Done, "k", took, expected, NOW);
+            }
+        }
+        let mut new = Scheduler::default();
+        if again {
+            old.resign();
+            new = std::mem::take(&mut old);
+            old.rooms(&owner, rooms(&learnt), &listing, NOW);
+        }
+        // A scheduler that was elected again has its own records and no report of them.
+        let report = if again { rooms(&Learnt::default()) } else { rooms(&learnt) };
+        new.rooms(&owner, report, &listing, NOW);
+        let grants = [first_grant(&mut old, RUN_MS), first_grant(&mut new, RUN_MS)];
+        assert_eq!(grants[0].len(), 6, "{name}: {grants:?}");
+        assert_eq!(grants[0], grants[1], "{name}");
+        let on_slow = grants[0].iter().filter(|id| {
+            let number = workers.iter().position(|worker| worker == *id);
+            factor(number.expect("a worker")) == 5
+        });
+        assert_eq!(on_slow.count(), 0, "{name}: {grants:?}");
+    }
+}
