--- a/crates/fleet/src/speeds.rs
+++ b/crates/fleet/src/speeds.rs
@@ -188,6 +188,13 @@
         slowness - class > SLOW
     }
 
+    /// Whether a single run is so far above a class that its worker is slow: a worker that is not has such a
+    /// run less than once in a hundred times.
+    #[must_use]
+    pub fn shows_slow(sample: f64, class: f64) -> bool {
+        sample - class >= ALLOWANCE + DOUBTFUL
+    }
+
     /// Whether a run that is not over yet shows that the worker is slower than known.
     #[must_use]
     pub fn is_overdue(sample: f64, known: f64) -> bool {
@@ -239,7 +246,8 @@
             return Self { above, recent: log, count: 1.0, seen, ..Self::default() };
         }
         let weight = f64::from(standing.samples).min(MEMORY);
-        Self { mean: log, weight, seen, ..Self::default() }
+        // A worker that counts as recovered by a single task has one sample, too.
+        Self { mean: log, weight, seen, trial: standing.samples == 1, ..Self::default() }
     }
 
     /// Whether it saw a run that ended later than all that another estimate saw, by more than `ahead`.
@@ -252,7 +260,7 @@
     ///
     /// Both may come from the same runs, so they are not added.
     pub fn merge(&mut self, other: Self, now: Time) {
-        if other.weight(now) > self.weight(now) + 1.0 || (self.weight < 1.0 && other.is_doubtful())
+        if other.weight(now) >= self.weight(now) + 1.0 || (self.weight < 1.0 && other.is_doubtful())
         {
             *self = other;
         }
