feat(fleet): weighted fair order over zones, steadier refusals

Cause: within a priority, zones were served in proportion to what they send. Jobs that were told to wait were refused later because of arrivals of their own priority.

A faster estimate of arrivals (80 or 120 ms) does not shorten the refusals after a burst and has urgent jobs refused 800 ms after it.

Change: `sharing.rs` counts granted work by zone and forgets it over 2 s; where a job was refused in the last 2 s, zones above the mean go behind the others of their priority and are judged with all arrivals. A job that was told to wait is judged by what waits and what goes first. The margin (three times) is for the first task, the last one has to meet the objective. Returns are booked behind what waits, at the rate that is left. A forecast is made every 5 ms at most and ends at the last useful start that is asked for.

Left: in the 400 ms after a burst of four times the load for 500 ms single jobs of the least urgent kind are still refused; the test bounds it.

--- a/crates/fleet/src/arrivals.rs
+++ b/crates/fleet/src/arrivals.rs
@@ -11,9 +11,6 @@
 const FAST_MS: f64 = 200.0;
 /// Time constant of the estimate that averages over single jobs, in milliseconds.
 const SLOW_MS: f64 = 1_000.0;
-/// Share of the fast estimate that counts when it is below the slow one: a burst that ends is
-/// forgotten before the slow estimate shows its end.
-const FALL: f64 = 1.5;
 /// Largest number of services and priorities whose arrivals are estimated.
 const FLOWS: usize = 256;
 
@@ -62,7 +59,9 @@
     fn rate(&self, now: Time) -> Rate {
         let passed = ms(now, self.at);
         let (fast, slow) = ((-passed / FAST_MS).exp(), (-passed / SLOW_MS).exp());
-        let (fast, slow) = (self.fast.work * fast * FALL, self.slow.work * slow);
+        let (fast, slow) = (self.fast.work * fast, self.slow.work * slow);
+        // A burst that ends is forgotten before the slow estimate shows its end, and one that begins counts
+        // once it lasts.
         let work = fast.min(slow);
         let mean = self.slow.mean_ms();
         Rate { room: if mean > 0.0 { work / mean } else { 0.0 }, work }
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -85,20 +85,27 @@
     entries: Vec<Entry>,
 }
 
+/// Waiting tasks and what was found out about them.
 #[derive(Debug)]
-struct Entry {
-    waiting: Waiting,
-    late: bool,
+pub struct Entry {
+    /// The tasks.
+    pub waiting: Waiting,
+    /// Whether they cannot be on time any more.
+    pub late: bool,
+    /// Whether their zone has had its share, so that those of others go first.
+    pub behind: bool,
+    /// Whether they were found worth waiting before.
+    pub kept: bool,
 }
 
 impl Entry {
     fn new(waiting: Waiting, now: Time) -> Self {
         let late = now > waiting.on_time && !waiting.begun;
-        Self { waiting, late }
+        Self { waiting, late, behind: false, kept: false }
     }
 
     fn compare(&self, other: &Self) -> Ordering {
-        let class = |entry: &Self| (entry.waiting.priority, entry.late);
+        let class = |entry: &Self| (entry.waiting.priority, entry.late, entry.behind);
         class(self).cmp(&class(other)).then_with(|| {
             if self.late {
                 self.waiting.useful.cmp(&other.waiting.useful)
@@ -112,7 +119,10 @@
 impl Backlog {
     /// Adds tasks, behind those that come before them.
     pub fn add(&mut self, waiting: Waiting, now: Time) {
-        let entry = Entry::new(waiting, now);
+        self.insert(Entry::new(waiting, now));
+    }
+
+    fn insert(&mut self, entry: Entry) {
         let place = self.entries.partition_point(|known| known.compare(&entry).is_le());
         self.entries.insert(place, entry);
     }
@@ -126,11 +136,35 @@
         }
         let (late, kept) = std::mem::take(&mut self.entries).into_iter().partition(is_late);
         self.entries = kept;
-        for Entry { waiting, .. } in late {
-            self.add(waiting, now);
+        for entry in late {
+            self.insert(Entry { late: true, behind: false, ..entry });
+        }
+    }
+
+    /// Notes that all entries of a service are worth waiting.
+    pub fn keep(&mut self, service: &str) {
+        for entry in &mut self.entries {
+            entry.kept |= entry.waiting.service == service;
         }
     }
 
+    /// Puts timely entries of zones that have had their share behind all others of their priority.
+    pub fn share(&mut self, is_above: impl Fn(&Waiting) -> bool) {
+        let mut changed = false;
+        for entry in &mut self.entries {
+            let behind = !entry.late && !entry.waiting.begun && is_above(&entry.waiting);
+            changed |= std::mem::replace(&mut entry.behind, behind) != behind;
+        }
+        if changed {
+            self.entries.sort_by(Entry::compare);
+        }
+    }
+
+    /// Entries of a service in the order in which they get room.
+    pub fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Entry> {
+        self.entries.iter().filter(move |entry| entry.waiting.service == service)
+    }
+
     /// Entries in the order in which they get room.
     pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
         self.entries.iter().map(|entry| &entry.waiting)
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -15,7 +15,7 @@
 
 /// Length of a step in milliseconds.
 const STEP_MS: u32 = 5;
-/// Number of steps; what starts later than the last one is taken to start then.
+/// Largest number of steps.
 const STEPS: usize = 1_000;
 /// Largest number of sizes and labels with a curve of their own; jobs of further ones are not refused
 /// by the forecast.
@@ -55,6 +55,9 @@
     free: Vec<f64>,
     // No slot is free before this step.
     first: usize,
+    // A job of so many tasks, that take so many steps each, has found no start for its last task.
+    // Slots only get scarcer, so larger ones find none either.
+    hopeless: Option<(f64, usize)>,
 }
 
 impl Curve {
@@ -67,7 +70,10 @@
 
     /// The step in which the last of `count` tasks that take some steps each starts; none if that is too
     /// far away.
-    fn last_start(&self, count: f64, steps: usize) -> Option<usize> {
+    fn last_start(&mut self, count: f64, steps: usize) -> Option<usize> {
+        if self.hopeless.is_some_and(|(tasks, length)| count >= tasks && steps >= length) {
+            return None;
+        }
         let mut left = count;
         // Slots that tasks of the same job give back, and when.
         let mut back = VecDeque::new();
@@ -84,13 +90,14 @@
                 left -= free;
             }
         }
+        self.hopeless = Some((count, steps));
         None
     }
 
     /// Takes the earliest slots for some steps.
     fn take(&mut self, count: f64, steps: usize) {
         let mut left = count;
-        while left > TRIFLE && self.first < STEPS {
+        while left > TRIFLE && self.first < self.free.len() {
             let step = self.first;
             let taken = left.min(self.free[step]);
             self.free[step] -= taken;
@@ -109,7 +116,7 @@
     fn take_each(&mut self, count: f64, steps: usize) {
         let mut waiting = 0.0;
         let mut known: Vec<usize> = Vec::new();
-        for step in 0..STEPS {
+        for step in 0..self.free.len() {
             waiting += count;
             if self.free[step] > TRIFLE {
                 known.push(step);
@@ -124,7 +131,8 @@
                 }
             }
         }
-        self.first = self.free.iter().position(|free| *free > TRIFLE).unwrap_or(STEPS);
+        let first = self.free.iter().position(|free| *free > TRIFLE);
+        self.first = first.unwrap_or(self.free.len());
     }
 }
 
@@ -145,7 +153,9 @@
         now: Time,
     ) -> Self {
         let mut curves: Vec<Curve> = Vec::new();
+        let mut last = 0;
         for waiting in waiting {
+            last = last.max(step_at(waiting.useful, now));
             if curves.len() < CURVES && !curves.iter().any(|curve| is_for(curve, waiting)) {
                 curves.push(Curve {
                     size: Size {
@@ -154,18 +164,28 @@
                         slots: 0.0,
                         share: 0.0,
                     },
-                    free: vec![0.0; STEPS],
-                    first: STEPS,
+                    free: Vec::new(),
+                    first: 0,
+                    hopeless: None,
                 });
             }
         }
+        // No start after the last useful one is asked for.
+        let steps = (last + 1).min(STEPS);
+        for curve in &mut curves {
+            (curve.free, curve.first) = (vec![0.0; steps], steps);
+        }
         let mut room = 0.0;
+        let mut ends = Vec::new();
         for site in sites.filter(|site| site.is_usable()) {
+            ends.clear();
+            ends.extend(site.ends(now));
+            ends.sort_unstable_by_key(|(end, _)| *end);
             room += cores(&site.listed.room);
             for curve in &mut curves {
                 if site.listed.has_label(&curve.size.label) {
                     curve.size.share += cores(&site.listed.room);
-                    add_site(curve, site, now);
+                    add_site(curve, site, &ends, now);
                 }
             }
         }
@@ -203,8 +223,17 @@
     /// Expected time until the last task starts, for a mean run time in milliseconds; none if that is
     /// past the end of the forecast or there are too many sizes.
     #[must_use]
-    pub fn last_start(&self, waiting: &Waiting, mean_ms: f64) -> Option<Span> {
-        let step = self.curve(waiting)?.last_start(count(waiting), steps(mean_ms))?;
+    pub fn last_start(&mut self, waiting: &Waiting, mean_ms: f64) -> Option<Span> {
+        let curve = self.curves.iter_mut().find(|curve| is_for(curve, waiting))?;
+        let step = curve.last_start(count(waiting), steps(mean_ms))?;
+        Some(Span::from_ms(step as u64 * u64::from(STEP_MS)))
+    }
+
+    /// Expected time until the first task starts, whatever the number of tasks.
+    #[must_use]
+    pub fn first_start(&mut self, waiting: &Waiting) -> Option<Span> {
+        let curve = self.curves.iter_mut().find(|curve| is_for(curve, waiting))?;
+        let step = curve.last_start(1.0, 1)?;
         Some(Span::from_ms(step as u64 * u64::from(STEP_MS)))
     }
 
@@ -234,14 +263,14 @@
 }
 
 /// Adds the slots of a worker at the times at which they become free.
-fn add_site(curve: &mut Curve, site: &Site, now: Time) {
+///
+/// `ends` are the expected ends of its runs in order, and the room that each gives back.
+fn add_site(curve: &mut Curve, site: &Site, ends: &[(Time, Need)], now: Time) {
     let all = curve.size.need.times_in(&site.listed.room);
     if all == 0 {
         return;
     }
     let opens = step_at(site.opens(now), now);
-    let mut ends: Vec<(Time, Need)> = site.ends(now).collect();
-    ends.sort_by_key(|(end, _)| *end);
     if site.is_suspect() {
         let last = ends.last().map_or(0, |(end, _)| step_at(*end, now));
         curve.size.slots += 1.0;
@@ -253,9 +282,9 @@
     let mut known = curve.size.need.times_in(&room);
     curve.add(opens, f64::from(known));
     for (end, need) in ends {
-        room = room.with(&need);
+        room = room.with(need);
         let fitting = curve.size.need.times_in(&room).min(all);
-        curve.add(step_at(end, now).max(opens), f64::from(fitting.saturating_sub(known)));
+        curve.add(step_at(*end, now).max(opens), f64::from(fitting.saturating_sub(known)));
         known = known.max(fitting);
     }
 }
--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -6,15 +6,19 @@
 
 use cranberryhatch_types::{Span, Time};
 
-use crate::{Backlog, Forecast, Waiting, arrivals::Rate, returns::Returns};
+use crate::{Backlog, Entry, Forecast, Waiting, arrivals::Rate, returns::Returns};
 
-/// Least share of the slots that callers who come back are taken to get.
+/// Least share of the slots that arrivals of smaller priority numbers are taken to leave.
 const SPARE: f64 = 0.1;
+/// Largest part of what is left that is kept for other arrivals of the priority; callers who come back
+/// get the rest.
+const BESIDE: f64 = 0.5;
 
 /// Times the forecast wait of a job after which it still has to meet its objective.
 ///
-/// Bursts of urgent jobs delay what waits by about as much as the forecast, which knows their mean.
-const MARGIN: u64 = 2;
+/// Urgent jobs come in bursts, and the forecast knows only their mean. One that would not meet its
+/// objective may still be of use.
+const MARGIN: u64 = 3;
 
 /// Why a job is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -61,35 +65,44 @@
     returns: &mut Returns,
     now: Time,
 ) -> Vec<Hopeless> {
-    let waiting: Vec<&Waiting> =
-        backlog.iter().filter(|waiting| waiting.service == service).collect();
+    let entries: Vec<&Entry> = backlog.of(service).collect();
     let mut found = Vec::new();
     let mut arrivals = Ahead { rates: arrivals, counted: 0 };
-    for level in waiting.chunk_by(|a, b| a.priority == b.priority) {
-        let priority = level[0].priority;
+    for level in entries.chunk_by(|a, b| a.waiting.priority == b.waiting.priority) {
+        let priority = level[0].waiting.priority;
         arrivals.expect(&mut forecast, |of| of < priority);
         let mut late = Vec::new();
-        for waiting in level {
-            let meets = |start: Span| now + start * MARGIN <= waiting.on_time;
-            if waiting.begun || forecast.last_start(waiting, mean_ms(waiting)).is_some_and(meets) {
-                forecast.place(waiting, mean_ms(waiting));
+        for Entry { waiting, behind, kept, .. } in level.iter().copied() {
+            let mean = mean_ms(waiting);
+            // The margin is for what is ahead; with its own tasks in it, small jobs would fill the queue up
+            // to their limit, which is always past that of large ones.
+            let meets = |start: Span, margin| now + start * margin <= waiting.on_time;
+            let mut in_time = || {
+                let first = forecast.first_start(waiting);
+                let last = forecast.last_start(waiting, mean);
+                first.is_some_and(|first| meets(first, MARGIN))
+                    && last.is_some_and(|last| meets(last, 1))
+            };
+            if waiting.begun || (!behind && in_time()) {
+                forecast.place(waiting, mean);
             } else {
-                late.push(*waiting);
+                late.push((waiting, *kept));
             }
         }
         if late.is_empty() {
             continue;
         }
-        // Jobs that can meet their objectives pass those that cannot.
+        // Jobs that can meet their objectives pass those that cannot, and those of zones that have had their
+        // share.
         let mut waiting_only = forecast.clone();
         arrivals.expect(&mut forecast, |of| of <= priority);
-        for (place, waiting) in late.into_iter().enumerate() {
+        for (place, (waiting, kept)) in late.into_iter().enumerate() {
             let mean = mean_ms(waiting);
             let start = forecast.last_start(waiting, mean);
             let unhindered = waiting_only.last_start(waiting, mean);
+            // One that was told to wait is not refused for arrivals that may not come.
+            let judged = if kept { unhindered } else { start };
             let is_useful = |start: Span| now + start <= waiting.useful;
-            // One that is late already is not refused for arrivals that may not come.
-            let judged = if now > waiting.on_time { unhindered } else { start };
             let slots = forecast.slots(waiting);
             // The first one of a size without a worker may be what a worker comes back for.
             let waits_for_worker = slots <= 0.0 && place == 0 && now <= waiting.useful;
@@ -107,18 +120,19 @@
             } else {
                 Cause::Behind
             };
-            let spare = 1.0 - forecast.load(waiting, arrivals.work(|of| of <= priority));
-            let work = forecast.length(waiting, mean) / spare.max(SPARE);
-            let room = now + judged.unwrap_or(Forecast::LENGTH);
+            let above = forecast.load(waiting, arrivals.work(|of| of < priority));
+            let beside = forecast.load(waiting, arrivals.work(|of| of == priority));
+            let spare = (1.0 - above).max(SPARE) * (1.0 - beside.min(BESIDE));
+            let work = forecast.length(waiting, mean) / spare;
+            let room = now + unhindered.unwrap_or(Forecast::LENGTH);
             let retry = returns.book(service, priority, room, whole(1_000.0 * work), now);
-            let share = forecast.load(waiting, arrivals.work(|of| of < priority));
             found.push(Hopeless {
                 job: waiting.job.clone(),
                 cause,
-                ahead: judged,
+                ahead: judged.or(unhindered),
                 retry,
                 slots: whole(slots),
-                share: whole(1_000.0 * share),
+                share: whole(1_000.0 * above),
             });
         }
     }
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,8 +4,9 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Arrivals, Backlog, Forecast, Listing, Need, Output, Returns, RunBias, RunKey, RunTimes, Site,
-    Sites, TaskKey, VecMap, Waiting, backlog::latest_starts, note::Note, output::Message, refusing,
+    Arrivals, Backlog, Forecast, Listing, Need, Output, Returns, RunBias, RunKey, RunTimes,
+    Sharing, Site, Sites, TaskKey, VecMap, Waiting, backlog::latest_starts, note::Note,
+    output::Message, refusing,
 };
 
 /// Largest number of jobs whose first failure is remembered.
@@ -19,6 +20,10 @@
 /// Part of the listed workers that has to be known for a forecast to count arrivals: nine of ten.
 const KNOWN: usize = 9;
 const KNOWN_OF: usize = 10;
+/// Time between two forecasts that bounds their cost; what is asked for meanwhile is judged with the next one.
+const JUDGE_EVERY: Span = Span::from_ms(5);
+/// Waiting steps that lengthen that time by a millisecond.
+const JUDGED_PER_MS: u64 = 200;
 /// Time from a grant to the start of the run.
 const START: Span = Span::from_ms(4);
 /// Age up to which a job that is asked for counts as one that arrives. Older ones waited at another scheduler.
@@ -36,11 +41,14 @@
     bias: RunBias,
     arrivals: Arrivals,
     returns: Returns,
+    sharing: Sharing,
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
     dirty: bool,
     // Whether tasks were asked for since it was last worked out what is hopeless.
     asked: bool,
+    // When that was last worked out.
+    judged: Time,
     // When owners were last expected to report all their workers; none while another instance schedules.
     since: Option<Time>,
     // Whether all listed workers have been reported since then.
@@ -249,11 +257,16 @@
         }
         self.dirty = false;
         self.backlog.age(now);
+        let above = self.sharing.above(now);
+        self.backlog.share(|waiting| above.contains(waiting));
         self.grant(now, out);
         // Until the next tick, ends only shorten the wait of what is not refused yet.
-        if !(tick || std::mem::take(&mut self.asked)) || self.backlog.is_empty() {
+        let cost = Span::from_ms(self.backlog.len() as u64 / JUDGED_PER_MS);
+        let asked = self.asked && now.since(self.judged) >= JUDGE_EVERY + cost;
+        if !(tick || asked) || self.backlog.is_empty() {
             return;
         }
+        (self.asked, self.judged) = (false, now);
         if self.complete || now.since(*self.since.get_or_insert(now)) >= REPORTS {
             self.refuse(now, out);
         }
@@ -306,6 +319,10 @@
                 continue;
             }
             waiting.begun = true;
+            let work = f64::from(waiting.need.cores.get())
+                * self.bias.mean_ms(&waiting.kind, waiting.expected)
+                * f64::from(u32::try_from(places.len()).unwrap_or(u32::MAX));
+            self.sharing.count(waiting, work, now);
             let (job, step) = (waiting.job.clone(), waiting.step);
             let slack = waiting.on_time.since(now);
             out.note(Note::Granted { job: job.clone(), tasks: places.len(), slack });
@@ -341,10 +358,11 @@
                 refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
             for hopeless in found {
                 let gone = |waiting: &Waiting| waiting.job == hopeless.job;
-                let Some(front) = self.backlog.iter().find(|w| gone(w)).map(|w| w.front.clone())
-                else {
+                let Some(waiting) = self.backlog.iter().find(|waiting| gone(waiting)) else {
                     continue;
                 };
+                self.sharing.refused(waiting, now);
+                let front = waiting.front.clone();
                 self.backlog.remove(gone);
                 let refusal = Refusal {
                     job: hopeless.job,
@@ -353,6 +371,7 @@
                 };
                 out.send(&front, Message::Refusal(refusal));
             }
+            self.backlog.keep(&service);
         }
     }
 
--- /dev/null
+++ b/crates/fleet/src/sharing.rs
@@ -0,0 +1,139 @@
+//! Sharing: which availability zones have had more than their share of a priority.
+//!
+//! The load it answers is a lasting overload in which the callers of one zone send more than those of
+//! the others: in order of arrival and objective, each zone would be served in proportion to what it
+//! sends. Work that was granted is counted by zone and forgotten over some seconds; a zone that is
+//! above the mean of the zones that ask gets what the others leave. Services share no workers.
+
+use cranberryhatch_types::{Span, Time};
+
+use crate::{VecMap, Waiting};
+
+/// Time constant with which granted work is forgotten, in milliseconds.
+const MEMORY_MS: f64 = 2_000.0;
+/// Part of the mean above which a zone has had its share.
+const TOLERANCE: f64 = 1.03;
+/// Part of the mean below which a zone does not count for the mean: it asks for next to nothing.
+const TRIFLE: f64 = 0.01;
+/// Time for which capacity counts as short after a job was refused.
+const SHORT: Span = Span::from_secs(2);
+/// Largest number of services, priorities and zones whose work is counted.
+const SHARES: usize = 1_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    service: String,
+    priority: u32,
+    zone: String,
+}
+
+impl From<&Waiting> for Key {
+    fn from(waiting: &Waiting) -> Self {
+        let Waiting { service, priority, zone, .. } = waiting;
+        Self { service: service.clone(), priority: *priority, zone: zone.clone() }
+    }
+}
+
+/// Work granted lately.
+#[derive(Debug, Default)]
+pub struct Sharing {
+    // Sorted; a zone that is not named has weight 1.
+    weights: VecMap<String, f64>,
+    granted: VecMap<Key, (f64, Time)>,
+    // When a job was last refused, by service and priority.
+    refused: VecMap<(String, u32), Time>,
+}
+
+impl Sharing {
+    /// Shares by these weights.
+    #[must_use]
+    pub fn new(weights: impl IntoIterator<Item = (String, f64)>) -> Self {
+        let mut sharing = Self::default();
+        for (zone, weight) in weights.into_iter().filter(|(_, weight)| *weight > 0.0) {
+            sharing.weights.insert(zone, weight);
+        }
+        sharing
+    }
+
+    /// Counts granted work, in thousandths of a core times milliseconds.
+    pub fn count(&mut self, waiting: &Waiting, work: f64, now: Time) {
+        let key = Key::from(waiting);
+        if self.granted.len() >= SHARES && !self.granted.contains(&key) {
+            self.granted.retain(|_, (work, at)| faded(*work, *at, now) >= 1.0);
+            if self.granted.len() >= SHARES {
+                return;
+            }
+        }
+        let entry = self.granted.entry(key, || (0.0, now));
+        *entry = (faded(entry.0, entry.1, now) + work, now);
+    }
+
+    /// Learns that capacity for these tasks is short: a job was refused.
+    pub fn refused(&mut self, waiting: &Waiting, now: Time) {
+        if self.refused.len() >= SHARES {
+            self.refused.retain(|_, at| now.since(*at) < SHORT);
+        }
+        self.refused.insert((waiting.service.clone(), waiting.priority), now);
+    }
+
+    /// Whether capacity for a service and priority is short.
+    fn is_short(&self, key: &Key, now: Time) -> bool {
+        let at = self.refused.get(&(key.service.clone(), key.priority));
+        at.is_some_and(|at| now.since(*at) < SHORT)
+    }
+
+    /// Work granted lately to a zone, by its weight.
+    fn served(&self, key: &Key, now: Time) -> f64 {
+        let weight = self.weights.get(&key.zone).copied().unwrap_or(1.0);
+        self.granted.get(key).map_or(0.0, |(work, at)| faded(*work, *at, now) / weight)
+    }
+
+    /// Zones that have had more than their share where capacity is short.
+    #[must_use]
+    pub fn above(&self, now: Time) -> Above {
+        if !self.refused.iter().any(|(_, at)| now.since(*at) < SHORT) {
+            return Above::default();
+        }
+        let all: Vec<(&Key, f64)> =
+            self.granted.iter().map(|(key, _)| (key, self.served(key, now))).collect();
+        let mut above = Vec::new();
+        let same = |(a, _): &(&Key, f64), (b, _): &(&Key, f64)| {
+            (&a.service, a.priority) == (&b.service, b.priority)
+        };
+        for zones in all.chunk_by(same).filter(|zones| self.is_short(zones[0].0, now)) {
+            let most = zones.iter().map(|(_, served)| *served).fold(0.0, f64::max);
+            let counted = zones.iter().filter(|(_, served)| *served > TRIFLE * most);
+            let (sum, number) = counted.fold((0.0, 0.0), |(sum, n), (_, of)| (sum + of, n + 1.0));
+            let limit = TOLERANCE * sum / f64::max(number, 1.0);
+            let over = zones.iter().filter(|(_, served)| *served > limit);
+            above.extend(over.map(|(key, _)| (*key).clone()));
+        }
+        Above { zones: above }
+    }
+}
+
+/// Zones that have had more than their share.
+#[derive(Debug, Default)]
+pub struct Above {
+    zones: Vec<Key>,
+}
+
+impl Above {
+    /// Whether the zone of an entry is one of them.
+    #[must_use]
+    pub fn contains(&self, waiting: &Waiting) -> bool {
+        let find = |key: &Key| {
+            (key.service.as_str(), key.priority, key.zone.as_str()).cmp(&(
+                &waiting.service,
+                waiting.priority,
+                &waiting.zone,
+            ))
+        };
+        self.zones.binary_search_by(find).is_ok()
+    }
+}
+
+fn faded(work: f64, at: Time, now: Time) -> f64 {
+    let passed = f64::from(u32::try_from(now.since(at).as_ms()).unwrap_or(u32::MAX));
+    work * (-passed / MEMORY_MS).exp()
+}
--- a/crates/fleet/tests/overload.rs
+++ b/crates/fleet/tests/overload.rs
@@ -122,3 +122,156 @@
     let served = ratio(sum(|tally| tally.in_time), sum(|tally| tally.planned));
     assert!(served >= 0.95, "served in time, of the plan: {served}");
 }
+
+/// One kind of job for the crowd: 4 tasks of about 100 ms.
+fn crowd(zones: Vec<(&'static str, f64)>, rates: Vec<(u64, f64)>) -> Vec<Kind> {
+    let (name, rack) = ("crowd", "");
+    let (priority, tasks, cores, mean, declared) = (1, 4, 16_000, 100.0, 100);
+    vec![Kind { name, priority, tasks, cores, mean, declared, rack, zones, rates }]
+}
+
+#[test]
+fn a_crowd_that_comes_back_when_told_is_served_in_order() {
+    // Guards against a second wave: callers who were refused together and come back together.
+    // The workers serve 190 jobs a second; some 400 come within 200 ms, and 60 a second after them.
+    for seed in SEEDS {
+        let zones = vec![("a", 1.0), ("b", 1.0)];
+        let rates = vec![(1_000, 3_000.0), (1_200, 60.0)];
+        let mut load = Load::new(seed, workers(), crowd(zones, rates), 6_000);
+        load.tries = 3;
+        load.run_until(15_000);
+        let wave: Vec<&Call> = load.of(0, 1_000, 1_200).collect();
+        let refused = wave.iter().filter(|call| !call.refusals.is_empty()).count();
+        assert!(refused * 2 > wave.len(), "seed {seed}: not a crowd, {refused} refused");
+        let again = wave.iter().filter(|call| call.refusals.len() > 1).count();
+        assert!(again * 5 <= refused, "seed {seed}: {again} of {refused} refused again");
+        let served = wave.iter().filter(|call| is_in_time(call)).count();
+        assert!(served * 10 >= wave.len() * 9, "seed {seed}: {served} of {}", wave.len());
+        // Those that were served when they came back did so in the order in which they were refused.
+        let mut back: Vec<(u64, u64)> = wave
+            .iter()
+            .filter(|call| call.refusals.len() == 1 && is_in_time(call))
+            .map(|call| (call.born + call.refusals[0].0, call.sent))
+            .collect();
+        back.sort_unstable();
+        let pairs: Vec<_> = back.windows(2).filter(|pair| pair[0].0 < pair[1].0).collect();
+        let ordered = pairs.iter().filter(|pair| pair[0].1 <= pair[1].1).count();
+        assert!(ordered * 10 >= pairs.len() * 9, "seed {seed}: {ordered} of {}", pairs.len());
+    }
+}
+
+#[test]
+fn a_zone_with_more_demand_takes_nothing_from_the_others() {
+    // Guards against zones that are served in proportion to what they send.
+    struct Case {
+        name: &'static str,
+        weight: f64,
+    }
+    let cases = [
+        Case { name: "equal demand", weight: 1.0 },
+        Case { name: "twice the demand of the others", weight: 2.0 },
+        Case { name: "four times the demand of the others", weight: 4.0 },
+    ];
+    for Case { name, weight } in cases {
+        for seed in SEEDS {
+            let zones = vec![("a", weight), ("b", 1.0), ("c", 1.0)];
+            // 1.3 times what the workers can run.
+            let rates = vec![(1_000, 250.0)];
+            let mut load = Load::new(seed, workers(), crowd(zones, rates), 11_000);
+            load.run_until(15_000);
+            let served = ZONES.map(|zone| {
+                let own = |call: &&Call| call.zone == zone;
+                let all: Vec<&Call> = load.of(0, 2_000, 11_000).filter(own).collect();
+                (all.len(), all.iter().filter(|call| is_in_time(call)).count())
+            });
+            // Shares of equal weights: a zone that sends less than its share gets all of it.
+            let sum: usize = served.iter().map(|(_, served)| served).sum();
+            for (zone, (sent, served)) in ZONES.into_iter().zip(served) {
+                let fair = sent.min(sum / 3);
+                let got = ratio(served, fair);
+                assert!(got >= 0.8, "{name}, seed {seed}, zone {zone}: {got} of its share");
+            }
+        }
+    }
+}
+
+#[test]
+fn large_jobs_of_a_kind_are_refused_hardly_more_often_than_small_ones() {
+    // Guards against jobs that are starved because all of their tasks need room at once.
+    let mut refused = [(0, 0); 2];
+    for seed in SEEDS {
+        let zones = vec![("a", 1.0)];
+        let mut kinds = crowd(zones.clone(), vec![(1_000, 300.0)]);
+        kinds.extend(crowd(zones, vec![(1_000, 75.0)]));
+        (kinds[0].tasks, kinds[1].tasks) = (2, 8);
+        let mut load = Load::new(seed, workers(), kinds, 8_000);
+        load.run_until(12_000);
+        for (kind, (refused, all)) in refused.iter_mut().enumerate() {
+            *refused +=
+                load.of(kind, 2_000, 8_000).filter(|call| !call.refusals.is_empty()).count();
+            *all += load.of(kind, 2_000, 8_000).count();
+        }
+    }
+    let [small, large] = refused.map(|(refused, all)| ratio(refused, all));
+    println!("refused of 2 tasks: {small}, of 8 tasks: {large}");
+    assert!(large <= 1.5 * small, "refused of 2 tasks: {small}, of 8 tasks: {large}");
+}
+
+#[test]
+fn a_burst_that_ends_is_forgotten() {
+    // Guards against refusals for arrivals that no longer come.
+    struct Case {
+        name: &'static str,
+        factor: f64,
+        length: u64,
+        /// Time after the burst from which on nothing is refused.
+        quiet: u64,
+        /// Kinds for which this holds.
+        kinds: usize,
+    }
+    let cases = [
+        Case { name: "short", factor: 3.0, length: 300, quiet: 100, kinds: 3 },
+        Case { name: "long, urgent kinds", factor: 4.0, length: 500, quiet: 100, kinds: 2 },
+        Case { name: "long, all kinds", factor: 4.0, length: 500, quiet: 400, kinds: 3 },
+    ];
+    for Case { name, factor, length, quiet, kinds: count } in cases {
+        for seed in SEEDS {
+            let mut kinds = kinds(1.0);
+            let end = 2_000 + length;
+            for kind in &mut kinds {
+                let rate = kind.rates[0].1;
+                kind.rates = vec![(1_000, rate), (2_000, factor * rate), (end, rate)];
+            }
+            let mut load = Load::new(seed, workers(), kinds, 6_000);
+            load.run_until(12_000);
+            for call in load.calls.iter().filter(|call| call.kind < count) {
+                let at = call.refusals.first().map(|(age, _)| call.born + age);
+                let name = format!("{name}, seed {seed}, {}", load.kinds[call.kind].name);
+                assert!(at.is_none_or(|at| at < end + quiet), "{name}: refused at {at:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_scheduler_that_is_replaced_in_an_overload_goes_on_refusing_at_once() {
+    // Guards against a new scheduler that refuses what it does not know yet, or holds callers.
+    let (mut quick, mut all) = (0, 0);
+    for seed in SEEDS {
+        let mut load = Load::new(seed, workers(), kinds(2.2), 13_000);
+        load.replace_at(7_000);
+        load.run_until(25_000);
+        let urgent = load.share(0, 7_000, 8_000, Outcome::InTime);
+        assert!(urgent >= 0.95, "seed {seed}: {urgent} of the urgent jobs in time");
+        for call in load.calls.iter().filter(|call| (8_000..OVERLOAD.1).contains(&call.born)) {
+            all += call.refusals.len();
+            quick += call.refusals.iter().filter(|(age, _)| *age <= QUICK).count();
+        }
+    }
+    // The new one has learnt the rates by then.
+    assert!(ratio(quick, all) >= 0.9, "{quick} of {all} within 50 ms");
+}
+
+fn is_in_time(call: &Call) -> bool {
+    matches!(call.end, Some((_, Outcome::InTime)))
+}
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -5,8 +5,8 @@
 
 use common::{listed, need, site, waiting};
 use cranberryhatch_fleet::{
-    Backlog, Command, Forecast, Hopeless, Listing, Message, Output, Rate, Returns, Scheduler, Site,
-    TaskKey, Waiting, hopeless,
+    Backlog, Command, Forecast, Hopeless, Listed, Listing, Message, Output, Rate, Returns,
+    Scheduler, Site, TaskKey, Waiting, hopeless,
 };
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
 use cranberryhatch_types::{Span, Time};
@@ -260,3 +260,75 @@
 fn a_new_scheduler_that_knows_all_workers_does_not_wait_to_refuse() {
     plays_a_restart_under_overload(false);
 }
+
+#[test]
+fn nothing_is_refused_while_a_worker_that_may_run_it_has_room() {
+    // Guards against refusals by forecasts that are wrong while capacity is free.
+    for seed in 1..=200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let front = "e-1".parse().expect("a name");
+        let workers = (0..rng.usize(1..12)).map(|number| {
+            let zone = ["a", "b"][number % 2];
+            let mut worker = listed(&format!("w-{number}"), zone, 16_000 * rng.u32(1..4));
+            worker.draining = rng.u8(0..6) == 0;
+            worker
+        });
+        let workers: Vec<_> = workers.collect();
+        let mut free: Vec<u32> = workers.iter().map(|worker| worker.room.cores.get()).collect();
+        let mut listing = Listing::default();
+        listing.replace(workers.clone(), Time::ZERO);
+        let mut scheduler = Scheduler::default();
+        let room = |id: String| Room { worker: id, token: 1, open: true, ..Room::default() };
+        let rooms = workers.iter().map(|worker| room(worker.id.to_string())).collect();
+        scheduler.rooms(&front, Rooms { rooms, kinds: Vec::new() }, &listing, Time::ZERO);
+        let mut asked = Vec::new();
+        let mut now = 0;
+        for step in 0..60 {
+            now += rng.u64(0..40);
+            for job in 0..rng.u32(0..5) {
+                let cores = 1_000 * rng.u32(1..40);
+                let label = ["", "", "rack-a", "rack-b"][rng.usize(0..4)];
+                let ask = Ask {
+                    job: format!("{step}-{job}"),
+                    tasks: (0..rng.u32(1..6)).collect(),
+                    priority: rng.u32(0..3),
+                    service: "svc".into(),
+                    need: Some((&need(cores)).into()),
+                    declared_ms: rng.u32(1..1_000),
+                    left_ms: rng.u32(1..3_000),
+                    label: label.into(),
+                    stretch: 1_600,
+                    slack_ms: 60,
+                    ..Ask::default()
+                };
+                asked.push((ask.job.clone(), cores, label));
+                scheduler.ask(&front, ask, Time::from_ms(now));
+            }
+            let mut out = Output::default();
+            scheduler.run(Time::from_ms(now), rng.bool(), &mut out);
+            let cores_of = |job: &str| asked.iter().find(|(name, ..)| name == job).expect("asked");
+            for command in &out.commands {
+                let Command::Send { message, .. } = command else { continue };
+                if let Message::Grant(grant) = message {
+                    for place in &grant.places {
+                        let same = |id: &&Listed| id.id.as_str() == place.worker;
+                        let worker = workers.iter().position(|id| same(&id)).expect("a worker");
+                        free[worker] -= cores_of(&grant.job).1;
+                    }
+                }
+            }
+            for command in &out.commands {
+                let Command::Send { message: Message::Refusal(refusal), .. } = command else {
+                    continue;
+                };
+                let (_, cores, label) = cores_of(&refusal.job);
+                let has_room = |(worker, free): (&Listed, &u32)| {
+                    !worker.draining && worker.has_label(label) && free >= cores
+                };
+                let idle =
+                    workers.iter().zip(&free).find(|(worker, free)| has_room((worker, free)));
+                assert!(idle.is_none(), "seed {seed}, {now} ms: {refusal:?} with {idle:?}");
+            }
+        }
+    }
+}
