--- a/crates/fleet/tests/load/mod.rs
+++ b/crates/fleet/tests/load/mod.rs
@@ -336,9 +336,6 @@
         let took = scaled(base, factor);
         self.runs.insert((place.worker.clone(), number, place.task), (self.now, took));
         let run = u64::from(place.run_ms);
-        let took = scaled(base, factor);
-        self.runs.insert((place.worker.clone(), number, place.task), (self.now, took));
-        let run = u64::from(place.run_ms);
         self.starts.push((self.now, place.worker.clone(), number));
         self.at(self.now + took, Event::End(number, place.task, place.worker.clone(), run));
     }
