--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,8 +4,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Arrivals, Backlog, Forecast, Listing, Need, Output, Returns, RunBias, RunKey, RunTimes,
-    Sharing, Site, Sites, TaskKey, VecMap, Verdict, Waiting, backlog::latest_starts,
+    Above, Arrivals, Backlog, Forecast, Hopeless, Listing, Need, Output, Returns, RunBias, RunKey,
+    RunTimes, Sharing, Site, Sites, TaskKey, VecMap, Verdict, Waiting, backlog::latest_starts,
     learnt::Record, note::Note, output::Message, placing::Choice, probes::Probes, refusing,
     site::Run, waits::Waits,
 };
@@ -25,6 +25,9 @@
 const JUDGE_EVERY: Span = Span::from_ms(5);
 /// Waiting steps that lengthen that time by a millisecond.
 const JUDGED_PER_MS: u64 = 200;
+/// Steps that are considered for a probe in each tick: each look goes through all slow workers, and an overload has
+/// hundreds of steps that wait.
+const PROBE_TRIES: u32 = 8;
 /// Time from a grant to the start of the run.
 const START: Span = Span::from_ms(4);
 /// Age up to which a job that is asked for counts as one that arrives. Older ones waited at another scheduler.
@@ -49,9 +52,14 @@
     // Probes of each service that has slow workers.
     probes: VecMap<String, Probes>,
     sharing: Sharing,
+    // Zones that have had more than their share, as of the last tick.
+    above: Above,
     // Worker on which a job first failed, to tell a bad worker from a bad job.
     suspects: VecMap<String, WorkerId>,
     dirty: bool,
+    // Whether room may have become free since steps were last found to wait for it, and these steps.
+    freed: bool,
+    waits: Waits,
     // Whether tasks were asked for since it was last worked out what is hopeless.
     asked: bool,
     // When that was last worked out.
@@ -67,6 +75,11 @@
 }
 
 impl Scheduler {
+    /// Shares capacity that is short between availability zones by these weights; 1 for others.
+    pub fn weigh(&mut self, weights: impl IntoIterator<Item = (String, f64)>) {
+        self.sharing = Sharing::new(weights);
+    }
+
     /// Takes tasks that wait; tasks that were asked for before are not counted twice.
     pub fn ask(&mut self, front: &InstanceId, ask: Ask, now: Time) {
         let tasks = self.unknown_tasks(front, &ask);
@@ -101,6 +114,7 @@
             spread: ask.spread,
             avoid: ask.avoid,
             begun: ask.begun,
+            forecast: None,
         };
         if !waiting.begun && ask.age_ms <= to_u32(ARRIVING.as_ms()) {
             self.count_arrival(&waiting, now);
@@ -170,7 +184,7 @@
                 site.learn(How::NoRoom, Span::ZERO, Span::ZERO, false, now);
             }
         });
-        self.dirty |= known.is_some();
+        (self.dirty, self.freed) = (self.dirty || known.is_some(), true);
     }
 
     /// Takes an owner's report of its workers.
@@ -214,7 +228,7 @@
                     site.restore_report(standing, now);
                 }
             });
-            self.dirty = true;
+            (self.dirty, self.freed) = (true, true);
         }
         self.listed = listing.all().len();
         if !rooms.kinds.is_empty() && !self.counted.contains(owner) {
@@ -276,7 +290,7 @@
             (site.listed.service.clone(), site.is_paused(now), recovered, is_slow)
         });
         let Some((service, is_paused, recovered, is_slow)) = known else { return };
-        self.dirty = true;
+        (self.dirty, self.freed) = (true, true);
         if is_paused {
             self.sites.limit_pauses(&service, now);
         }
@@ -334,10 +348,15 @@
             return;
         }
         self.dirty = false;
+        if std::mem::take(&mut self.freed) || tick {
+            self.waits.clear();
+        }
         self.backlog.age(now);
-        let above = self.sharing.above(now);
-        self.backlog.share(|waiting| above.contains(waiting));
-        self.grant(now, out);
+        if tick {
+            self.above = self.sharing.above(now);
+        }
+        self.backlog.share(|waiting| self.above.contains(waiting));
+        self.grant(now, tick, out);
         // Until the next tick, ends only shorten the wait of what is not refused yet.
         let cost = Span::from_ms(self.backlog.len() as u64 / JUDGED_PER_MS);
         let asked = self.asked && now.since(self.judged) >= JUDGE_EVERY + cost;
@@ -384,11 +403,12 @@
         self.probes.retain(|service, _| slow.iter().any(|site| site.listed.service == *service));
     }
 
-    fn grant(&mut self, now: Time, out: &mut Output) {
+    fn grant(&mut self, now: Time, tick: bool, out: &mut Output) {
         let mut largest = self.sites.largest(now);
-        let mut waits = Waits::default();
+        let mut waits = std::mem::take(&mut self.waits);
+        let mut tries = if tick { PROBE_TRIES } else { 0 };
         for waiting in self.backlog.iter_mut() {
-            if waiting.need.cores > largest || waits.holds(waiting, now) {
+            if waiting.need.cores > largest || waits.is_full(waiting) || waits.holds(waiting, now) {
                 continue;
             }
             let mut places = Vec::new();
@@ -400,7 +420,8 @@
                     left.push(task);
                     continue;
                 }
-                let probe = if places.is_empty() {
+                let probe = if places.is_empty() && tries > 0 {
+                    tries -= 1;
                     probe(&self.sites, &mut self.probes, waiting, now, out)
                 } else {
                     None
@@ -414,6 +435,7 @@
                             continue;
                         }
                         Verdict::Full => {
+                            waits.add_full(waiting);
                             left.push(task);
                             continue;
                         }
@@ -450,10 +472,20 @@
             self.sharing.count(waiting, work, now);
             let (job, step) = (waiting.job.clone(), waiting.step);
             let slack = waiting.on_time.since(now);
-            out.note(Note::Granted { job: job.clone(), tasks: places.len(), slack });
+            let all = waiting.forecast.filter(|_| waiting.tasks.is_empty());
+            let forecast = all.map(|(at, expected)| (expected, now.since(at)));
+            let kind = waiting.kind.clone();
+            out.note(Note::Granted {
+                job: job.clone(),
+                tasks: places.len(),
+                slack,
+                kind,
+                forecast,
+            });
             out.send(&waiting.front, Message::Grant(Grant { job, step, places }));
             largest = self.sites.largest(now);
         }
+        self.waits = waits;
         self.backlog.compact();
     }
 
@@ -478,7 +510,7 @@
                 arrivals.clear();
             }
             let mean = |waiting: &Waiting| self.bias.mean_ms(&waiting.kind, waiting.expected);
-            let (backlog, returns) = (&self.backlog, &mut self.returns);
+            let (backlog, returns) = (&mut self.backlog, &mut self.returns);
             let found =
                 refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
             for hopeless in found {
@@ -487,16 +519,17 @@
                     continue;
                 };
                 self.sharing.refused(waiting, now);
-                let front = waiting.front.clone();
+                let (front, kind) = (waiting.front.clone(), waiting.kind.clone());
                 self.backlog.remove(gone);
+                let Hopeless { job, cause, start, retry, slots, work, share } = hopeless;
                 let refusal = Refusal {
-                    job: hopeless.job,
-                    retry_ms: to_u32(hopeless.retry.as_ms()),
-                    ahead_ms: to_u32(hopeless.ahead.unwrap_or(Forecast::LENGTH).as_ms()),
+                    job: job.clone(),
+                    retry_ms: to_u32(retry.as_ms()),
+                    ahead_ms: to_u32(start.unwrap_or(Forecast::LENGTH).as_ms()),
                 };
                 out.send(&front, Message::Refusal(refusal));
+                out.note(Note::Refused { job, kind, cause, start, slots, work, share, retry });
             }
-            self.backlog.keep(&service);
         }
     }
 
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -1,7 +1,7 @@
 //! A worker as the scheduler sees it: its room, and how it behaves.
 
 use cranberryhatch_schema::fleet::How;
-use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+use cranberryhatch_types::{Cores, InstanceId, Span, Time, WorkerId};
 
 use crate::{
     Listed, Need, TaskKey,
@@ -142,6 +142,14 @@
         &self.free
     }
 
+    /// Cores that a task may get now, pauses and silences aside: a worker that gets one task at a time and has
+    /// it offers none.
+    #[must_use]
+    pub const fn offered(&self) -> Cores {
+        let taken = self.is_suspect() && !self.places.is_empty();
+        if taken || !self.is_usable() { Cores::new(0) } else { self.free.cores }
+    }
+
     /// Speed in steps, for placing.
     #[must_use]
     pub const fn pace(&self) -> Pace {
--- a/crates/fleet/src/sites.rs
+++ b/crates/fleet/src/sites.rs
@@ -40,8 +40,8 @@
 #[derive(Debug, Default)]
 pub struct Sites {
     sites: VecMap<WorkerId, Site>,
-    // Sorted workers of each pace.
-    by_room: VecMap<Pace, Vec<(Cores, WorkerId)>>,
+    // Sorted places in `sites` of the workers of each pace, by the cores that they offer.
+    by_room: VecMap<Pace, Vec<(Cores, usize)>>,
     slow: Vec<WorkerId>,
     // Names of racks, which do not make a class; sorted.
     racks: Vec<String>,
@@ -66,25 +66,21 @@
     /// Adds a worker, or replaces what is known of it.
     pub fn insert(&mut self, mut site: Site) {
         site.classify(&self.racks);
-        let id = site.id().clone();
-        if let Some((pace, cores)) = self.sites.get(&id).map(key) {
-            self.remove_room(&id, pace, cores);
-        }
-        self.note_room(&id, site.pace(), site.free().cores);
-        self.note_slow(&id, site.is_slow());
-        self.sites.insert(id, site);
+        self.sites.insert(site.id().clone(), site);
         self.stale = true;
+        self.index();
     }
 
     /// Changes a worker; none if it is not known.
     pub fn change<T>(&mut self, id: &WorkerId, change: impl FnOnce(&mut Site) -> T) -> Option<T> {
-        let site = self.sites.get_mut(id)?;
+        let place = self.sites.place(id)?;
+        let site = self.sites.at_mut(place)?;
         let (before, was_slow) = (key(site), site.is_slow());
         let result = change(site);
         let (after, is_slow) = (key(site), site.is_slow());
         if before != after {
-            self.remove_room(id, before.0, before.1);
-            self.note_room(id, after.0, after.1);
+            self.remove_room(place, before);
+            self.note_room(place, after);
         }
         if was_slow != is_slow {
             self.note_slow(id, is_slow);
@@ -193,9 +189,9 @@
     /// Largest room of a worker that takes tasks.
     #[must_use]
     pub fn largest(&self, now: Time) -> Cores {
-        let takes = |id: &WorkerId| self.get(id).is_some_and(|site| site.takes_tasks(now));
+        let takes = |place: usize| self.sites.at(place).is_some_and(|site| site.takes_tasks(now));
         let largest = self.by_room.iter().filter_map(|(_, sites)| {
-            sites.iter().rev().find(|(_, id)| takes(id)).map(|(cores, _)| *cores)
+            sites.iter().rev().find(|(_, place)| takes(*place)).map(|(cores, _)| *cores)
         });
         largest.max().unwrap_or_default()
     }
@@ -206,7 +202,7 @@
         let paces = self.by_room.iter().filter_map(|(pace, sites)| {
             let first = sites.partition_point(|(cores, _)| *cores < waiting.need.cores);
             let fitting = &sites[first..];
-            let sites = fitting.iter().filter_map(|(_, id)| self.get(id));
+            let sites = fitting.iter().filter_map(|(_, place)| self.sites.at(*place));
             (!fitting.is_empty()).then_some((*pace, sites))
         });
         placing::choose(paces, waiting, &self.rack, now)
@@ -240,9 +236,9 @@
     fn index(&mut self) {
         self.by_room = VecMap::default();
         self.slow.clear();
-        for (id, site) in self.sites.iter() {
+        for ((id, site), place) in self.sites.iter().zip(0..) {
             let (pace, cores) = key(site);
-            self.by_room.entry(pace, Vec::new).push((cores, id.clone()));
+            self.by_room.entry(pace, Vec::new).push((cores, place));
             if site.is_slow() {
                 self.slow.push(id.clone());
             }
@@ -260,26 +256,24 @@
         }
     }
 
-    fn remove_room(&mut self, id: &WorkerId, pace: Pace, cores: Cores) {
+    fn remove_room(&mut self, place: usize, (pace, cores): (Pace, Cores)) {
         let Some(sites) = self.by_room.get_mut(&pace) else { return };
-        if let Ok(place) = sites.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)))
-        {
-            sites.remove(place);
+        if let Ok(found) = sites.binary_search(&(cores, place)) {
+            sites.remove(found);
         }
     }
 
-    fn note_room(&mut self, id: &WorkerId, pace: Pace, cores: Cores) {
+    fn note_room(&mut self, place: usize, (pace, cores): (Pace, Cores)) {
         let sites = self.by_room.entry(pace, Vec::new);
-        if let Err(place) = sites.binary_search_by(|(room, known)| (room, known).cmp(&(&cores, id)))
-        {
-            sites.insert(place, (cores, id.clone()));
+        if let Err(found) = sites.binary_search(&(cores, place)) {
+            sites.insert(found, (cores, place));
         }
     }
 }
 
-/// Place of a worker in the index.
+/// Pace and room by which a worker is found.
 fn key(site: &Site) -> (Pace, Cores) {
-    (site.pace(), site.free().cores)
+    (site.pace(), site.offered())
 }
 
 impl FromIterator<Site> for Sites {
--- a/crates/fleet/src/vec_map.rs
+++ b/crates/fleet/src/vec_map.rs
@@ -40,6 +40,23 @@
         }
     }
 
+    /// Place of a key among the sorted ones.
+    #[must_use]
+    pub fn place(&self, key: &K) -> Option<usize> {
+        self.find(key).ok()
+    }
+
+    /// Value of the key at a place.
+    #[must_use]
+    pub fn at(&self, place: usize) -> Option<&V> {
+        self.entries.get(place).map(|(_, value)| value)
+    }
+
+    /// Value of the key at a place, to change it.
+    pub fn at_mut(&mut self, place: usize) -> Option<&mut V> {
+        self.entries.get_mut(place).map(|(_, value)| value)
+    }
+
     /// Value of a key.
     #[must_use]
     pub fn get<Q: Ord + ?Sized>(&self, key: &Q) -> Option<&V>
--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -1,4 +1,6 @@
-//! Steps that wait for better workers in one pass of the scheduler.
+//! Steps that wait for room or for better workers until room becomes free.
+//!
+//! The load it answers is an overload: hundreds of steps wait, and each end of a run gives room to one of them.
 
 use cranberryhatch_types::Time;
 
@@ -15,16 +17,38 @@
     factor: f64,
 }
 
-/// What was found in this pass, so that not every step behind looks at all workers again: within a pass
-/// room only gets less.
+impl Wait {
+    fn is_like(&self, waiting: &Waiting) -> bool {
+        self.need == waiting.need
+            && self.service == waiting.service
+            && self.label == waiting.label
+            && self.rack == waiting.rack
+    }
+}
+
+/// What was found since room last became free, so that not every step behind looks at all workers again:
+/// until then room only gets less.
 #[derive(Debug, Default)]
 pub struct Waits {
     found: Vec<Wait>,
+    full: Vec<Full>,
+}
+
+/// Tasks for which no worker has room.
+#[derive(Debug)]
+struct Full {
+    service: String,
+    label: String,
+    need: Need,
 }
 
 impl Waits {
     /// Remembers that a step waits.
     pub fn add(&mut self, waiting: &Waiting, factor: f64) {
+        if let Some(known) = self.found.iter_mut().find(|wait| wait.is_like(waiting)) {
+            known.factor = known.factor.max(factor);
+            return;
+        }
         self.found.push(Wait {
             service: waiting.service.clone(),
             label: waiting.label.clone(),
@@ -34,6 +58,30 @@
         });
     }
 
+    /// Remembers that no worker has room for the tasks of a step, unless their spread is the reason.
+    pub fn add_full(&mut self, waiting: &Waiting) {
+        if waiting.spread == 0 {
+            let (service, label) = (waiting.service.clone(), waiting.label.clone());
+            self.full.push(Full { service, label, need: waiting.need });
+        }
+    }
+
+    /// Whether no worker has room for tasks that are as small and ask for no more.
+    #[must_use]
+    pub fn is_full(&self, waiting: &Waiting) -> bool {
+        self.full.iter().any(|full| {
+            full.need.fits(&waiting.need)
+                && full.service == waiting.service
+                && (full.label.is_empty() || full.label == waiting.label)
+        })
+    }
+
+    /// Forgets all: workers may have room again.
+    pub fn clear(&mut self) {
+        self.found.clear();
+        self.full.clear();
+    }
+
     /// Whether a step waits as an earlier one does: it needs as much, and would miss its objective where
     /// there is room while it can still meet it elsewhere.
     #[must_use]
