--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -218,6 +218,7 @@
                 Meters::count(&self.meters.runs, &how.as_str_name());
                 Meters::observe(&self.meters.run_time, *took);
             }
+            Note::Stalled { cause, .. } => Meters::count(&self.meters.restarts, cause),
             Note::Unanswered { order, .. } => Meters::count(&self.meters.unanswered, order),
             Note::Resolved { order, outcome, took, .. } => {
                 Meters::count(&self.meters.resolved, outcome);
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -183,10 +183,10 @@
                 "{name}"
             );
         }
-        Note::Stalled { run, worker, took, expected, percent } => {
+        Note::Stalled { run, worker, took, expected, percent, cause } => {
             log::warn!(
                 run = run_text(run), worker = worker.as_str(), took_ms = took.as_ms(),
-                expected_ms = expected.as_ms(), percent;
+                expected_ms = expected.as_ms(), percent, cause = cause.to_string();
                 "{name}"
             );
         }
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -92,6 +92,8 @@
     pub resolved: Family<Cause, Counter>,
     /// Time from an order without answer until it was known what became of it, by kind of order.
     pub unanswered_time: Times,
+    /// Runs that were stopped to be started again elsewhere, by cause.
+    pub restarts: Family<Cause, Counter>,
 }
 
 impl Default for Meters {
@@ -125,6 +127,7 @@
             unanswered: Family::default(),
             resolved: Family::default(),
             unanswered_time: Family::new_with_constructor(times),
+            restarts: Family::default(),
         };
         meters.register();
         meters
@@ -166,6 +169,7 @@
         r.register("peers", "Peers in reach", self.peers.clone());
         r.register("settings_version", "Settings in force", self.version.clone());
         r.register("worker_list_age_ms", "Age of the list of workers", self.list_age_ms.clone());
+        r.register("restarts", "Runs started again elsewhere", self.restarts.clone());
         r.register("unanswered_orders", "Orders without answer", self.unanswered.clone());
         r.register("resolved_orders", "Orders that were resolved", self.resolved.clone());
         r.register(
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -16,6 +16,16 @@
 /// has at least 2.5 times left, and one that stands still has no end.
 const LEFT_LIMIT: u64 = 2_500;
 
+/// Share of the expected run time after which the progress of a run is compared with its objective, in
+/// thousandths.
+const COMPARED_AFTER: u64 = 300;
+/// Times the expected run time that a run takes in all, by its progress, if its worker is slow, in
+/// thousandths; run times spread by a factor of 1.5 either way.
+const SLOW_TOTAL: u64 = 2_500;
+/// Time from a stop to the start elsewhere: the stop takes 50 ms at most, messages the rest.
+const RESTART: Span = Span::from_ms(80);
+/// Times the expected run time that the start elsewhere may take, in thousandths.
+const ELSEWHERE: u64 = 1_150;
 /// Divisor of the time for which a run is overdue that gives the time that it is expected to have left.
 const OVERDUE_SHARE: u64 = 4;
 
@@ -52,6 +62,8 @@
     pub kind: String,
     /// Expected run time.
     pub expected: Span,
+    /// When it has to end for the objective of its job; none if it cannot, or that is not known.
+    pub due: Option<Time>,
     /// Earlier runs of the task that were stopped for lack of progress.
     pub stalls: u32,
     /// When the start was sent.
@@ -87,6 +99,7 @@
             need: Need::from(start.need.as_ref()?),
             kind: start.kind.clone(),
             expected: Span::from_ms(start.run_ms.into()),
+            due: (start.due_ms > 0).then(|| now + Span::from_ms(start.due_ms.into())),
             stalls: start.stalls,
             sent: now,
             // The front cannot have read what this owner has not sent yet.
@@ -152,6 +165,26 @@
         matches!(self.stage, Stage::Starting | Stage::Doubtful { accepted: None, .. })
     }
 
+    /// Whether its worker is slow and its job gains from a start elsewhere: by its progress the run ends
+    /// too late for the objective, and one elsewhere is expected to end in time.
+    ///
+    /// A task that was stopped before for this reason may simply be long, so it gets more time.
+    #[must_use]
+    pub fn gains_elsewhere(&self, now: Time) -> bool {
+        let (Stage::AtWork { since }, Some(due)) = (self.stage, self.due) else { return false };
+        let ran = now.since(since).as_ms();
+        let expected = self.expected.as_ms().max(1);
+        let patience = 1 + 2 * u64::from(self.stalls);
+        if ran < expected * patience * COMPARED_AFTER / 1_000 + STALL_SLACK.as_ms() {
+            return false;
+        }
+        let total = ran * 100 / u64::from(self.percent.clamp(1, 100));
+        let is_slow = total >= expected * patience * SLOW_TOTAL / 1_000;
+        let here = since + Span::from_ms(total);
+        let elsewhere = now + RESTART + Span::from_ms(expected * ELSEWHERE / 1_000);
+        is_slow && here > due && elsewhere <= due
+    }
+
     /// Whether starting again elsewhere is faster than waiting for the end.
     ///
     /// A task that was stopped before for this reason may simply be long, so it gets more time.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,6 +48,7 @@
 mod probes;
 mod racks;
 mod refusing;
+mod restart_budget;
 mod returns;
 mod roster;
 mod run_key;
@@ -79,7 +80,7 @@
 pub use members::{Counted, Member, Members, Owners, text_hash};
 pub use need::Need;
 pub use node::{BEAT_EVERY, Node, PEER_TIMEOUT};
-pub use note::{DropCause, Note, OrderKind, Resolution, StartRefusal};
+pub use note::{DropCause, Note, OrderKind, Resolution, RestartCause, StartRefusal};
 pub use outcome::{Outcome, Refusal};
 pub use output::{
     Command, End, Lease, LookAnswer, Looked, Message, Output, RunEnd, Running, Seen, StartAnswer,
@@ -88,6 +89,7 @@
 pub use placing::{Choice, Worth};
 pub use probes::Probes;
 pub use refusing::{Cause, Hopeless, hopeless};
+pub use restart_budget::RestartBudget;
 pub use returns::Returns;
 pub use roster::{Known, Roster, Standing};
 pub use run_key::{RunKey, TaskKey};
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -140,7 +140,7 @@
         /// Time that it ran.
         took: Span,
     },
-    /// A run was stopped because it made too little progress.
+    /// A run was stopped because it made too little progress, to be started again elsewhere.
     Stalled {
         /// The run.
         run: RunKey,
@@ -152,6 +152,8 @@
         expected: Span,
         /// Progress in percent.
         percent: u32,
+        /// Why.
+        cause: RestartCause,
     },
     /// This owner refused a start before the worker was asked.
     StartRefused {
@@ -272,6 +274,16 @@
     },
 }
 
+/// Why a run was stopped to be started again elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RestartCause {
+    /// It runs for much longer than expected and has much left.
+    Stalled,
+    /// It would miss the objective of its job here, and meet it elsewhere.
+    Late,
+}
+
 /// An order to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -12,7 +12,8 @@
 use relink::Unsure;
 
 use crate::{
-    AnswerTimes, Command, Held, Learnt, Listed, Listing, Output, RunEnd, RunKey, VecMap, Worker,
+    AnswerTimes, Command, Held, Learnt, Listed, Listing, Output, RestartBudget, RunEnd, RunKey,
+    VecMap, Worker,
     held::Stage,
     members::{Owners, text_hash},
     note::{Note, OrderKind, Resolution},
@@ -82,6 +83,7 @@
     // Whether the zone drains are known, without which nothing is started.
     starts_allowed: bool,
     answers: AnswerTimes,
+    restarts: RestartBudget,
     // When the last tick was, and when a gap between two ticks last ended.
     ticked: Option<Time>,
     stood: Time,
@@ -107,6 +109,7 @@
             unsure: Unsure::default(),
             starts_allowed: true,
             answers: AnswerTimes::default(),
+            restarts: RestartBudget::default(),
             ticked: None,
             stood: Time::ZERO,
             learnt: Learnt::default(),
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -7,10 +7,14 @@
 use crate::{
     AnswerTimes, Asked, Command, Held, LookAnswer, Looked, Members, Output, RunKey, Seen, Worker,
     held::Stage,
-    note::{DropCause, Note, OrderKind, Resolution},
+    note::{DropCause, Note, OrderKind, Resolution, RestartCause},
     worker::Charge,
 };
 
+/// How much older than an earlier answer an answer may be; the clock of a worker that restarted falls
+/// further.
+const OUT_OF_ORDER: Span = Span::from_ms(1_000);
+
 impl Owner {
     /// Takes what a worker says to a look.
     pub fn looked(&mut self, looked: Looked, members: &Members, now: Time, out: &mut Output) {
@@ -25,7 +29,6 @@
         if answer != LookAnswer::Lost {
             let took = (asked.wait == Span::ZERO && !stood).then(|| now.since(at));
             self.answers.answered(took);
-            worker.count_order(true, now);
         }
         if matches!(worker.charge, Charge::Probing { .. }) {
             return self.probed(id, asked, &answer, now, out);
@@ -76,7 +79,8 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         // The worker answered another look later, and that answer was read before: it had the ends of
         // this one, and what runs may have ended since.
-        if seen.clock < worker.seen_clock {
+        let older = worker.seen_clock.saturating_sub(seen.clock);
+        if (1..=OUT_OF_ORDER.as_ms()).contains(&older) {
             return;
         }
         worker.seen_clock = seen.clock;
@@ -128,7 +132,16 @@
         for held in &mut worker.held {
             // Progress that was not seen is no lack of progress.
             let listed = seen.running.iter().any(|running| running.run == held.run);
-            if listed && held.stopping.is_none() && held.is_stalled(now) {
+            if !listed || held.stopping.is_some() {
+                continue;
+            }
+            let cause = if held.is_stalled(now) {
+                Some(RestartCause::Stalled)
+            } else {
+                let late = held.gains_elsewhere(now) && self.restarts.spend();
+                late.then_some(RestartCause::Late)
+            };
+            if let Some(cause) = cause {
                 held.stopping = Some(now);
                 held.stalled = true;
                 out.note(Note::Stalled {
@@ -137,6 +150,7 @@
                     took: now.since(held.sent),
                     expected: held.expected,
                     percent: held.percent,
+                    cause,
                 });
                 stops.push(held.run.clone());
             }
@@ -166,7 +180,7 @@
             worker.misses = worker.misses.max(1);
         } else {
             self.answers.missed(worker.misses == 0);
-            worker.count_order(false, now);
+            worker.lost_at = Some(now);
             worker.misses += 1;
         }
         let is_doubtful = |held: &Held| matches!(held.stage, Stage::Doubtful { .. });
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -38,6 +38,7 @@
             lease,
         });
         worker.held.push(held);
+        self.restarts.earn();
     }
 
     /// A lease for a run on a worker, if there is room for it.
@@ -121,7 +122,6 @@
         }
         if !matches!(answer, StartAnswer::Lost | StartAnswer::Unsent) {
             self.answers.answered(sent.filter(|_| !stood).map(|sent| now.since(sent)));
-            worker.count_order(true, now);
         }
         let Some(place) = worker.held.iter().position(|held| held.run == *run) else { return };
         match answer {
@@ -137,7 +137,7 @@
             StartAnswer::Lost => {
                 if !stood {
                     self.answers.missed(worker.misses == 0);
-                    worker.count_order(false, now);
+                    worker.lost_at = Some(now);
                 }
                 let asked = worker.looks;
                 let held = &mut worker.held[place];
@@ -212,9 +212,7 @@
             self.answers.answered(None);
         } else if !stood {
             self.answers.missed(worker.misses == 0);
-        }
-        if accepted || !stood {
-            worker.count_order(accepted, now);
+            worker.lost_at = Some(now);
         }
         let looks = worker.looks;
         let Some(held) = worker.held.iter_mut().find(|held| held.run == *run) else { return };
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -190,6 +190,7 @@
         need: Need::default(),
         kind: String::new(),
         expected: Span::ZERO,
+        due: None,
         stalls: 0,
         sent: now,
         seen: Time::ZERO,
--- a/crates/fleet/tests/answer_times.rs
+++ b/crates/fleet/tests/answer_times.rs
@@ -1,8 +1,13 @@
 //! Guards against a slow instance that takes late answers for lost ones, and against lost orders that are
 //! awaited for much longer than answers take.
 
-use cranberryhatch_fleet::AnswerTimes;
-use cranberryhatch_types::Span;
+mod common;
+
+use common::{listed, need};
+use cranberryhatch_fleet::{AnswerTimes, Held, Worker};
+use cranberryhatch_schema::fleet::{Run, Start};
+use cranberryhatch_types::{Span, Time};
+use quickcheck::{Gen, QuickCheck};
 
 const MOST: Span = Span::from_ms(200);
 
@@ -60,3 +65,40 @@
         assert!((least..=most).contains(&timeout), "{name}: {timeout} ms");
     }
 }
+
+/// Size of the generator, and its seed.
+const SIZE: usize = 100;
+const SEED: u64 = 20_261_204;
+
+#[test]
+fn looks_wait_as_long_as_before_while_nothing_gets_lost() {
+    // Guards against looks that cost more where no order gets lost.
+    fn as_before(runs: Vec<(u16, u16, u8)>, lease: u16, answers: Vec<u8>) -> bool {
+        let now = Time::from_ms(100_000);
+        let mut times = AnswerTimes::default();
+        answers.into_iter().for_each(|ms| times.answered(Some(Span::from_ms(ms.into()))));
+        let mut worker = Worker::new(listed("w", "a", 32_000), 1, now);
+        worker.lease_end = now + Span::from_ms(u64::from(lease) % 1_100);
+        for ((run_ms, age, percent), task) in runs.into_iter().zip(0..) {
+            let run = Run { job: "j".to_owned(), step: 0, task, run: 1 };
+            let start = Start {
+                run: Some(run),
+                need: Some((&need(1_000)).into()),
+                run_ms: run_ms.into(),
+                ..Start::default()
+            };
+            let sent = now - Span::from_ms(age.into());
+            let front = "e-1".parse().expect("a name");
+            let mut held = Held::new(front, &start, sent).expect("a start");
+            held.percent = u32::from(percent) % 101;
+            worker.held.push(held);
+        }
+        // The rule before orders were resolved by further looks.
+        let before = (worker.lease_end.since(now).as_ms().saturating_sub(90) / 2).clamp(20, 240);
+        worker.look_wait(&times, now) == Span::from_ms(before)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(SIZE, SEED))
+        .tests(500)
+        .quickcheck(as_before as fn(Vec<(u16, u16, u8)>, u16, Vec<u8>) -> bool);
+}
