--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -415,3 +415,31 @@
     bed.tick(START + Span::from_secs(13), &mut out);
     assert_eq!(how(&out), [How::Stopped], "later than any order was carried out");
 }
+
+#[test]
+fn answers_that_wait_for_a_process_that_stood_still_are_not_lost() {
+    // Guards against workers that are closed because the instance itself was paused.
+    struct Case {
+        name: &'static str,
+        /// Times of ticks after the start, in milliseconds.
+        ticks: &'static [u64],
+        closed: bool,
+    }
+    let cases = [
+        Case { name: "ticks come in time", ticks: &[0, 20, 40, 60, 80, 100, 120], closed: true },
+        Case { name: "no tick for 100 ms", ticks: &[0], closed: false },
+    ];
+    for Case { name, ticks, closed } in cases {
+        let mut out = Output::default();
+        let (mut bed, _) = Bed::with_run(StartAnswer::Started, &mut out);
+        bed.send_looks(START);
+        for after in ticks {
+            bed.tick(START + Span::from_ms(*after), &mut out);
+        }
+        bed.answer(LookAnswer::Lost, START, START + Span::from_ms(100), &mut out);
+        for after in 101..=103 {
+            bed.look_with(&LookAnswer::Lost, START + Span::from_ms(after), &mut out);
+        }
+        assert_eq!(bed.owner.counts(), (usize::from(!closed), 1), "{name}");
+    }
+}
