--- a/xtask/src/soak/fault_kind.rs
+++ b/xtask/src/soak/fault_kind.rs
@@ -50,6 +50,8 @@
     PlatformRefuse,
     /// Two operators change the settings at the same time.
     Operators,
+    /// A zone is drained for a time; drains of several zones overlap.
+    DrainZone,
     /// Many jobs are cancelled at once by their label.
     Cancels,
     /// Many jobs arrive at once.
--- a/xtask/src/soak/injector.rs
+++ b/xtask/src/soak/injector.rs
@@ -178,6 +178,7 @@
             FaultKind::CutZones | FaultKind::SilentZones => {
                 (format!("zones of {}", self.fleet.shape.zones[zone]), zone)
             }
+            FaultKind::DrainZone => (format!("drain of {}", self.fleet.shape.zones[zone]), zone),
             FaultKind::CutPlatform | FaultKind::SilentPlatform => {
                 (format!("platform:{}", self.fleet.shape.zones[zone]), zone)
             }
@@ -220,6 +221,7 @@
             FaultKind::PlatformLose => self.platform(PlatformFault::LoseAnswers)?,
             FaultKind::PlatformRefuse => self.platform(PlatformFault::Refuse)?,
             FaultKind::Operators => self.operators.race(&self.load_targets(step.pick), step.pick),
+            FaultKind::DrainZone => self.drain_zone(index, true),
             FaultKind::Cancels => {
                 self.load.burst(Twist::Labelled, step.pick);
                 self.load.cancel_wave();
@@ -266,6 +268,7 @@
                 self.zones(index, LinkMode::Pass)?;
                 self.isolated_zone(fault);
             }
+            FaultKind::DrainZone => self.drain_zone(index, false),
             FaultKind::CutPlatform => {
                 let zone = self.fleet.shape.zones[index].clone();
                 self.cut_off(fault, |row| row.zone.as_str() == zone);
@@ -317,6 +320,11 @@
         Ok(())
     }
 
+    fn drain_zone(&self, index: usize, drained: bool) {
+        let targets = self.load_targets(index);
+        self.operators.drain(targets, &self.fleet.shape.zones[index], drained);
+    }
+
     fn isolated(&self, fault: &Active) {
         let instance = fault.target.clone();
         self.journal.append(&Note::Isolated { instance, from: fault.from_ms, to: unix_ms() });
