perf(fleet): late steps wait as earlier ones do

Cause: in an overload, each step past its objective looked at all workers again after every end of a run. Change: a step that would be of no use where there is room waits as an earlier one does, like one that would miss its objective.

--- a/crates/fleet/src/waits.rs
+++ b/crates/fleet/src/waits.rs
@@ -83,20 +83,28 @@
     }
 
     /// Whether a step waits as an earlier one does: it needs as much, and would miss its objective where
-    /// there is room while it can still meet it elsewhere.
+    /// there is room while it can still meet it elsewhere, or be of no use there while it can be elsewhere.
     #[must_use]
     pub fn holds(&self, waiting: &Waiting, now: Time) -> bool {
-        let longest = waiting.due.since(waiting.on_time).as_ms();
-        let left = waiting.due.since(now).as_ms();
-        now <= waiting.on_time
-            && waiting.avoid.is_empty()
-            && self.found.iter().any(|wait| {
-                wait.need.fits(&waiting.need)
-                    && left < stretched(longest, wait.factor)
-                    && wait.service == waiting.service
-                    && wait.label == waiting.label
-                    && wait.rack == waiting.rack
-            })
+        if !waiting.avoid.is_empty() || self.found.is_empty() {
+            return false;
+        }
+        let longest = waiting.due.since(waiting.on_time);
+        let limit = if now <= waiting.on_time {
+            waiting.due
+        } else if now <= waiting.useful {
+            waiting.useful + longest
+        } else {
+            return false;
+        };
+        let left = limit.since(now).as_ms();
+        self.found.iter().any(|wait| {
+            left < stretched(longest.as_ms(), wait.factor)
+                && wait.need.fits(&waiting.need)
+                && wait.service == waiting.service
+                && wait.label == waiting.label
+                && wait.rack == waiting.rack
+        })
     }
 }
 
