feat(fleet): lives of workers that restart under their ids

Cause: a worker that restarted was taken for the one before: its clock gave wrong leases, its ends, numbered from 1 again, counted as acknowledged, and a start under way was settled by what the earlier life had promised.

Ruled out: giving the worker up and assigning it anew (starts under way would be reported as ended before they cannot begin), and keeping the token.

Change: looks and starts tell the life of the worker. When it is a later one, runs at work are reported as stopped, cursor and clock are dropped, and the worker is opened again under a new token, which settles starts under way. Late answers of an earlier life are left out. The scheduler forgets what it knew of the earlier life.

The model restarts workers and checks leases and acknowledged ends against the life that the owner has met.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -19,7 +19,8 @@
 use smol::{Executor, Timer};
 
 use crate::{
-    Catalog, Clock, Entries, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port, Told,
+    Catalog, Clock, Entries, Journal, LinkEvents, Links, LookOrder, Meters, Order, Port, Started,
+    Told,
 };
 
 /// Time between two ticks; the shortest task takes some 30 ms.
@@ -142,13 +143,13 @@
                 let start = async move {
                     let id = worker.id.clone();
                     let order = Order { worker, token, patience };
-                    let (answer, clock) = if edge.clock.now().since(now) >= START_AGE {
-                        (StartAnswer::Unsent, None)
+                    let Started { answer, from } = if edge.clock.now().since(now) >= START_AGE {
+                        Started { answer: StartAnswer::Unsent, from: None }
                     } else {
                         edge.port.start(order, &run, &payload, lease).await
                     };
                     edge.decide(|node, now, out| {
-                        node.started(&id, &run, answer, clock, now, out);
+                        node.started_in(&id, &run, answer, from, now, out);
                     });
                 };
                 self.executor.spawn(start).detach();
@@ -211,6 +212,9 @@
                 Meters::observe(&self.meters.counting_time, counted.waited);
             }
             Note::StartRefused { cause, .. } => Meters::count(&self.meters.refused_starts, cause),
+            Note::LifeEnded { .. } => {
+                self.meters.ended_lives.inc();
+            }
             Note::AdmittedStopping { .. } => {
                 self.meters.admitted_stopping.inc();
             }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -216,6 +216,9 @@
         Note::WorkerDropped { worker, cause } => {
             log::info!(worker = worker.as_str(), cause = cause.to_string(); "{name}");
         }
+        Note::LifeEnded { worker, life, runs } => {
+            log::warn!(worker = worker.as_str(), born_ms = life.born_ms(), runs; "{name}");
+        }
         Note::WorkerDark { worker, silence, runs } => {
             log::warn!(worker = worker.as_str(), silence_ms = silence.as_ms(), runs; "{name}");
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,4 +31,4 @@
 pub use journal::{Journal, log_lines, start_logs};
 pub use links::{LinkEvents, Links};
 pub use meters::{Cause, Kind, Meters, Times};
-pub use port::{DecodeError, List, LookOrder, Order, Port, Row, Rows, StoreError};
+pub use port::{DecodeError, List, LookOrder, Order, Port, Row, Rows, Started, StoreError};
--- a/crates/edge/src/meters.rs
+++ b/crates/edge/src/meters.rs
@@ -46,6 +46,8 @@
     pub refused_starts: Family<Cause, Counter>,
     /// Workers that this instance gave up, by cause; `fenced` are those that another instance took.
     pub dropped_workers: Family<Cause, Counter>,
+    /// Workers of this instance that restarted under the id that they had.
+    pub ended_lives: Counter,
     /// Runs that were found on a new worker and stopped, as no front claimed them.
     pub unclaimed_runs: Counter,
     /// Time for which members were up without counting for duties.
@@ -96,6 +98,7 @@
             runs: Family::default(),
             refused_starts: Family::default(),
             dropped_workers: Family::default(),
+            ended_lives: Counter::default(),
             unclaimed_runs: Counter::default(),
             counting_time: times(),
             dropped_lines: Counter::default(),
@@ -129,6 +132,7 @@
         r.register("refused_starts", "Starts refused by an owner", self.refused_starts.clone());
         r.register("runs", "Ends of runs", self.runs.clone());
         r.register("dropped_workers", "Workers given up", self.dropped_workers.clone());
+        r.register("ended_lives", "Own workers that restarted", self.ended_lives.clone());
         r.register("unclaimed_runs", "Runs that no front claimed", self.unclaimed_runs.clone());
         r.register("counting_seconds", "Up to counted as a member", self.counting_time.clone());
         r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
--- a/crates/edge/src/port.rs
+++ b/crates/edge/src/port.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use bytes::Bytes;
-use cranberryhatch_fleet::{Lease, Listed, LookAnswer, RunKey, StartAnswer};
+use cranberryhatch_fleet::{Lease, Life, Listed, LookAnswer, RunKey, StartAnswer};
 use cranberryhatch_types::Span;
 use strum::Display;
 
@@ -87,6 +87,15 @@
     pub fresh: bool,
 }
 
+/// What came back of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Started {
+    /// What the worker said.
+    pub answer: StartAnswer,
+    /// Its clock in milliseconds and its life, if it answered.
+    pub from: Option<(u64, Life)>,
+}
+
 /// The platform; every method makes one call and decides nothing.
 pub trait Port: Send + Sync + 'static {
     /// Reads a whole list.
@@ -125,14 +134,14 @@
     /// Asks a worker what runs and what ended.
     fn look(&self, order: Order, look: LookOrder) -> impl Future<Output = LookAnswer> + Send;
 
-    /// Starts a run; the answer comes with the worker's clock.
+    /// Starts a run.
     fn start(
         &self,
         order: Order,
         run: &RunKey,
         payload: &str,
         lease: Lease,
-    ) -> impl Future<Output = (StartAnswer, Option<u64>)> + Send;
+    ) -> impl Future<Output = Started> + Send;
 
     /// Stops a run; whether the worker accepted.
     fn stop(&self, order: Order, run: &RunKey) -> impl Future<Output = bool> + Send;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -10,9 +10,9 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, Front, Job, Known, Listed, Listing, Looked, Member, Members, Outcome, Output, Owner,
-    Owners, Recency, Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping, TaskKey,
-    VecMap, ZoneDrains, note::Note,
+    Command, Front, Job, Known, Life, Listed, Listing, Looked, Member, Members, Outcome, Output,
+    Owner, Owners, Recency, Refusal, Roster, RunKey, Scheduler, StartAnswer, Stop, Stopping,
+    TaskKey, VecMap, ZoneDrains, note::Note,
 };
 
 /// Time between two signs of life where one side has duties for the other.
@@ -363,7 +363,21 @@
         now: Time,
         out: &mut Output,
     ) {
-        self.owner.started(worker, run, answer, clock, now, out);
+        let from = clock.map(|clock| (clock, Life::UNKNOWN));
+        self.started_in(worker, run, answer, from, now, out);
+    }
+
+    /// Takes what a worker says to a start, with the clock and the life of the worker.
+    pub fn started_in(
+        &mut self,
+        worker: &WorkerId,
+        run: &RunKey,
+        answer: StartAnswer,
+        from: Option<(u64, Life)>,
+        now: Time,
+        out: &mut Output,
+    ) {
+        self.owner.started_in(worker, run, answer, from, now, out);
         self.settle(now, false, out);
     }
 
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, WorkerId};
 use strum::IntoStaticStr;
 
-use crate::{Counted, Outcome, Refusal, RunKey, Stopping, ZoneChange};
+use crate::{Counted, Life, Outcome, Refusal, RunKey, Stopping, ZoneChange};
 
 /// A decision with the inputs that led to it; the name of the variant is the name of the log line.
 #[derive(Clone, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -193,6 +193,15 @@
         /// Why.
         cause: DropCause,
     },
+    /// A worker has restarted under the id that it had.
+    LifeEnded {
+        /// The worker.
+        worker: WorkerId,
+        /// Its life now.
+        life: Life,
+        /// Runs that it had or that were under way to it.
+        runs: usize,
+    },
     /// A worker does not answer.
     WorkerDark {
         /// The worker.
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_schema::fleet::frame::Body;
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use crate::{Listed, Outcome, RunKey, note::Note};
+use crate::{Life, Listed, Outcome, RunKey, note::Note};
 
 /// A message to another instance.
 pub type Message = Body;
@@ -152,6 +152,8 @@
 pub struct Seen {
     /// The worker's clock, in milliseconds.
     pub clock: u64,
+    /// Life of the worker that answered.
+    pub life: Life,
     /// Runs at work.
     pub running: Vec<Running>,
     /// Ends that were not acknowledged.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -3,6 +3,7 @@
 mod due;
 mod looks;
 mod orders;
+mod rebirth;
 mod relink;
 mod takeover;
 
@@ -139,6 +140,11 @@
                 continue;
             };
             if worker.listed != *listed {
+                if listed.life.is_after(worker.life) {
+                    // The worker may have restarted.
+                    worker.looked = Time::ZERO;
+                    worker.looking = None;
+                }
                 worker.listed = listed.clone();
                 self.changed.push(id.clone());
             }
--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -48,7 +48,8 @@
     /// Reports the runs of a worker that does not answer once their lease has ended.
     pub(super) fn lapse(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get(id) else { return };
-        if !worker.dark || now < worker.lease_end {
+        let silent = worker.dark || worker.is_unopened();
+        if !silent || now < worker.lease_end {
             return;
         }
         let runs: Vec<RunKey> = worker.held.iter().map(|held| held.run.clone()).collect();
@@ -98,7 +99,7 @@
                 held: worker.held.iter().map(Held::report).collect(),
                 open: worker.is_open(),
                 standing: None,
-                born_ms: 0,
+                born_ms: worker.life.born_ms(),
             })
             .collect();
         if !rooms.is_empty() {
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{Span, Time, WorkerId};
 
-use super::{DARK_LOOK, IDLE_LOOK, Owner, PROBE_AGAIN, how, push_stop};
+use super::{DARK_LOOK, IDLE_LOOK, Owner, PROBE_AGAIN, how, push_stop, rebirth::Age};
 use crate::{
     Command, LookAnswer, Looked, Members, Output, Seen,
     held::Stage,
@@ -17,10 +17,22 @@
         let Looked { worker: id, token, asked, answer } = looked;
         let id = &id;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if worker.token != token || worker.looking != Some(asked) {
+        let awaited = worker.token == token && worker.looking == Some(asked);
+        if awaited {
+            worker.looking = None;
+        }
+        // The answer to an earlier look also tells that the worker has restarted.
+        let age = match &answer {
+            LookAnswer::Seen(seen) => self.age_of(id, seen.life),
+            _ => Age::Present,
+        };
+        if let (Age::Later, LookAnswer::Seen(seen)) = (age, &answer) {
+            self.reborn(id, seen, now, out);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !awaited || worker.token != token || age == Age::Earlier {
             return;
         }
-        worker.looking = None;
         if matches!(worker.charge, Charge::Probing { .. }) {
             return self.probed(id, &answer, now, out);
         }
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -3,9 +3,9 @@
 use cranberryhatch_schema::fleet::{How, Start, Stop};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use super::{LOST_STOP_AGAIN, Owner, STOP_AGAIN, ended_message, push_stop, send_end};
+use super::{LOST_STOP_AGAIN, Owner, STOP_AGAIN, ended_message, push_stop, rebirth::Age, send_end};
 use crate::{
-    Command, Held, Output, RunKey, StartAnswer,
+    Command, Held, Life, Output, RunKey, Seen, StartAnswer,
     held::Stage,
     note::{DropCause, Note, StartRefusal},
     output::{Lease, Message},
@@ -108,10 +108,43 @@
         clock: Option<u64>,
         now: Time,
         out: &mut Output,
+    ) {
+        self.started_in(id, run, answer, clock.map(|clock| (clock, Life::UNKNOWN)), now, out);
+    }
+
+    /// Takes the answer to a start, with the clock and the life of the worker that gave it.
+    pub fn started_in(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        answer: StartAnswer,
+        from: Option<(u64, Life)>,
+        now: Time,
+        out: &mut Output,
     ) {
         if self.stray_answered(id, run, answer, out) {
             return;
         }
+        let life = from.map_or(Life::UNKNOWN, |(_, life)| life);
+        let age = if life.is_known() { self.age_of(id, life) } else { Age::Present };
+        match age {
+            Age::Present => {}
+            Age::Earlier if answer == StartAnswer::Started => {
+                // It ended with that life.
+                return self.end(id, run, How::Stopped, now, out);
+            }
+            Age::Earlier => {}
+            Age::Later => self.reborn(id, &Seen::default(), now, out),
+        }
+        let worker = self.workers.get(id);
+        if answer == StartAnswer::Fenced && worker.is_some_and(Worker::is_unopened) {
+            // The worker restarted and obeys the token under which it is opened again.
+            return self.end(id, run, How::NoRoom, now, out);
+        }
+        // The clock of an earlier life would make leases long.
+        let is_present = age != Age::Earlier
+            && (life.is_known() || worker.is_none_or(|worker| !worker.life.is_known()));
+        let clock = from.filter(|_| is_present).map(|(clock, _)| clock);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(clock) = clock {
             worker.set_clock(clock, now);
--- /dev/null
+++ b/crates/fleet/src/owner/rebirth.rs
@@ -0,0 +1,116 @@
+//! Workers that restarted under the id that they had.
+//!
+//! A later life runs nothing of the earlier one, knows no token, numbers its ends from 1 and restarts its
+//! clock. A start that was under way may have reached either life. So the owner opens the worker again
+//! under a new token: once the later life obeys it, starts under the earlier token cannot begin there,
+//! and what it lists is all that there is.
+
+use cranberryhatch_schema::fleet::{Held as HeldMessage, How, Room};
+use cranberryhatch_types::{Time, WorkerId};
+
+use super::{Owner, how};
+use crate::{
+    Held, Life, Output, RunKey, Seen,
+    held::Stage,
+    note::Note,
+    run_life::{LEASE, LEASE_SLACK},
+};
+
+/// Whether an answer of a worker is of the life that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Age {
+    /// It is, as far as the platform tells.
+    Present,
+    /// An earlier life gave it, and the answer was late.
+    Earlier,
+    /// The worker has restarted since the last answer.
+    Later,
+}
+
+impl Owner {
+    /// Compares the life that gave an answer with the one that is known, which it is from then on.
+    pub(super) fn age_of(&mut self, id: &WorkerId, life: Life) -> Age {
+        let Some(worker) = self.workers.get_mut(id) else { return Age::Present };
+        if worker.life.is_after(life) {
+            return Age::Earlier;
+        }
+        let later = life.is_after(worker.life);
+        if life.is_known() {
+            worker.life = life;
+        }
+        if later { Age::Later } else { Age::Present }
+    }
+
+    /// The worker has restarted: reports what ended with the earlier life, and opens the worker again.
+    pub(super) fn reborn(&mut self, id: &WorkerId, seen: &Seen, now: Time, out: &mut Output) {
+        let Some(worker) = self.workers.get(id) else { return };
+        if worker.is_unopened() && worker.held.is_empty() {
+            return;
+        }
+        let (life, runs) = (worker.life, worker.held.len());
+        out.note(Note::LifeEnded { worker: id.clone(), life, runs });
+        let token = self.next_token(0);
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.restart(token, now);
+        // A start of which neither life has told yet may run in the later one.
+        worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
+        let mut ends = Vec::new();
+        for held in &mut worker.held {
+            held.mistimed = true;
+            let is_run = |run: &RunKey| *run == held.run;
+            let ended = seen.ended.iter().find(|end| is_run(&end.run));
+            let runs = seen.running.iter().any(|running| is_run(&running.run));
+            if let Some(end) = ended {
+                ends.push((held.run.clone(), how(end.how)));
+            } else if runs {
+                held.stage = Stage::AtWork { since: held.sent };
+            } else if matches!(held.stage, Stage::AtWork { .. }) {
+                ends.push((held.run.clone(), How::Stopped));
+            }
+        }
+        for (run, how) in ends {
+            self.end(id, &run, how, now, out);
+        }
+        self.report_closed(id, out);
+    }
+
+    /// Tells the scheduler that a worker takes no starts until it is opened again.
+    fn report_closed(&self, id: &WorkerId, out: &mut Output) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let held: Vec<HeldMessage> = worker.held.iter().map(Held::report).collect();
+        let room = Room {
+            worker: id.to_string(),
+            token: worker.token,
+            held,
+            born_ms: worker.life.born_ms(),
+            ..Room::default()
+        };
+        self.report_to_scheduler(vec![room], out);
+    }
+
+    /// Settles the runs of an earlier life that were under way, once the later one obeys: what it does not
+    /// list did not start there and never will, and has ended if it started before.
+    pub(super) fn settle_reborn(
+        &mut self,
+        id: &WorkerId,
+        seen: &Seen,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let mut ends = Vec::new();
+        for held in &mut worker.held {
+            if seen.running.iter().any(|running| running.run == held.run) {
+                if !matches!(held.stage, Stage::AtWork { .. }) {
+                    held.stage = Stage::AtWork { since: held.sent };
+                }
+                continue;
+            }
+            let ended = seen.ended.iter().find(|end| end.run == held.run);
+            ends.push((held.run.clone(), ended.map_or(How::Stopped, |end| how(end.how))));
+        }
+        for (run, how) in ends {
+            self.end(id, &run, how, now, out);
+        }
+    }
+}
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -46,6 +46,7 @@
         now: Time,
         out: &mut Output,
     ) {
+        self.settle_reborn(id, seen, now, out);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.acked = seen.ended.iter().map(|end| end.number).max().unwrap_or(0);
         let message = Takeover {
@@ -73,8 +74,11 @@
         // What runs may still have a lease of the earlier owner.
         worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
         // Until its front claims it, a run counts as lost and is stopped in the end.
-        worker.held =
-            seen.running.iter().map(|running| orphan(&self.me, &running.run, now)).collect();
+        for running in &seen.running {
+            if worker.held.iter().all(|held| held.run != running.run) {
+                worker.held.push(orphan(&self.me, &running.run, now));
+            }
+        }
     }
 
     /// Tells all instances of the workers that were opened since the last tick and run nothing: starts of
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Backlog, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Waiting,
+    Backlog, Life, Listing, Need, Output, RunKey, RunTimes, Site, Sites, TaskKey, VecMap, Waiting,
     backlog::latest_starts, note::Note, output::Message, refusing,
 };
 
@@ -131,7 +131,9 @@
             if known.is_some_and(|token| room.token < token) {
                 continue;
             }
-            if known.is_none() {
+            let life = Life::new(room.born_ms);
+            let reborn = self.sites.get(&id).is_some_and(|site| life.is_after(site.life));
+            if known.is_none() || reborn {
                 self.sites.insert(Site::new(listed.clone(), owner.clone(), room.token));
             }
             let held = room.held.into_iter().filter_map(|held| {
@@ -143,6 +145,7 @@
                 site.listed = listed.clone();
                 site.owner = owner.clone();
                 site.token = room.token;
+                site.life = if life.is_known() { life } else { site.life };
                 site.open = room.open;
                 site.report(held, now);
             });
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use crate::{Listed, Need, TaskKey};
+use crate::{Life, Listed, Need, TaskKey};
 
 /// A grant that the owner has not reported as held after this time was not used.
 ///
@@ -39,6 +39,8 @@
     pub owner: InstanceId,
     /// Fencing token of the owner.
     pub token: u64,
+    /// Life of the worker as the owner reports it.
+    pub life: Life,
     /// Whether the owner takes starts for it.
     pub open: bool,
     /// Whether the owner has said nothing for a while, so that a start may be lost.
@@ -60,6 +62,7 @@
             listed,
             owner,
             token,
+            life: Life::UNKNOWN,
             open: false,
             silent: false,
             places: Vec::new(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{
-    Held, Listed,
+    Held, Life, Listed,
     held::Stage,
     output::Lease,
     run_life::{LEASE_SLACK, lease_length},
@@ -83,6 +83,8 @@
     pub lost_at: Option<Time>,
     /// Latest time at which a lease ends that this instance gave.
     pub lease_end: Time,
+    /// Life that gave the last answer.
+    pub life: Life,
     /// Looks at runs in a row that the worker refused for a higher token.
     pub refusals: u32,
     // The worker's clock and ours at the moment of its last answer.
@@ -105,6 +107,7 @@
             dark: false,
             lost_at: None,
             lease_end: Time::ZERO,
+            life: Life::UNKNOWN,
             refusals: 0,
             clock: None,
         }
@@ -122,6 +125,16 @@
         self.charge == Charge::Open && !self.dark && !self.listed.draining
     }
 
+    /// Forgets what belongs to the earlier life of a worker that restarted, and opens it under a token.
+    pub fn restart(&mut self, token: u64, now: Time) {
+        self.token = token;
+        self.charge = Charge::Opening { at: now };
+        self.acked = 0;
+        self.looking = None;
+        self.refusals = 0;
+        self.clock = None;
+    }
+
     /// Takes the worker's clock from an answer.
     pub fn set_clock(&mut self, clock: u64, now: Time) {
         self.clock = Some((clock, now));
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -1,5 +1,5 @@
 //! Guards against tasks that run twice at a time, untrue answers and callers that are not answered,
-//! under random kills, power losses, pauses, clocks that jump, cuts, lost answers, late orders and zone
+//! under random kills, power losses, pauses, clocks that jump, cuts, lost answers, late orders, workers that restart and zone
 //! drains, and against starts that an instance in reach of the store sends to a zone long after its drain.
 
 mod world;
@@ -66,6 +66,7 @@
             name += 1;
         }
         trouble_zones(&mut world, &mut drains, zones, instances);
+        restart_workers(&mut world, &mut drains);
         let node = rng.usize(0..instances);
         let worker = rng.usize(0..world.workers.len());
         match rng.u32(0..200) {
@@ -109,6 +110,15 @@
     world.faults
 }
 
+/// Restarts workers under their ids; some restart again before anybody has noticed.
+fn restart_workers(world: &mut World, rng: &mut fastrand::Rng) {
+    if rng.u32(0..200) < 4 {
+        let worker = rng.usize(0..world.workers.len());
+        let down = *rng.choice(&[0, 2, 20, 200, 2_000]).expect("some");
+        world.restart_worker(worker, down, rng.bool());
+    }
+}
+
 /// Drains and restores zones, and has the store refuse some instances.
 fn trouble_zones(world: &mut World, rng: &mut fastrand::Rng, zones: usize, instances: usize) {
     match rng.u32(0..200) {
--- /dev/null
+++ b/crates/fleet/tests/lives.rs
@@ -0,0 +1,351 @@
+//! Guards against a worker that restarts under its id: runs of the earlier life that count as held, runs
+//! of the later one that are lost or run twice, ends that are swallowed, and leases of a wrong clock.
+
+mod common;
+mod world;
+
+use common::{listed, need};
+use cranberryhatch_fleet::{
+    Command, End, LEASE, Life, Listing, LookAnswer, Looked, Member, Members, Message, Note,
+    Outcome, Output, Owner, RunEnd, RunKey, Running, Seen, StartAnswer,
+};
+use cranberryhatch_schema::fleet::{How, Run, Start};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+use world::World;
+
+const START: Time = Time::from_ms(10_000);
+/// Clock of the worker's first life at `START`; the later one begins at 0.
+const CLOCK: u64 = 5_000_000;
+const FIRST: Life = Life::new(1_000);
+const SECOND: Life = Life::new(2_000);
+
+/// An owner of one worker, and what the worker says to its looks.
+struct Bed {
+    owner: Owner,
+    members: Members,
+    listing: Listing,
+    worker: WorkerId,
+    now: Time,
+}
+
+/// A look that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    token: u64,
+    acked: u64,
+    lease: Option<u64>,
+}
+
+impl Bed {
+    /// An owner whose worker is open in its first life.
+    fn new() -> Self {
+        let me = Member {
+            id: "e-1".parse().expect("a name"),
+            incarnation: 1,
+            zone: "a".parse().expect("a zone"),
+            cores: 250,
+            draining: false,
+            core: true,
+            joined: true,
+            version: 0,
+        };
+        let members = Members::new(me.clone());
+        let mut listing = Listing::default();
+        listing.replace(vec![listed("w", "a", 32_000)], START);
+        let mut owner = Owner::new(me.id);
+        owner.assign(&listing, &members.owners(1), 0, START);
+        let worker = "w".parse().expect("an id");
+        let mut bed = Self { owner, members, listing, worker, now: START };
+        bed.look(&says(FIRST, &[], &[]), &mut Output::default());
+        bed
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now + Span::from_ms(ms);
+    }
+
+    /// Sends the look that is due, if there is one, and answers it.
+    fn look(&mut self, seen: &Seen, out: &mut Output) -> Option<Asked> {
+        let (asked, looked) = self.ask(seen)?;
+        self.owner.looked(looked, &self.members, self.now, out);
+        Some(asked)
+    }
+
+    fn ask(&mut self, seen: &Seen) -> Option<(Asked, Looked)> {
+        let mut looks = Output::default();
+        self.owner.look(self.now, &mut looks);
+        self.asked_in(looks, seen)
+    }
+
+    /// The same after the time that fronts have to claim runs.
+    fn look_after_claims(&mut self, seen: &Seen, out: &mut Output) {
+        self.wait(400);
+        let mut ticked = Output::default();
+        self.owner.tick(&self.listing, &self.members.owners(1), 0, self.now, &mut ticked);
+        let (_, looked) = self.asked_in(ticked, seen).expect("a look");
+        self.owner.looked(looked, &self.members, self.now, out);
+    }
+
+    fn asked_in(&self, looks: Output, seen: &Seen) -> Option<(Asked, Looked)> {
+        looks.commands.into_iter().find_map(|command| {
+            let Command::Look { worker, token, acked, lease, .. } = command else { return None };
+            let answer = LookAnswer::Seen(Box::new(seen.clone()));
+            let looked = Looked { worker: worker.id, token, asked: self.now, answer };
+            Some((Asked { token, acked, lease: lease.map(|lease| lease.until) }, looked))
+        })
+    }
+
+    /// Orders a run; the token of the worker must be right.
+    fn start(&mut self, task: u32, token: u64) -> (RunKey, Option<u64>) {
+        let order = Start {
+            run: Some(Run { job: "j".to_owned(), step: 0, task, run: 1 }),
+            worker: "w".to_owned(),
+            service: "svc".to_owned(),
+            need: Some((&need(4_000)).into()),
+            run_ms: 100,
+            kind: "k".to_owned(),
+            token,
+            seen_ms: self.now.as_ms(),
+            ..Start::default()
+        };
+        let run = RunKey::from(order.run.as_ref().expect("a run"));
+        let mut out = Output::default();
+        self.owner.start(&front(), order, self.now, &mut out);
+        let lease = out.commands.iter().find_map(|command| match command {
+            Command::StartRun { lease, .. } => Some(lease.until),
+            _ => None,
+        });
+        (run, lease)
+    }
+
+    fn answer(&mut self, run: &RunKey, answer: StartAnswer, from: Option<(u64, Life)>) -> Output {
+        let mut out = Output::default();
+        let worker = self.worker.clone();
+        self.owner.started_in(&worker, run, answer, from, self.now, &mut out);
+        out
+    }
+
+    /// Token of the worker.
+    fn token(&mut self) -> u64 {
+        self.wait(3_000);
+        let asked = self.look(&says(FIRST, &[], &[]), &mut Output::default());
+        asked.expect("a look at an idle worker").token
+    }
+}
+
+fn front() -> InstanceId {
+    "e-2".parse().expect("a name")
+}
+
+fn says(life: Life, runs: &[&RunKey], ends: &[(u64, &RunKey)]) -> Seen {
+    let running = |run: &&RunKey| Running { run: (*run).clone(), percent: 10 };
+    let end = |(number, run): &(u64, &RunKey)| {
+        let run = (*run).clone();
+        End { number: *number, run, how: RunEnd::Done }
+    };
+    Seen {
+        clock: if life == FIRST { CLOCK } else { 50 },
+        life,
+        running: runs.iter().map(running).collect(),
+        ended: ends.iter().map(end).collect(),
+    }
+}
+
+/// What the front was told of a run.
+fn told(out: &Output, run: &RunKey) -> Vec<How> {
+    let told = |command: &Command| match command {
+        Command::Send { to, message: Message::Ended(ended) } if *to == front() => {
+            let same = ended.run.as_ref().map(RunKey::from).as_ref() == Some(run);
+            same.then(|| ended.how())
+        }
+        _ => None,
+    };
+    out.commands.iter().filter_map(told).collect()
+}
+
+#[test]
+fn runs_of_the_earlier_life_are_stopped_and_a_start_under_way_is_settled_by_the_later_one() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (at_work, _) = bed.start(0, token);
+    bed.answer(&at_work, StartAnswer::Started, Some((CLOCK, FIRST)));
+    let (reached, _) = bed.start(1, token);
+    let (missed, _) = bed.start(2, token);
+    let (ended, _) = bed.start(3, token);
+    let (doubtful, _) = bed.start(4, token);
+    bed.answer(&doubtful, StartAnswer::Lost, None);
+    bed.wait(20);
+    let mut out = Output::default();
+    let before = says(SECOND, &[&reached], &[(1, &ended)]);
+    assert_eq!(bed.look(&before, &mut out).expect("a look").token, token);
+    assert_eq!(told(&out, &at_work), [How::Stopped], "it ended with its life");
+    assert_eq!(told(&out, &ended), [How::Done], "it ran in the later life");
+    for run in [&reached, &missed, &doubtful] {
+        assert_eq!(told(&out, run), [], "neither life has told of it under a token that voids it");
+    }
+    assert!(
+        out.commands.iter().any(|command| matches!(
+            command,
+            Command::Note(Note::LifeEnded { life, runs: 5, .. }) if *life == SECOND
+        )),
+        "the end of the life is noted"
+    );
+    let mut out = Output::default();
+    let asked = bed.look(&says(SECOND, &[&reached], &[(1, &ended)]), &mut out);
+    let asked = asked.expect("it is opened again at once");
+    assert!(asked.token > token && asked.acked == 0 && asked.lease.is_none(), "{asked:?}");
+    assert_eq!(told(&out, &missed), [How::Stopped]);
+    assert_eq!(told(&out, &doubtful), [How::Stopped]);
+    assert_eq!(told(&out, &reached), [], "it is at work");
+    // The answer comes after all, and the end of it has the number 2 of the later life.
+    let out = bed.answer(&reached, StartAnswer::Started, Some((60, SECOND)));
+    assert_eq!(told(&out, &reached), []);
+    let mut out = Output::default();
+    bed.look_after_claims(&says(SECOND, &[], &[(2, &reached)]), &mut out);
+    assert_eq!(told(&out, &reached), [How::Done], "reported once");
+}
+
+#[test]
+fn ends_that_are_numbered_from_1_again_are_not_swallowed() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (first, _) = bed.start(0, token);
+    bed.answer(&first, StartAnswer::Started, Some((CLOCK, FIRST)));
+    bed.wait(20);
+    bed.look(&says(FIRST, &[], &[(57, &first)]), &mut Output::default());
+    bed.wait(3_000);
+    bed.look(&says(SECOND, &[], &[]), &mut Output::default());
+    let asked = bed.look(&says(SECOND, &[], &[]), &mut Output::default()).expect("a look");
+    assert_eq!(asked.acked, 0);
+    let (second, _) = bed.start(1, asked.token);
+    bed.answer(&second, StartAnswer::Started, Some((70, SECOND)));
+    bed.wait(20);
+    let mut out = Output::default();
+    bed.look(&says(SECOND, &[], &[(1, &second)]), &mut out);
+    assert_eq!(told(&out, &second), [How::Done]);
+}
+
+#[test]
+fn a_lease_is_by_the_clock_of_the_present_life() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (late, _) = bed.start(0, token);
+    bed.look(&says(SECOND, &[], &[]), &mut Output::default());
+    let asked = bed.look(&says(SECOND, &[], &[]), &mut Output::default()).expect("a look");
+    // An answer of the earlier life comes late, and one that names no life.
+    bed.answer(&late, StartAnswer::Started, Some((CLOCK, FIRST)));
+    bed.answer(&late, StartAnswer::Started, Some((CLOCK, Life::UNKNOWN)));
+    let (_, lease) = bed.start(1, asked.token);
+    assert!(lease.expect("a start") <= 50 + LEASE.as_ms(), "{lease:?}");
+}
+
+#[test]
+fn a_late_answer_of_the_earlier_life_is_not_taken_for_the_present_one() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (run, _) = bed.start(0, token);
+    bed.wait(20);
+    // The look is on its way while the answer to the start tells of the later life.
+    let (_, late) = bed.ask(&says(FIRST, &[], &[])).expect("a look");
+    bed.answer(&run, StartAnswer::Started, Some((40, SECOND)));
+    let mut out = Output::default();
+    bed.owner.looked(late, &bed.members, bed.now, &mut out);
+    assert!(out.commands.is_empty(), "{:?}", out.commands);
+    bed.look(&says(SECOND, &[&run], &[]), &mut out).expect("a look at the later life");
+    assert_eq!(told(&out, &run), []);
+}
+
+#[test]
+fn a_start_that_the_earlier_life_carried_out_is_over() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (run, _) = bed.start(0, token);
+    bed.wait(20);
+    bed.look(&says(SECOND, &[], &[]), &mut Output::default());
+    let out = bed.answer(&run, StartAnswer::Started, Some((CLOCK, FIRST)));
+    assert_eq!(told(&out, &run), [How::Stopped], "never: not run");
+}
+
+#[test]
+fn a_start_that_the_later_life_refuses_for_its_new_token_costs_no_worker() {
+    let mut bed = Bed::new();
+    let token = bed.token();
+    let (run, _) = bed.start(0, token);
+    bed.wait(20);
+    bed.look(&says(SECOND, &[], &[]), &mut Output::default());
+    let out = bed.answer(&run, StartAnswer::Fenced, Some((60, SECOND)));
+    assert_eq!(told(&out, &run), [How::NoRoom], "it did not run");
+    assert_eq!(bed.owner.counts().1, 1, "the worker is not given up");
+}
+
+#[test]
+fn a_newer_entry_in_the_list_has_the_worker_looked_at_at_once() {
+    let mut bed = Bed::new();
+    bed.token();
+    bed.wait(100);
+    assert!(bed.ask(&says(FIRST, &[], &[])).is_none(), "no look is due");
+    let mut newer = listed("w", "a", 32_000);
+    newer.life = SECOND;
+    bed.listing.replace(vec![newer], bed.now);
+    bed.owner.relist(&bed.listing);
+    assert!(bed.ask(&says(SECOND, &[], &[])).is_some());
+}
+
+#[test]
+fn jobs_complete_while_workers_restart() {
+    struct Case {
+        name: &'static str,
+        trouble: fn(&mut World),
+    }
+    let cases = [
+        Case { name: "within one look", trouble: |world| world.restart_worker(0, 0, false) },
+        Case {
+            name: "twice",
+            trouble: |world| {
+                world.restart_worker(0, 1, false);
+                world.run_until(world.now + 3);
+                world.restart_worker(0, 1, true);
+            },
+        },
+        Case {
+            name: "behind a cut",
+            trouble: |world| {
+                world.cut_worker(0, 1_500);
+                world.restart_worker(0, 300, true);
+            },
+        },
+        Case {
+            name: "during a change of owner",
+            trouble: |world| {
+                (0..2).for_each(|node| world.kill(node, true, 3_000));
+                world.restart_worker(0, 50, true);
+                world.restart_worker(1, 900, false);
+            },
+        },
+        Case {
+            name: "all at once",
+            trouble: |world| {
+                (0..4).for_each(|worker| world.restart_worker(worker, 20, false));
+            },
+        },
+    ];
+    for Case { name, trouble } in cases {
+        for seed in 0..20 {
+            let mut world = World::new(seed, 1, 3, 4);
+            let long: Vec<usize> =
+                (1..=4).map(|job| world.request(job, 3, 8_000, 700, false)).collect();
+            world.run_until(world.now + 100 + seed * 7);
+            let late = world.request(9, 4, 8_000, 100, false);
+            world.run_until(world.now + seed % 8);
+            trouble(&mut world);
+            world.run_until(world.now + 12_000);
+            world.check_end();
+            assert_eq!(world.faults, Vec::<String>::new(), "{name}, seed {seed}");
+            for request in long.into_iter().chain([late]) {
+                let found = world.requests[request].outcome;
+                let refused = matches!(found, Some(Outcome::NotRun { .. }));
+                assert!(found == Some(Outcome::Completed) || refused, "{name}, {seed}: {found:?}");
+            }
+        }
+    }
+}
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -5,8 +5,8 @@
 
 use common::{listed, need};
 use cranberryhatch_fleet::{
-    Command, LEASE, Listing, LookAnswer, Looked, Member, Members, Message, Note, Output, Owner,
-    RunKey, Running, Seen, StartAnswer, StartRefusal,
+    Command, LEASE, Life, Listing, LookAnswer, Looked, Member, Members, Message, Note, Output,
+    Owner, RunKey, Running, Seen, StartAnswer, StartRefusal,
 };
 use cranberryhatch_schema::fleet::{Claim, Run, Start};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
@@ -69,7 +69,8 @@
             self.token = token;
             let running = |run: &RunKey| Running { run: run.clone(), percent: 0 };
             let running = runs.iter().map(running).collect();
-            let seen = Seen { clock: now.as_ms(), running, ended: Vec::new() };
+            let life = Life::UNKNOWN;
+            let seen = Seen { clock: now.as_ms(), life, running, ended: Vec::new() };
             let answer = if answers { LookAnswer::Seen(Box::new(seen)) } else { LookAnswer::Lost };
             let looked = Looked { worker: worker.id, token, asked: now, answer };
             self.owner.looked(looked, &self.members, now, out);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+mod lives;
 mod worker;
 mod zones;
 
@@ -21,6 +22,7 @@
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
 
+pub use lives::Met;
 pub use worker::{AtWork, FakeWorker};
 pub use zones::Store;
 
@@ -76,6 +78,8 @@
         run: RunKey,
         lease: u64,
         answered: bool,
+        // Life whose process holds an order that it carries out late.
+        held_by: Option<Life>,
     },
     StartAnswer {
         node: usize,
@@ -83,7 +87,7 @@
         worker: WorkerId,
         run: RunKey,
         answer: StartAnswer,
-        clock: Option<u64>,
+        from: Option<(u64, Life)>,
     },
     Stop {
         node: usize,
@@ -122,6 +126,10 @@
     Heal {
         worker: usize,
     },
+    Reborn {
+        worker: usize,
+        listed: bool,
+    },
     HealZone {
         zone: usize,
     },
@@ -223,6 +231,7 @@
     pub cut_zones: Vec<usize>,
     zones: usize,
     pub store: Store,
+    pub met: Met,
     /// When a worker was taken from an instance that lives.
     pub fences: Vec<u64>,
     pub requests: Vec<Request>,
@@ -283,7 +292,7 @@
                     room: need(32_000),
                     draining: false,
                     drained: false,
-                    life: Life::UNKNOWN,
+                    life: Life::new(1),
                 };
                 FakeWorker::new(listed, rng.u64(980..=1_000))
             })
@@ -317,6 +326,7 @@
             cut_zones: Vec::new(),
             zones,
             store: Store::new(instances),
+            met: Met::default(),
             fences: Vec::new(),
             requests: Vec::new(),
             odds: Odds::default(),
@@ -429,16 +439,21 @@
             Happening::Look { node, life, look } => self.look(node, life, look),
             Happening::LookAnswer { node, life, looked } => {
                 if self.instances[node].life == life {
+                    self.meet(node, &looked);
                     self.decide(node, |n, now, out| n.looked(looked, now, out));
                 }
             }
-            Happening::Start { node, life, worker, token, run, lease, answered } => {
+            Happening::Start { node, life, worker, token, run, lease, answered, held_by } => {
+                let known = self.workers.iter().find(|known| known.listed.id == worker);
+                if known.is_some_and(|known| held_by.is_some_and(|life| life != known.life())) {
+                    return;
+                }
                 self.start(node, life, &worker, token, run, lease, answered);
             }
-            Happening::StartAnswer { node, life, worker, run, answer, clock } => {
+            Happening::StartAnswer { node, life, worker, run, answer, from } => {
                 if self.instances[node].life == life {
                     self.decide(node, |n, now, out| {
-                        n.started(&worker, &run, answer, clock, now, out);
+                        n.started_in(&worker, &run, answer, from, now, out);
                     });
                 }
             }
@@ -463,6 +478,7 @@
             Happening::Leave { request, attempt } => self.leave(request, attempt),
             Happening::Revive { node } => self.revive(node),
             Happening::Resume { node } => self.resume(node),
+            Happening::Reborn { worker, listed } => self.begin_life(worker, listed),
             Happening::Heal { worker } => self.cut_workers.retain(|cut| *cut != worker),
             Happening::HealZone { zone } => self.cut_zones.retain(|cut| *cut != zone),
         }
@@ -496,6 +512,10 @@
         a == b || !(self.cut_zones.contains(&a) || self.cut_zones.contains(&b))
     }
 
+    fn place_of(&self, id: &WorkerId) -> Option<usize> {
+        self.workers.iter().position(|worker| worker.listed.id == *id)
+    }
+
     fn reach(&mut self, node: usize, id: &WorkerId) -> Option<&mut FakeWorker> {
         let place = self.workers.iter().position(|worker| worker.listed.id == *id)?;
         let zone = place % self.zones;
@@ -551,6 +571,9 @@
                 self.break_link(node, peer, Some(node));
             }
             Command::Look { worker, token, patience, acked, lease, wait, .. } => {
+                if let Some(place) = self.place_of(&worker.id) {
+                    self.check_life(node, place, lease, Some(acked));
+                }
                 let until = self.now + wait.as_ms();
                 let look = Look {
                     worker: worker.id,
@@ -573,8 +596,9 @@
             }
             Command::StartRun { worker, token, patience, run, lease, .. } => {
                 let worker = worker.id;
-                let place = self.workers.iter().position(|known| known.listed.id == worker);
-                self.check_zone(node, place.expect("a known worker"));
+                let place = self.place_of(&worker).expect("a known worker");
+                self.check_zone(node, place);
+                self.check_life(node, place, Some(lease), None);
                 let late = self.roll(self.odds.order_late);
                 let lost = late || self.loses(node, &worker);
                 let order = Happening::Start {
@@ -585,6 +609,7 @@
                     run: run.clone(),
                     lease: lease.until,
                     answered: !lost,
+                    held_by: late.then(|| self.workers[place].life()),
                 };
                 if late {
                     let delay = self.rng.u64(2_000..12_000);
@@ -593,9 +618,9 @@
                     self.later(order);
                 }
                 if lost {
-                    let (answer, clock) = (StartAnswer::Lost, None);
+                    let (answer, from) = (StartAnswer::Lost, None);
                     let at = self.now + patience.as_ms();
-                    self.at(at, Happening::StartAnswer { node, life, worker, run, answer, clock });
+                    self.at(at, Happening::StartAnswer { node, life, worker, run, answer, from });
                 }
             }
             Command::StopRun { worker, token, patience, run } => {
@@ -696,20 +721,20 @@
         };
         let Some(fake) = self.reach(node, worker) else {
             if answered {
-                let (worker, answer, clock) = (worker.clone(), StartAnswer::Lost, None);
+                let (worker, answer, from) = (worker.clone(), StartAnswer::Lost, None);
                 let at = now + ANSWER_LIMIT;
-                self.at(at, Happening::StartAnswer { node, life, worker, run, answer, clock });
+                self.at(at, Happening::StartAnswer { node, life, worker, run, answer, from });
             }
             return;
         };
         let answer = fake.start(token, work, lease, now);
-        let clock = Some(fake.clock(now));
+        let from = Some((fake.clock(now), fake.life()));
         if answer == StartAnswer::Started {
             self.starts.push(run.clone());
         }
         if answered {
             let worker = worker.clone();
-            self.later(Happening::StartAnswer { node, life, worker, run, answer, clock });
+            self.later(Happening::StartAnswer { node, life, worker, run, answer, from });
         }
     }
 
@@ -745,7 +770,9 @@
 
     /// Tells all instances of the workers as they are.
     pub fn relist(&mut self) {
-        for node in 0..self.instances.len() {
+        let awake = |node: &usize| !self.instances[*node].frozen;
+        let awake: Vec<usize> = (0..self.instances.len()).filter(awake).collect();
+        for node in awake {
             let (listed, wall) = (self.listed(), self.wall(node));
             self.decide(node, |n, now, out| n.listed(listed, wall, now, out));
         }
@@ -877,6 +904,10 @@
         let count = self.instances[node].waiting.len();
         if count == 0 || self.instances[node].node.is_none() {
             self.instances[node].frozen = false;
+            if self.instances[node].node.is_some() {
+                // What the store would have told during the pause is asked for again.
+                self.read_store(node, self.now);
+            }
             return;
         }
         let drawn = if self.rng.bool() { 0 } else { self.rng.usize(0..count) };
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -1,7 +1,7 @@
 //! A worker that leases runs and obeys the highest token.
 
 use cranberryhatch_fleet::{
-    End, Listed, LookAnswer, Need, RunEnd, RunKey, Running, Seen, StartAnswer, TaskKey,
+    End, Life, Listed, LookAnswer, Need, RunEnd, RunKey, Running, Seen, StartAnswer, TaskKey,
 };
 
 /// Longest lease that a worker grants, in milliseconds of its clock.
@@ -35,6 +35,9 @@
     pub done: Vec<RunKey>,
     // Speed of its clock in thousandths.
     rate: u64,
+    // What it shows at time 0 of the world; a restart sets it back.
+    clock_from: u64,
+    born: u64,
     lease_until: u64,
     next_end: u64,
     tombs: Vec<(TaskKey, u32)>,
@@ -51,6 +54,8 @@
             hangs: false,
             done: Vec::new(),
             rate,
+            clock_from: 7_000,
+            born: 1,
             lease_until: 0,
             next_end: 1,
             tombs: Vec::new(),
@@ -58,7 +63,39 @@
     }
 
     pub fn clock(&self, now: u64) -> u64 {
-        7_000 + now * self.rate / 1_000
+        self.clock_from + now * self.rate / 1_000 - self.behind()
+    }
+
+    const fn behind(&self) -> u64 {
+        // The clock of a later life begins at 0 when it is born.
+        if self.born > 1 { self.born * self.rate / 1_000 } else { 0 }
+    }
+
+    /// Ends its process and with it all that runs.
+    pub fn end_life(&mut self) {
+        self.up = false;
+        self.runs.clear();
+    }
+
+    /// Starts it again under its id, without anything that it knew; `now` names the life.
+    pub fn begin_life(&mut self, now: u64) {
+        self.up = true;
+        self.clock_from = 0;
+        self.born = now;
+        self.token = 0;
+        self.lease_until = 0;
+        self.next_end = 1;
+        self.ended.clear();
+        self.tombs.clear();
+    }
+
+    /// Number of the last end of this life.
+    pub const fn last_end(&self) -> u64 {
+        self.next_end - 1
+    }
+
+    pub const fn life(&self) -> Life {
+        Life::new(self.born)
     }
 
     /// Ends what is due by `now`.
@@ -117,8 +154,12 @@
             let percent = if self.hangs { 0 } else { (now - run.since) * 100 / length };
             Running { run: run.run.clone(), percent: u32::try_from(percent).unwrap_or(100) }
         });
-        let seen =
-            Seen { clock: self.clock(now), running: running.collect(), ended: self.ended.clone() };
+        let seen = Seen {
+            clock: self.clock(now),
+            life: self.life(),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        };
         LookAnswer::Seen(Box::new(seen))
     }
 
