--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -78,6 +78,8 @@
     digest: u64,
     // Entries that changed since they were last passed on.
     changed: Vec<String>,
+    // Keys of entries that cannot be read, sorted.
+    unreadable: Vec<String>,
 }
 
 impl Entries {
@@ -109,6 +111,7 @@
         self.version = Some(version);
         let mut changed = false;
         if whole {
+            self.unreadable.retain(|key| changes.iter().any(|change| change.key == *key));
             let mut listed: Vec<&str> = changes.iter().map(|change| change.key.as_str()).collect();
             listed.sort_unstable();
             let is_gone = |key: &&String| listed.binary_search(&key.as_str()).is_err();
@@ -119,6 +122,9 @@
             }
         }
         for Change { key, entry } in changes {
+            if entry != Entry::Unreadable {
+                self.unreadable.retain(|known| *known != key);
+            }
             changed |= match entry {
                 Entry::Listed(listed) => self.put(key, listed),
                 Entry::Gone => self.remove(key, grace),
@@ -128,6 +134,17 @@
         changed
     }
 
+    /// Notes that an entry cannot be read; whether it could be before, or was not there.
+    ///
+    /// Its writer repeats it every so often.
+    pub fn becomes_unreadable(&mut self, key: &str) -> bool {
+        let place = self.unreadable.binary_search_by(|known| known.as_str().cmp(key));
+        if let Err(place) = place {
+            self.unreadable.insert(place, key.to_owned());
+        }
+        place.is_err()
+    }
+
     /// Whether a worker is known.
     #[must_use]
     pub fn contains(&self, key: &str) -> bool {
@@ -195,6 +212,7 @@
         let mut changed = false;
         if workers.version >= known {
             for fleet::Entry { id, listed } in workers.changes {
+                self.unreadable.retain(|known| *known != id);
                 changed |= match listed.map(|listed| from_wire(&id, listed)) {
                     Some(Some(listed)) => self.put(id, listed),
                     // Unreadable: the digests differ then, and the store is read.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -139,8 +139,7 @@
             Some(Ok(listed)) => Entry::Listed(listed),
             None => Entry::Gone,
             Some(Err(error)) => {
-                // Its writer repeats it every so often.
-                if edge.entries().contains(&key) {
+                if edge.entries().becomes_unreadable(&key) {
                     log::warn!(worker = key, error = error.to_string(); "worker-unreadable");
                 }
                 Entry::Unreadable
@@ -199,11 +198,13 @@
     let me = edge.links().me().clone();
     let mut backoff = Backoff::new();
     let mut registered = false;
+    // Keys of rows that cannot be read.
+    let mut unreadable = Vec::new();
     loop {
         match edge.port().read(List::Instances).await {
             Ok(rows) => {
                 backoff.succeeded(List::Instances);
-                let instances = learn(&edge, rows);
+                let instances = learn(&edge, rows, &mut unreadable);
                 // An earlier life of this instance registered, so that the others have had the time to.
                 if registered || instances.iter().any(|known| known.id.as_str() == me.instance) {
                     edge.registered(instances);
@@ -231,17 +232,25 @@
     }
 }
 
-/// Learns of the instances of the register.
-fn learn<P: Port>(edge: &Arc<Edge<P>>, rows: Rows) -> Vec<Known> {
+/// Learns of the instances of the register; `unreadable` are the keys of rows that could not be read.
+fn learn<P: Port>(edge: &Arc<Edge<P>>, rows: Rows, unreadable: &mut Vec<String>) -> Vec<Known> {
     let mut instances = Vec::new();
-    for value in rows.rows.into_iter().filter_map(|row| row.value) {
-        match Hello::decode(value) {
-            Ok(hello) => {
-                instances.extend(crate::links::member(&hello).map(|member| Known::from(&member)));
-                edge.links().learn(edge, hello);
-            }
-            Err(error) => log::warn!(error = error.to_string(); "instance-unreadable"),
+    let mut damaged = Vec::new();
+    for Row { key, value, .. } in rows.rows {
+        let Some(value) = value else { continue };
+        let hello = Hello::decode(value).ok();
+        // A row of another writer may decode and still name no instance.
+        let member = hello.as_ref().and_then(crate::links::member);
+        if let Some((hello, member)) = hello.zip(member) {
+            instances.push(Known::from(&member));
+            edge.links().learn(edge, hello);
+            continue;
+        }
+        if !unreadable.contains(&key) {
+            log::warn!(instance = key; "instance-unreadable");
         }
+        damaged.push(key);
     }
+    *unreadable = damaged;
     instances
 }
--- a/crates/edge/tests/entries.rs
+++ b/crates/edge/tests/entries.rs
@@ -78,6 +78,25 @@
     assert!(!reader.contains("w"));
 }
 
+#[test]
+fn an_entry_becomes_unreadable_once_until_it_can_be_read_again() {
+    // Guards against damaged entries of which no line tells, and against a line for each repetition.
+    let (mut reader, _) = pair();
+    let damaged = |key: &str| Change { key: key.to_owned(), entry: WorkerEntry::Unreadable };
+    for key in ["w", "never-seen"] {
+        assert!(reader.becomes_unreadable(key), "{key}: at first");
+        reader.read(false, vec![damaged(key)], 2, None);
+        assert!(!reader.becomes_unreadable(key), "{key}: repeated");
+        reader.read(true, vec![damaged(key), worker("v", false)], 3, None);
+        assert!(!reader.becomes_unreadable(key), "{key}: in a whole list");
+        reader.read(false, vec![worker(key, false)], 4, None);
+        assert!(reader.becomes_unreadable(key), "{key}: after it was readable");
+        reader.read(true, vec![worker("v", false)], 5, None);
+        assert!(reader.becomes_unreadable(key), "{key}: after it was gone");
+        reader = pair().0;
+    }
+}
+
 #[test]
 fn a_lost_message_shows_in_the_next_one() {
     let (mut reader, mut told) = pair();
