fix(fleet): a run in the later life of a worker counts as ended only after orders under way

Cause: after a restart a start under way counted as over when the longest lease had passed. A look that was under way too, with a lease by the earlier clock, extended the run in the later life until its own answer was due (seed 3084 of the model: two runs at a time).

Ruled out: the new token; the worker was silent before it saw one.

Change: the time for orders under way is added. The seed is a regression.

--- a/crates/fleet/src/owner/rebirth.rs
+++ b/crates/fleet/src/owner/rebirth.rs
@@ -6,7 +6,7 @@
 //! and what it lists is all that there is.
 
 use cranberryhatch_schema::fleet::{Held as HeldMessage, How, Room};
-use cranberryhatch_types::{Time, WorkerId};
+use cranberryhatch_types::{Span, Time, WorkerId};
 
 use super::{Owner, how};
 use crate::{
@@ -16,6 +16,9 @@
     run_life::{LEASE, LEASE_SLACK},
 };
 
+/// Time in which the orders that were under way when a worker restarted arrive or end.
+const UNDER_WAY: Span = Span::from_ms(500);
+
 /// Whether an answer of a worker is of the life that is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Age {
@@ -52,8 +55,9 @@
         let token = self.next_token(0);
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.restart(token, now);
-        // A start of which neither life has told yet may run in the later one.
-        worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
+        // A start of which neither life has told yet may run in the later one, where a look that is under
+        // way, with a lease by the earlier clock, extends it until that look's answer is due.
+        worker.lease_end = worker.lease_end.max(now + UNDER_WAY + LEASE + LEASE_SLACK);
         let mut ends = Vec::new();
         for held in &mut worker.held {
             held.mistimed = true;
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -219,7 +219,11 @@
 }
 
 /// Seeds that failed once.
-const REGRESSIONS: [Regression; 7] = [
+const REGRESSIONS: [Regression; 8] = [
+    Regression {
+        seed: 3_084,
+        cause: "a look under way extended a run in the later life of its worker past its end at the owner",
+    },
     Regression {
         seed: 3_001_363,
         cause: "a run on a worker that its owner had lost counted as ended when the link was back",
