--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -270,7 +270,7 @@
     let running = running.then(|| Running { run: run.clone(), percent: 0 });
     let ended = ended.map(|how| End { number: 1, run: run.clone(), how });
     let (running, ended) = (running.into_iter().collect(), ended.into_iter().collect());
-    LookAnswer::Seen(Box::new(Seen { clock, running, ended }))
+    LookAnswer::Seen(Box::new(Seen { clock, life: Life::UNKNOWN, running, ended }))
 }
 
 #[test]
