--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -25,9 +25,9 @@
 const JUDGE_EVERY: Span = Span::from_ms(5);
 /// Waiting steps that lengthen that time by a millisecond.
 const JUDGED_PER_MS: u64 = 200;
-/// Steps that are considered for a probe in each tick: each look goes through all slow workers, and an overload has
+/// Steps that are considered for a probe from one tick to the next: each look goes through all slow workers, and an overload has
 /// hundreds of steps that wait.
-const PROBE_TRIES: u32 = 8;
+const PROBE_TRIES: u32 = 16;
 /// Time from a grant to the start of the run.
 const START: Span = Span::from_ms(4);
 /// Age up to which a job that is asked for counts as one that arrives. Older ones waited at another scheduler.
@@ -60,6 +60,8 @@
     // Whether room may have become free since steps were last found to wait for it, and these steps.
     freed: bool,
     waits: Waits,
+    // Steps that may still be considered for a probe until the next tick.
+    tries: u32,
     // Whether tasks were asked for since it was last worked out what is hopeless.
     asked: bool,
     // When that was last worked out.
@@ -343,6 +345,9 @@
     /// Grants what room there is and refuses what cannot be served.
     pub fn run(&mut self, now: Time, tick: bool, out: &mut Output) {
         self.since.get_or_insert(now);
+        if tick {
+            self.tries = PROBE_TRIES;
+        }
         if tick || self.sites.is_stale() {
             self.sites.assess(now);
             self.watch_slow(now, out);
@@ -359,7 +364,7 @@
             self.above = self.sharing.above(now);
         }
         self.backlog.share(|waiting| self.above.contains(waiting));
-        self.grant(now, tick, out);
+        self.grant(now, out);
         // Until the next tick, ends only shorten the wait of what is not refused yet.
         let cost = Span::from_ms(self.backlog.len() as u64 / JUDGED_PER_MS);
         let asked = self.asked && now.since(self.judged) >= JUDGE_EVERY + cost;
@@ -406,10 +411,9 @@
         self.probes.retain(|service, _| slow.iter().any(|site| site.listed.service == *service));
     }
 
-    fn grant(&mut self, now: Time, tick: bool, out: &mut Output) {
+    fn grant(&mut self, now: Time, out: &mut Output) {
         let mut largest = self.sites.largest(now);
         let mut waits = std::mem::take(&mut self.waits);
-        let mut tries = if tick { PROBE_TRIES } else { 0 };
         for waiting in self.backlog.iter_mut() {
             if waiting.need.cores > largest || waits.is_full(waiting) || waits.holds(waiting, now) {
                 continue;
@@ -423,8 +427,8 @@
                     left.push(task);
                     continue;
                 }
-                let probe = if places.is_empty() && tries > 0 {
-                    tries -= 1;
+                let probe = if places.is_empty() && self.tries > 0 {
+                    self.tries -= 1;
                     probe(&self.sites, &mut self.probes, waiting, now, out)
                 } else {
                     None
