fix(fleet): a worker is silent only while looks get no answer

Cause: silence was measured from the last answer. An idle worker is looked at every 3 s, so one lost look closed it; so did a pause of this process of 475 ms or more.

Ruled out: looking at idle workers more often, which costs looks and does not help after a pause; clearing the misses after a pause, which would forget looks that were lost before it.

Change: silence counts from the first of the looks in a row without answer, from the last answer to any order, or from the end of the last standstill, whichever is latest. Four looks in a row close a worker as before.

--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -185,7 +185,9 @@
         }
         let is_doubtful = |held: &Held| matches!(held.stage, Stage::Doubtful { .. });
         worker.wants_check |= worker.held.iter().any(is_doubtful);
-        if !worker.dark && worker.is_silent(now) {
+        // A standstill may not have been noted by a tick yet.
+        let stood_until = if stood { now } else { self.stood };
+        if !worker.dark && worker.is_silent(stood_until, now) {
             worker.dark = true;
             out.note(Note::WorkerDark {
                 worker: id.clone(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -29,7 +29,8 @@
 const LOSSY_FOR: Span = Span::from_secs(3);
 /// Looks in a row without answer after which a worker gets no starts.
 const MISSES_LIMIT: u32 = 4;
-/// Silence after which it gets none even so, as its lease ends soon.
+/// Time without an answer to any look, while looks are out, after which it gets none even so, as its
+/// lease ends soon.
 const SILENCE_LIMIT: Span = Span::from_ms(475);
 
 /// Whether this instance is in charge of a worker.
@@ -172,10 +173,15 @@
         self.held.iter().find(|held| held.run == *run).and_then(|held| held.stopping)
     }
 
-    /// Whether it gets no starts any more after a look without answer.
+    /// Whether it gets no starts any more after a look without answer; this process last stood still
+    /// until `stood`.
+    ///
+    /// Time in which nothing was asked is no silence: an idle worker is looked at every few seconds.
     #[must_use]
-    pub fn is_silent(&self, now: Time) -> bool {
-        self.misses >= MISSES_LIMIT || now.since(self.answered) >= SILENCE_LIMIT
+    pub fn is_silent(&self, stood: Time, now: Time) -> bool {
+        let unanswered = |from: Time| now.since(from.max(self.answered).max(stood));
+        let silence = self.missed_from.map_or(Span::ZERO, unanswered);
+        self.misses >= MISSES_LIMIT || silence >= SILENCE_LIMIT
     }
 
     /// Time that the worker may wait before it answers the next look.
