fix(fleet): a run without reported progress is not taken for slow

Cause: gains_elsewhere read 0 % as 1 %, so a run that had reported no progress was stopped after 0.3 of its expected time and 50 ms. HOW_STALLED then paused its worker at the scheduler.

Ruled out: a value of its own in How for such ends, which fronts of an older version would read as HOW_UNKNOWN, without avoiding the worker; reporting HOW_STOPPED to the front too, which would not count the restart.

Change: progress decides only if some was reported; otherwise the rule for stalled runs does. Held notes why a run is restarted. One that is late for its objective ends as HOW_STALLED at its front and for the owner's estimate of the worker's speed, and as HOW_STOPPED at the scheduler, which does not pause the worker then.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_schema::fleet::{Held as HeldMessage, Start};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
-use crate::{Asked, Need, RunKey};
+use crate::{Asked, Need, RunKey, note::RestartCause};
 
 /// Slack in a forecast of progress, for the delay of reports.
 const STALL_SLACK: Span = Span::from_ms(50);
@@ -76,8 +76,8 @@
     pub stage: Stage,
     /// Whether it is to be stopped, and when the stop was last sent.
     pub stopping: Option<Time>,
-    /// Whether it is stopped for lack of progress.
-    pub stalled: bool,
+    /// Why it is stopped to be started again elsewhere, if it is.
+    pub restart: Option<RestartCause>,
     /// When the first stop was sent that got no answer, if none was accepted since.
     pub stop_lost: Option<Time>,
     /// Progress in percent.
@@ -107,7 +107,7 @@
             wanted: true,
             stage: Stage::Starting,
             stopping: None,
-            stalled: false,
+            restart: None,
             stop_lost: None,
             percent: 0,
             progressed: now,
@@ -168,6 +168,8 @@
     /// Whether its worker is slow and its job gains from a start elsewhere: by its progress the run ends
     /// too late for the objective, and one elsewhere is expected to end in time.
     ///
+    /// A run that has reported no progress is judged by [`Self::is_stalled`] alone.
+    ///
     /// A task that was stopped before for this reason may simply be long, so it gets more time.
     #[must_use]
     pub fn gains_elsewhere(&self, now: Time) -> bool {
@@ -178,7 +180,8 @@
         if ran < expected * patience * COMPARED_AFTER / 1_000 + STALL_SLACK.as_ms() {
             return false;
         }
-        let total = ran * 100 / u64::from(self.percent.clamp(1, 100));
+        let percent = u64::from(self.percent.min(100));
+        let Some(total) = (ran * 100).checked_div(percent) else { return false };
         let is_slow = total >= expected * patience * SLOW_TOTAL / 1_000;
         let here = since + Span::from_ms(total);
         let elsewhere = now + RESTART + Span::from_ms(expected * ELSEWHERE / 1_000);
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -16,7 +16,7 @@
     VecMap, Worker,
     held::Stage,
     members::{Owners, text_hash},
-    note::{Note, OrderKind, Resolution},
+    note::{Note, OrderKind, Resolution, RestartCause},
     output::Message,
     worker::Charge,
 };
@@ -199,7 +199,8 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let Some(place) = worker.held.iter().position(|held| held.run == *run) else { return };
         let held = worker.held.remove(place);
-        let how = if how == How::Stopped && held.stalled { How::Stalled } else { how };
+        let restart = held.restart.filter(|_| how == How::Stopped);
+        let how = if restart.is_some() { How::Stalled } else { how };
         let took = match held.stage {
             Stage::AtWork { since } => now.since(since),
             Stage::Starting | Stage::Doubtful { .. } => now.since(held.sent),
@@ -224,6 +225,8 @@
         if !held.mistimed {
             self.learnt.learn(id, how, &held.kind, took, held.expected, now);
         }
+        // The scheduler pauses a worker on which a run stalled; one that is late for its job is no reason.
+        let how = if restart == Some(RestartCause::Late) { How::Stopped } else { how };
         self.free(&held, id.as_str(), how, took, out);
     }
 
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -143,7 +143,7 @@
             };
             if let Some(cause) = cause {
                 held.stopping = Some(now);
-                held.stalled = true;
+                held.restart = Some(cause);
                 out.note(Note::Stalled {
                     run: held.run.clone(),
                     worker: id.clone(),
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -197,7 +197,7 @@
         wanted: false,
         stage: Stage::AtWork { since: now },
         stopping: None,
-        stalled: false,
+        restart: None,
         stop_lost: None,
         percent: 0,
         progressed: now,
