fix(fleet): what an earlier life of a worker ran is not said to have never run

Cause: a start was carried out, its answer lost, and the worker restarted under the same id. The new life accepted the stop and did not list the run, so HOW_UNANSWERED was reported for a run that had run.

Ruled out: giving the worker up as for OtherLife, which ends starts under way as stopped although the new life may still carry them out, before a new token is known to it.

Change: a clock that goes back by more than 1 s in the answer to a look or a start shows another life. The numbers of ends, clocks, misses, loss, looks under way and learnt behaviour start anew; starts without answer are stopped again, and end as HOW_STOPPED. Runs that were at work end with the next look that does not list them. The clock is also noted when a worker is opened.

Left to the life of a worker in answers: a restart of a worker that was up for less than 1 s, and an answer of the earlier life to a stop that is read after the restart was seen.

Measured: the test of the run of an earlier life fails before (HOW_UNANSWERED) and passes after.

--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -84,6 +84,8 @@
     pub percent: u32,
     /// When the worker was last seen to say so.
     pub progressed: Time,
+    /// Whether its start was sent to an earlier life of the worker, which may have carried it out.
+    pub outlived: bool,
     /// Whether its run time is not known: an earlier owner started it, or its end may have been seen
     /// late.
     pub mistimed: bool,
@@ -111,6 +113,7 @@
             stop_lost: None,
             percent: 0,
             progressed: now,
+            outlived: false,
             mistimed: false,
         })
     }
@@ -159,6 +162,15 @@
         }
     }
 
+    /// Takes note that its worker restarted; the new life knows no stop that the earlier one accepted.
+    pub const fn outlive(&mut self) {
+        self.outlived = true;
+        self.mistimed = true;
+        if let Stage::Doubtful { accepted, .. } = &mut self.stage {
+            *accepted = None;
+        }
+    }
+
     /// Whether its start may still be carried out, at any time.
     #[must_use]
     pub const fn is_unproven(&self) -> bool {
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -11,10 +11,6 @@
     worker::Charge,
 };
 
-/// How much older than an earlier answer an answer may be; the clock of a worker that restarted falls
-/// further.
-const OUT_OF_ORDER: Span = Span::from_ms(1_000);
-
 impl Owner {
     /// Takes what a worker says to a look.
     pub fn looked(&mut self, looked: Looked, members: &Members, now: Time, out: &mut Output) {
@@ -35,6 +31,8 @@
         }
         match answer {
             LookAnswer::Seen(seen) => {
+                self.check_life(id, seen.clock, now, out);
+                let Some(worker) = self.workers.get_mut(id) else { return };
                 worker.set_clock(seen.clock, now);
                 worker.refusals = 0;
                 // An end that was listed after looks without answer may be older.
@@ -80,7 +78,7 @@
         // The worker answered another look later, and that answer was read before: it had the ends of
         // this one, and what runs may have ended since.
         let older = worker.seen_clock.saturating_sub(seen.clock);
-        if (1..=OUT_OF_ORDER.as_ms()).contains(&older) {
+        if older > 0 {
             return;
         }
         worker.seen_clock = seen.clock;
@@ -101,8 +99,8 @@
             }
             if held.is_gone(asked) {
                 let how = match held.stage {
-                    Stage::Doubtful { .. } => How::Unanswered,
-                    Stage::Starting | Stage::AtWork { .. } => How::Stopped,
+                    Stage::Doubtful { .. } if !held.outlived => How::Unanswered,
+                    Stage::Doubtful { .. } | Stage::Starting | Stage::AtWork { .. } => How::Stopped,
                 };
                 ends.push((held.run.clone(), how));
             } else if matches!(held.stage, Stage::Doubtful { asked: last, .. } if asked.number > last)
@@ -125,6 +123,30 @@
         self.stop_stalled(id, seen, now, out);
     }
 
+    /// Starts anew with a worker whose clock shows that it restarted.
+    pub(super) fn check_life(&mut self, id: &WorkerId, clock: u64, now: Time, out: &mut Output) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if !worker.is_other_life(clock) {
+            return;
+        }
+        worker.restart();
+        let mut stops = Vec::new();
+        let unproven = worker
+            .held
+            .iter_mut()
+            .filter(|held| matches!(held.stage, Stage::Doubtful { .. }) && held.stopping.is_some());
+        for held in unproven {
+            // The new life may still carry out the start.
+            held.stopping = Some(now);
+            stops.push(held.run.clone());
+        }
+        for run in stops {
+            push_stop(worker, &run, &self.answers, now, out);
+        }
+        self.learnt.forget(id);
+        self.changed.push(id.clone());
+    }
+
     /// Stops runs that would end sooner if they were started again elsewhere.
     fn stop_stalled(&mut self, id: &WorkerId, seen: &Seen, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -116,8 +116,14 @@
         }
         let sent = self.workers.get(id).and_then(|worker| worker.sent_at(run));
         let stood = sent.is_some_and(|sent| self.stood_since(sent, now));
-        let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(clock) = clock {
+            self.check_life(id, clock, now, out);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let outlived = worker.held.iter().any(|held| held.run == *run && held.outlived);
+        // The answer to a start that was sent before a restart may come from either life; after a restart
+        // that this answer shows, no other clock is known.
+        if let Some(clock) = clock.filter(|_| !outlived || !worker.has_clock()) {
             worker.set_clock(clock, now);
         }
         if !matches!(answer, StartAnswer::Lost | StartAnswer::Unsent) {
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -48,6 +48,7 @@
         out: &mut Output,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.seen_clock = seen.clock;
         worker.acked = seen.ended.iter().map(|end| end.number).max().unwrap_or(0);
         let message = Takeover {
             worker: id.to_string(),
@@ -201,6 +202,7 @@
         stop_lost: None,
         percent: 0,
         progressed: now,
+        outlived: false,
         mistimed: true,
     }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -33,6 +33,10 @@
 /// lease ends soon.
 const SILENCE_LIMIT: Span = Span::from_ms(475);
 
+/// How far the clock of a worker goes back at least if the worker restarted; answers that are read out of
+/// order differ by less.
+pub const CLOCK_BACK: Span = Span::from_ms(1_000);
+
 /// Whether this instance is in charge of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Charge {
@@ -147,6 +151,35 @@
         self.answered = now;
     }
 
+    /// Whether the worker's clock is known.
+    #[must_use]
+    pub const fn has_clock(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Whether an answer with this clock comes from a later life than the answers before.
+    #[must_use]
+    pub const fn is_other_life(&self, clock: u64) -> bool {
+        self.seen_clock.saturating_sub(clock) > CLOCK_BACK.as_ms()
+    }
+
+    /// Forgets what belongs to an earlier life of the worker.
+    ///
+    /// Orders under way may be carried out by the new life, so their runs are kept, and the end of their
+    /// leases is.
+    pub fn restart(&mut self) {
+        self.acked = 0;
+        self.seen_clock = 0;
+        self.clock = None;
+        (self.looking, self.checking) = (None, None);
+        self.misses = 0;
+        self.missed_from = None;
+        self.lost_at = None;
+        self.refusals = 0;
+        self.wants_check = true;
+        self.held.iter_mut().for_each(Held::outlive);
+    }
+
     /// Counts a look that is sent now.
     pub fn ask(&mut self, wait: Span, now: Time) -> Asked {
         self.looks += 1;
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -557,3 +557,75 @@
         assert_eq!((how(&out).as_slice(), freed.as_slice()), (front, scheduler), "{name}");
     }
 }
+
+#[test]
+fn a_run_of_an_earlier_life_is_not_said_to_have_never_run() {
+    // Guards against "never ran" for a run that the worker's earlier life carried out, and against orders
+    // that are read by the numbers and the clock of that life.
+    let mut out = Output::default();
+    let (mut bed, run) = Bed::with_run(StartAnswer::Lost, &mut out);
+    let worker = bed.worker.clone();
+    let at = |ms: u64| START + Span::from_ms(ms);
+    let numbered = Run { job: "k".to_owned(), step: 0, task: 0, run: 1 };
+    let ended = |number: u64, run: &RunKey, clock: u64| {
+        let end = End { number, run: run.clone(), how: RunEnd::Done };
+        LookAnswer::Seen(Box::new(Seen { clock, running: Vec::new(), ended: vec![end] }))
+    };
+    bed.look_with(&ended(7, &RunKey::from(&numbered), at(100).as_ms()), at(100), &mut out);
+    bed.owner.stopped(&worker, &run, true, at(200), &mut out);
+    bed.look_with(&seen(&run, 50, false, None), at(300), &mut out);
+    assert_eq!(how(&out), [], "the start may still be carried out in the new life");
+    assert_eq!(stops(&out), 2, "the new life knows of no stop");
+    // The new life accepts the stop and does not list the run.
+    bed.owner.stopped(&worker, &run, true, at(310), &mut out);
+    let mut looks = Output::default();
+    bed.owner.look(at(320), &mut looks);
+    let acked = looks.commands.iter().find_map(|command| match command {
+        Command::Look { acked, .. } => Some(*acked),
+        _ => None,
+    });
+    assert_eq!(acked, Some(0), "ends are numbered anew");
+    bed.answer(seen(&run, 70, false, None), at(320), at(320), &mut out);
+    assert_eq!(how(&out), [How::Stopped], "it may have run in the earlier life");
+}
+
+#[test]
+fn another_life_ends_what_the_earlier_one_ran() {
+    // Guards against runs that are held after their worker restarted, and against leases that are counted
+    // on the clock of the earlier life.
+    struct Case {
+        name: &'static str,
+        /// Clock of the worker in the answer to a further start; none if a look shows the new life.
+        started: Option<u64>,
+    }
+    let cases = [
+        Case { name: "a look shows it", started: None },
+        Case { name: "a start shows it", started: Some(30) },
+    ];
+    for Case { name, started } in cases {
+        let mut out = Output::default();
+        let (mut bed, run) = Bed::with_run(StartAnswer::Started, &mut out);
+        let at = |ms: u64| START + Span::from_ms(ms);
+        bed.look_at(std::slice::from_ref(&run), true, at(10), &mut out);
+        let further = Run { job: "j".to_owned(), step: 0, task: 1, run: 1 };
+        let further = RunKey::from(&further);
+        if started.is_some() {
+            let mut order = start(bed.token, at(10));
+            order.run = Some(Run { job: "j".to_owned(), step: 0, task: 1, run: 1 });
+            bed.owner.start(&"e-2".parse().expect("a name"), order, at(10), &mut out);
+            let worker = bed.worker.clone();
+            bed.owner.started(&worker, &further, StartAnswer::Started, started, at(30), &mut out);
+        }
+        let mut looks = Output::default();
+        bed.owner.look(at(40), &mut looks);
+        let lease = looks.commands.iter().find_map(|command| match command {
+            Command::Look { lease, .. } => lease.as_ref().map(|lease| lease.until),
+            _ => None,
+        });
+        let is_new = lease.is_some_and(|until| until < at(0).as_ms());
+        assert_eq!(is_new, started.is_some(), "{name}: lease until {lease:?}");
+        bed.answer(seen(&further, 40, started.is_some(), None), at(40), at(40), &mut out);
+        assert_eq!(how(&out), [How::Stopped], "{name}");
+        assert_eq!(bed.owner.runs(), usize::from(started.is_some()), "{name}");
+    }
+}
