--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -149,8 +149,14 @@
         let is_present = age != Age::Earlier
             && (life.is_known() || worker.is_none_or(|worker| !worker.life.is_known()));
         let clock = from.filter(|_| is_present).map(|(clock, _)| clock);
-        let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(clock) = clock {
+            self.check_life(id, clock, now, out);
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let outlived = worker.held.iter().any(|held| held.run == *run && held.outlived);
+        // The answer to a start that was sent before a restart may come from either life; after a restart
+        // that this answer shows, no other clock is known.
+        if let Some(clock) = clock.filter(|_| !outlived || !worker.has_clock()) {
             worker.set_clock(clock, now);
         }
         if !matches!(answer, StartAnswer::Lost | StartAnswer::Unsent) {
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -49,6 +49,7 @@
     ) {
         self.settle_reborn(id, seen, now, out);
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.seen_clock = seen.clock;
         worker.acked = seen.ended.iter().map(|end| end.number).max().unwrap_or(0);
         let message = Takeover {
             worker: id.to_string(),
@@ -201,10 +202,11 @@
         wanted: false,
         stage: Stage::AtWork { since: now },
         stopping: None,
-        stalled: false,
+        restart: None,
         stop_lost: None,
         percent: 0,
         progressed: now,
+        outlived: false,
         mistimed: true,
     }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -29,9 +29,14 @@
 const LOSSY_FOR: Span = Span::from_secs(3);
 /// Looks in a row without answer after which a worker gets no starts.
 const MISSES_LIMIT: u32 = 4;
-/// Silence after which it gets none even so, as its lease ends soon.
+/// Time without an answer to any look, while looks are out, after which it gets none even so, as its
+/// lease ends soon.
 const SILENCE_LIMIT: Span = Span::from_ms(475);
 
+/// How far the clock of a worker goes back at least if the worker restarted; answers that are read out of
+/// order differ by less.
+pub const CLOCK_BACK: Span = Span::from_ms(1_000);
+
 /// Whether this instance is in charge of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Charge {
@@ -143,16 +148,19 @@
         self.charge == Charge::Open && !self.dark && !self.listed.draining
     }
 
-    /// Forgets what belongs to the earlier life of a worker that restarted, and opens it under a token.
+    /// Opens a worker that restarted under a token; nothing of its earlier life counts.
     pub fn restart(&mut self, token: u64, now: Time) {
         self.token = token;
         self.charge = Charge::Opening { at: now };
+        self.dark = false;
+        self.forget_life();
+    }
+
+    fn forget_life(&mut self) {
         self.acked = 0;
-        self.looking = None;
-        self.checking = None;
+        (self.looking, self.checking) = (None, None);
         self.misses = 0;
         self.missed_from = None;
-        self.dark = false;
         self.lost_at = None;
         self.refusals = 0;
         self.seen_clock = 0;
@@ -165,6 +173,28 @@
         self.answered = now;
     }
 
+    /// Whether the worker's clock is known.
+    #[must_use]
+    pub const fn has_clock(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Whether an answer with this clock comes from a later life than the answers before.
+    #[must_use]
+    pub const fn is_other_life(&self, clock: u64) -> bool {
+        self.seen_clock.saturating_sub(clock) > CLOCK_BACK.as_ms()
+    }
+
+    /// Forgets what belongs to an earlier life of a worker that obeys this instance as before.
+    ///
+    /// Orders under way may be carried out by the new life, so their runs are kept, and the end of their
+    /// leases is.
+    pub fn outlive(&mut self) {
+        self.forget_life();
+        self.wants_check = true;
+        self.held.iter_mut().for_each(Held::outlive);
+    }
+
     /// Counts a look that is sent now.
     pub fn ask(&mut self, wait: Span, now: Time) -> Asked {
         self.looks += 1;
@@ -191,10 +221,15 @@
         self.held.iter().find(|held| held.run == *run).and_then(|held| held.stopping)
     }
 
-    /// Whether it gets no starts any more after a look without answer.
+    /// Whether it gets no starts any more after a look without answer; this process last stood still
+    /// until `stood`.
+    ///
+    /// Time in which nothing was asked is no silence: an idle worker is looked at every few seconds.
     #[must_use]
-    pub fn is_silent(&self, now: Time) -> bool {
-        self.misses >= MISSES_LIMIT || now.since(self.answered) >= SILENCE_LIMIT
+    pub fn is_silent(&self, stood: Time, now: Time) -> bool {
+        let unanswered = |from: Time| now.since(from.max(self.answered).max(stood));
+        let silence = self.missed_from.map_or(Span::ZERO, unanswered);
+        self.misses >= MISSES_LIMIT || silence >= SILENCE_LIMIT
     }
 
     /// Time that the worker may wait before it answers the next look.
