--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -536,13 +536,15 @@
         let now = START + Span::from_ms(after);
         let running = |run: &RunKey| Running { run: run.clone(), percent };
         let running = runs.iter().map(running).collect();
-        let listed = Seen { clock: now.as_ms(), running, ended: Vec::new() };
+        let (clock, life, ended) = (now.as_ms(), Life::UNKNOWN, Vec::new());
+        let listed = Seen { clock, life, running, ended };
         bed.look_with(&LookAnswer::Seen(Box::new(listed)), now, &mut out);
         assert_eq!(stops(&out), front.len(), "{name}");
         let running = |run: &RunKey| Running { run: run.clone(), percent };
         let stopped = if front.is_empty() { 0 } else { 1 };
         let end = End { number: 1, run: runs[0].clone(), how: RunEnd::Stopped };
         let listed = Seen {
+            life: Life::UNKNOWN,
             clock: now.as_ms() + 20,
             running: runs.iter().skip(stopped).map(running).collect(),
             ended: vec![end].into_iter().take(stopped).collect(),
@@ -569,7 +571,12 @@
     let numbered = Run { job: "k".to_owned(), step: 0, task: 0, run: 1 };
     let ended = |number: u64, run: &RunKey, clock: u64| {
         let end = End { number, run: run.clone(), how: RunEnd::Done };
-        LookAnswer::Seen(Box::new(Seen { clock, running: Vec::new(), ended: vec![end] }))
+        LookAnswer::Seen(Box::new(Seen {
+            clock,
+            life: Life::UNKNOWN,
+            running: Vec::new(),
+            ended: vec![end],
+        }))
     };
     bed.look_with(&ended(7, &RunKey::from(&numbered), at(100).as_ms()), at(100), &mut out);
     bed.owner.stopped(&worker, &run, true, at(200), &mut out);
