fix(fleet): long runs under an overload make few workers slow

Cause: run times spread by 1.5 either way and 350 workers under 2.2 times their usual load end thousands of runs a second. Some 0.3 % of these put their worker in doubt, and runs that were not over after 2.5 times their expected time made it slow. Such a worker got one task at a time, and tasks waited beside its free room.

Ruled out: deriving `slow` from the ended runs of a worker alone left 13 changes and 1,915 idle slots, and two unit tests of speeds failed. A larger threshold of change (1.75 instead of 1.4) left 2 changes and 12 idle slots.

Change: while at most an eighth of the workers of a service is in doubt or slow, single long runs count as chance; a worker is slow only if a run has followed those that changed its estimate.

The part of an eighth was the only one tried; a single worker that turns slow is found later than before, how much was not measured.

--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -99,6 +99,8 @@
     pace: Pace,
     slow: bool,
     doubtful: bool,
+    // Whether so few workers are in doubt that single long runs explain it.
+    by_chance: bool,
 }
 
 impl Site {
@@ -127,6 +129,7 @@
             pace: Pace::default(),
             slow: false,
             doubtful: false,
+            by_chance: false,
         }
     }
 
@@ -171,6 +174,12 @@
     }
 
     fn slowness_log(&self, now: Time) -> f64 {
+        if self.by_chance {
+            let speed = &self.record.speed;
+            let known = speed.estimate(self.prior, now);
+            let is_chance = Speed::is_slow(known, self.prior) && !speed.is_confirmed();
+            return if is_chance { self.prior } else { known };
+        }
         let cautious = self.record.speed.cautious(self.prior, now);
         self.overdue.map_or(cautious, |overdue| cautious.max(overdue))
     }
@@ -389,6 +398,17 @@
         self.fastest = classes.fastest();
     }
 
+    /// Whether several runs, or single ones that may not have ended, were far longer than expected.
+    #[must_use]
+    pub fn is_in_doubt(&self, now: Time) -> bool {
+        self.record.speed.is_doubtful() || self.overdue.is_some() || self.is_known_slow(now)
+    }
+
+    /// Sets whether single long runs count as chance until more of them change the estimate.
+    pub const fn set_by_chance(&mut self, by_chance: bool) {
+        self.by_chance = by_chance;
+    }
+
     /// Works out the pace from what is known at this time.
     pub fn assess(&mut self, now: Time) {
         let known = self.record.speed.estimate(self.prior, now);
@@ -399,7 +419,8 @@
         self.overdue = Speed::is_overdue(furthest, known).then_some(furthest);
         let slowness = self.slowness_log(now);
         self.slow = Speed::is_slow(slowness, self.prior);
-        self.doubtful = self.record.speed.is_doubtful() || self.record.speed.is_on_trial();
+        let speed = &self.record.speed;
+        self.doubtful = !self.by_chance && (speed.is_doubtful() || speed.is_on_trial());
         // Few runs tell how slow a slow worker is, and a wrong guess costs a job its objective.
         let slowness = if self.slow { slowness + SLOW_MARGIN } else { slowness };
         let runs = self.record.speed.weight(now);
--- a/crates/fleet/src/sites.rs
+++ b/crates/fleet/src/sites.rs
@@ -15,6 +15,9 @@
 /// have a cause in common, and the others could not carry their load.
 const PAUSED_PART: usize = 3;
 
+/// Part of the workers of a service that may be in doubt by chance, as a divisor: single runs take three times the
+/// expected time by their own spread, and an overload has thousands a second.
+const CHANCE_PART: usize = 8;
 /// Most names of racks that are kept.
 const RACKS: usize = 1_000;
 
@@ -137,9 +140,23 @@
             self.compared = now;
             self.stale = false;
         }
+        // Workers in doubt and all usable ones, by service.
+        let mut doubts: VecMap<String, (usize, usize)> = VecMap::default();
+        for site in self.iter().filter(|site| site.is_usable()) {
+            let service = &site.listed.service;
+            if !doubts.contains(service) {
+                doubts.insert(service.clone(), (0, 0));
+            }
+            if let Some((doubtful, all)) = doubts.get_mut(service) {
+                *doubtful += usize::from(site.is_in_doubt(now));
+                *all += 1;
+            }
+        }
         let mut moved = false;
         for (_, site) in self.sites.iter_mut() {
             let before = (site.pace(), site.is_slow());
+            let doubts = doubts.get(&site.listed.service);
+            site.set_by_chance(doubts.is_some_and(|(of, all)| of * CHANCE_PART <= *all));
             if let Some(classes) = &classes {
                 site.compare(classes);
             }
--- a/crates/fleet/src/speeds.rs
+++ b/crates/fleet/src/speeds.rs
@@ -176,6 +176,12 @@
         self.above >= DOUBTFUL
     }
 
+    /// Whether further runs have followed the ones that last changed it.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.weight > CHANGED_WEIGHT
+    }
+
     /// Whether it counts as recovered by a single task.
     #[must_use]
     pub const fn is_on_trial(&self) -> bool {
--- /dev/null
+++ b/crates/fleet/tests/alike.rs
@@ -0,0 +1,53 @@
+//! Guards against workers that are taken for slow, or left idle, because tasks queue.
+
+mod common;
+mod load;
+
+use cranberryhatch_fleet::Note;
+use load::{Kind, Load, Machine, machines};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const CORES: u32 = 16_000;
+/// When the overload begins and ends.
+const OVERLOAD: (u64, u64) = (2_000, 6_000);
+
+fn workers() -> Vec<Machine> {
+    let mut workers = machines("small", 230, 32_000, &ZONES);
+    workers.extend(machines("large", 120, 48_000, &ZONES));
+    workers
+}
+
+fn kinds() -> Vec<Kind> {
+    let kind = |name, priority, tasks, mean, declared, rate| Kind {
+        name,
+        priority,
+        tasks,
+        cores: CORES,
+        mean,
+        declared,
+        rack: "",
+        zones: ZONES.iter().map(|zone| (*zone, 1.0)).collect(),
+        rates: vec![(500, rate), (OVERLOAD.0, 2.2 * rate), (OVERLOAD.1, rate)],
+    };
+    vec![
+        kind("urgent", 0, 8, 60.0, 50, 206.0),
+        kind("middle", 1, 2, 200.0, 280, 600.0),
+        kind("long", 2, 4, 900.0, 700, 37.5),
+    ]
+}
+
+#[test]
+fn an_overload_of_alike_workers_makes_none_slow_and_leaves_none_idle() {
+    let mut load = Load::new(1, workers(), kinds(), OVERLOAD.1);
+    let (mut idle, mut looks) = (0, 0);
+    for ms in (OVERLOAD.0 + 500..OVERLOAD.1).step_by(50) {
+        load.run_until(ms);
+        idle += load.idle(CORES);
+        looks += 1;
+    }
+    let slow = load.notes.iter().filter(|(_, note)| matches!(note, Note::SpeedChanged { .. }));
+    let slow = slow.count();
+    println!("{slow} changes of speed, {idle} idle in {looks} looks");
+    assert_eq!(slow, 0, "workers taken for slow");
+    assert_eq!(idle, 0, "idle slots in {looks} looks");
+}
--- a/crates/fleet/tests/load/mod.rs
+++ b/crates/fleet/tests/load/mod.rs
@@ -429,6 +429,44 @@
         Room { worker, token: 1, held, open: true, standing, ..Room::default() }
     }
 
+    /// Slots of a size that no task holds while tasks of that size wait, by what the scheduler knows.
+    ///
+    /// Orders on their way hold their slots, and ends count once the scheduler has heard of them.
+    pub fn idle(&self, cores: u32) -> usize {
+        let mut used: BTreeMap<&str, u32> = BTreeMap::new();
+        let mut on_way: BTreeMap<usize, usize> = BTreeMap::new();
+        for (id, call, _) in self.runs.keys() {
+            *used.entry(id).or_default() += self.kinds[self.calls[*call].kind].cores;
+        }
+        for event in self.events.values() {
+            let (worker, call) = match event {
+                Event::Start(call, place) => (place.worker.as_str(), *call),
+                Event::Freed(freed) => {
+                    let run = freed.run.as_ref().expect("a run");
+                    let call = usize::from_str_radix(&run.job, 16).expect("a call");
+                    (freed.worker.as_str(), call)
+                }
+                _ => continue,
+            };
+            *used.entry(worker).or_default() += self.kinds[self.calls[call].kind].cores;
+            if matches!(event, Event::Start(..)) {
+                *on_way.entry(call).or_default() += 1;
+            }
+        }
+        let waits = |(number, call): (usize, &Call)| {
+            let is_known = call.end.is_none() && call.sent + WAY <= self.now;
+            let fits = is_known && self.kinds[call.kind].cores <= cores;
+            let on_way = on_way.get(&number).copied().unwrap_or_default();
+            if fits { call.waiting.len().saturating_sub(on_way) } else { 0 }
+        };
+        let waiting: usize = self.calls.iter().enumerate().map(waits).sum();
+        let free = self.machines.iter().map(|machine| {
+            let used = used.get(machine.id.as_str()).copied().unwrap_or_default();
+            (machine.cores.saturating_sub(used) / cores) as usize
+        });
+        waiting.min(free.sum())
+    }
+
     /// Jobs of a kind that were sent first between two times, with their outcomes.
     pub fn of(&self, kind: usize, from: u64, to: u64) -> impl Iterator<Item = &Call> {
         let born = from..to;
