fix(fleet): a forecast counts hand-overs, and refuses no job that waits alone

Cause: the forecast took a slot to be free again at the end of a run, though the start and the report of the end take 6 ms more, a tenth of an urgent task. And a job that nothing else waited with was refused for arrivals of its own priority that may not come.

Sparing the first of a priority with nothing ahead, instead of the only one that waits, was not needed.

Change: what waits holds its room for its mean run time and the hand-over; the only entry of a service is judged without the arrivals of its own priority.

--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -68,6 +68,7 @@
     now: Time,
 ) -> Vec<Hopeless> {
     let mut entries: Vec<&mut Entry> = backlog.of_mut(service).collect();
+    let is_alone = entries.len() == 1;
     let mut found = Vec::new();
     let mut ahead = 0.0;
     let mut arrivals = Ahead { rates: arrivals, counted: 0 };
@@ -107,8 +108,8 @@
             let mean = mean_ms(waiting);
             let start = forecast.last_start(waiting, mean);
             let unhindered = waiting_only.last_start(waiting, mean);
-            // One that was told to wait is not refused for arrivals that may not come.
-            let judged = if entry.kept { unhindered } else { start };
+            // One that was told to wait, or that waits alone, is not refused for arrivals that may not come.
+            let judged = if entry.kept || is_alone { unhindered } else { start };
             let is_useful = |start: Span| now + start <= waiting.useful;
             let slots = forecast.slots(waiting);
             // The first one of a size without a worker may be what a worker comes back for.
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -30,6 +30,8 @@
 const PROBE_TRIES: u32 = 8;
 /// Time from a grant to the start of the run.
 const START: Span = Span::from_ms(4);
+/// Time from the end of a run until its room can be granted again.
+const END: Span = Span::from_ms(2);
 /// Age up to which a job that is asked for counts as one that arrives. Older ones waited at another scheduler.
 const ARRIVING: Span = Span::from_ms(200);
 /// Time in which other instances take over the workers when all were lost with their owners: the
@@ -458,7 +460,7 @@
                         site.probed = now;
                     }
                     site.grant_run(key.clone(), waiting.need, run);
-                    site.expect_end(&key, START + mean, mean, now);
+                    site.expect_end(&key, START + mean + END, mean, now);
                 });
             }
             waiting.tasks = left;
@@ -509,7 +511,7 @@
             if self.is_cut_off() {
                 arrivals.clear();
             }
-            let mean = |waiting: &Waiting| self.bias.mean_ms(&waiting.kind, waiting.expected);
+            let mean = |waiting: &Waiting| held_ms(&self.bias, waiting);
             let (backlog, returns) = (&mut self.backlog, &mut self.returns);
             let found =
                 refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
@@ -557,6 +559,12 @@
     Some(choice)
 }
 
+/// Mean time for which a task holds its room, in milliseconds.
+fn held_ms(bias: &RunBias, waiting: &Waiting) -> f64 {
+    let turnover = u32::try_from((START + END).as_ms()).map_or(0.0, f64::from);
+    bias.mean_ms(&waiting.kind, waiting.expected) + turnover
+}
+
 fn to_u32(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
