refactor(fleet): refused jobs leave the backlog in one pass

Cause: for each refused job the backlog was searched and then gone through once more.

Change: Backlog::take takes the entries of all refused jobs of a service out at once. Refusals keep their order.

--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -175,6 +175,12 @@
         self.entries.retain(|entry| !gone(&entry.waiting));
     }
 
+    /// Takes the entries for which `gone` holds out, in one pass.
+    pub fn take(&mut self, mut gone: impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
+        let taken = self.entries.extract_if(.., |entry| gone(&entry.waiting));
+        taken.map(|entry| entry.waiting).collect()
+    }
+
     /// Removes entries without tasks.
     pub fn compact(&mut self) {
         self.remove(|waiting| waiting.tasks.is_empty());
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -515,14 +515,21 @@
             let (backlog, returns) = (&mut self.backlog, &mut self.returns);
             let found =
                 refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
+            if found.is_empty() {
+                continue;
+            }
+            let mut jobs: Vec<&str> = found.iter().map(|hopeless| hopeless.job.as_str()).collect();
+            jobs.sort_unstable();
+            let gone = |waiting: &Waiting| jobs.binary_search(&waiting.job.as_str()).is_ok();
+            let mut taken = VecMap::default();
+            for waiting in self.backlog.take(gone) {
+                taken.insert(waiting.job.clone(), waiting);
+            }
             for hopeless in found {
-                let gone = |waiting: &Waiting| waiting.job == hopeless.job;
-                let Some(waiting) = self.backlog.iter().find(|waiting| gone(waiting)) else {
-                    continue;
-                };
-                self.sharing.refused(waiting, now);
-                let (front, kind) = (waiting.front.clone(), waiting.kind.clone());
-                self.backlog.remove(gone);
+                // Several steps of a job are refused as one.
+                let Some(waiting) = taken.remove(&hopeless.job) else { continue };
+                self.sharing.refused(&waiting, now);
+                let Waiting { front, kind, .. } = waiting;
                 let Hopeless { job, cause, start, retry, slots, work, share } = hopeless;
                 let refusal = Refusal {
                     job: job.clone(),
