fix(fleet): an instance whose answers often come late awaits them longer

Cause: the time for an answer is learnt from answers in time, and any answer ended its doubling. An instance half of whose answers came late never saw them and stayed at 30 ms.

Ruled out: resetting the doubling only after several answers (Karn) without more, since late answers that alternate with others never make three orders in a row; a share of a fifth, which lost orders alone were seen to reach.

Change: the time doubles from the third order in a row without answer as before, and with each one while a third of all orders get none. It stays doubled until eight answers in a row came in time.

Changed test: "answers are back" expected the reset by one answer. It expects the time to stay after one and to be short after eight.

--- a/crates/fleet/src/answer_times.rs
+++ b/crates/fleet/src/answer_times.rs
@@ -12,6 +12,11 @@
 const SAMPLES: u32 = 8;
 /// Unanswered orders in a row, on any workers, that do not make the time longer.
 const MISSES_ALLOWED: u32 = 2;
+/// Answers in a row after which the time is no longer doubled.
+const ANSWERS_IN_TIME: u32 = 8;
+/// Share of unanswered orders over all workers from which answers count as late and the time is doubled;
+/// 8 % of the orders were seen to get lost.
+const LATE: f64 = 1.0 / 3.0;
 /// Doublings of the time at most.
 const DOUBLINGS: u32 = 4;
 /// Share of a new order in the share of lost ones.
@@ -22,7 +27,9 @@
 /// Times from orders to their answers over all workers of an instance.
 ///
 /// An answer that comes after its time is not seen, so a slow instance would take all orders for lost and
-/// never learn better. The time therefore doubles while no order at all gets an answer.
+/// never learn better. The time therefore doubles with each order that gets no answer while none at all
+/// gets one, or while more get none than lost orders explain. It stays doubled until several answers in a
+/// row came in time, as in Karn's algorithm: a single one may be a short one among many late ones.
 ///
 /// ```
 /// use cranberryhatch_fleet::AnswerTimes;
@@ -40,6 +47,8 @@
     variation: f64,
     samples: u32,
     misses: u32,
+    in_time: u32,
+    doublings: u32,
     loss: f64,
 }
 
@@ -51,6 +60,10 @@
     /// Learns from an answer; the time is none if the worker waited before it answered.
     pub fn answered(&mut self, took: Option<Span>) {
         self.misses = 0;
+        self.in_time = self.in_time.saturating_add(1);
+        if self.in_time >= ANSWERS_IN_TIME {
+            self.doublings = 0;
+        }
         self.loss -= LOSS_SHARE * self.loss;
         let Some(took) = took else { return };
         let ms = f64::from(u32::try_from(took.as_ms()).unwrap_or(u32::MAX));
@@ -69,6 +82,10 @@
         self.misses = self.misses.saturating_add(1);
         if counts {
             self.loss += LOSS_SHARE * (1.0 - self.loss);
+            self.in_time = 0;
+        }
+        if self.misses > MISSES_ALLOWED || self.loss >= LATE {
+            self.doublings = (self.doublings + 1).min(DOUBLINGS);
         }
     }
 
@@ -78,11 +95,10 @@
         if self.samples < SAMPLES {
             return most;
         }
-        let doublings = self.misses.saturating_sub(MISSES_ALLOWED).min(DOUBLINGS);
         let ms = self.mean + VARIATIONS * self.variation;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "positive")]
         let span = Span::from_ms(ms.ceil() as u64).max(Self::LEAST);
-        (span * (1 << doublings)).min(most)
+        (span * (1 << self.doublings)).min(most)
     }
 
     /// Whether orders get lost.
--- a/crates/fleet/tests/answer_times.rs
+++ b/crates/fleet/tests/answer_times.rs
@@ -46,8 +46,14 @@
             most: 200,
         },
         Case {
-            name: "answers are back",
+            name: "one answer is no sign that the time is long enough",
             orders: [answers(50, &[2]), vec![None; 8], answers(1, &[2])].concat(),
+            least: 200,
+            most: 200,
+        },
+        Case {
+            name: "answers are back",
+            orders: [answers(50, &[2]), vec![None; 8], answers(8, &[2])].concat(),
             least: 30,
             most: 30,
         },
@@ -66,6 +72,53 @@
     }
 }
 
+/// Orders of an instance: every `period`-th answer takes `late` ms and is not seen if that is longer than
+/// the time for an answer, the others take 2 ms. Returns the share that was not seen of the last half, in
+/// thousandths, and the longest time for an answer among them.
+fn play(period: usize, late: Option<u64>, orders: usize) -> (usize, u64) {
+    let mut times = AnswerTimes::default();
+    (0..50).for_each(|_| times.answered(Some(Span::from_ms(2))));
+    let (mut unseen, mut longest) = (0, 0);
+    for order in 1..=orders {
+        let timeout = times.timeout(MOST);
+        let took = if order % period == 0 { late } else { Some(2) };
+        let took = took.map(Span::from_ms).filter(|took| *took <= timeout);
+        match took {
+            Some(took) => times.answered(Some(took)),
+            None => times.missed(true),
+        }
+        if order > orders / 2 {
+            unseen += usize::from(took.is_none());
+            longest = longest.max(timeout.as_ms());
+        }
+    }
+    (unseen * 2_000 / orders, longest)
+}
+
+#[test]
+fn late_answers_are_told_from_lost_ones() {
+    // Guards against an instance half of whose answers come late and are never seen, and against one that
+    // awaits lost orders for long.
+    struct Case {
+        name: &'static str,
+        period: usize,
+        late: Option<u64>,
+        /// Largest share of answers that are not seen in the end, in thousandths.
+        unseen: usize,
+        longest: u64,
+    }
+    let cases = [
+        Case { name: "half come late", period: 2, late: Some(80), unseen: 50, longest: 200 },
+        Case { name: "half come very late", period: 2, late: Some(150), unseen: 50, longest: 200 },
+        Case { name: "8 % are lost", period: 12, late: None, unseen: 90, longest: 30 },
+        Case { name: "a fifth is lost", period: 5, late: None, unseen: 200, longest: 30 },
+    ];
+    for Case { name, period, late, unseen, longest } in cases {
+        let found = play(period, late, 2_000);
+        assert!(found.0 <= unseen && found.1 <= longest, "{name}: {found:?}");
+    }
+}
+
 /// Size of the generator, and its seed.
 const SIZE: usize = 100;
 const SEED: u64 = 20_261_204;
