fix(fleet): a doubtful start is held from the last order with a lease on

Cause: the 13 s after which a start of a silent worker counts as over ran from the start. Where leases count from the arrival of an order, a look that is carried out up to 12 s late renews the lease of a start that was carried out late, so a second run could begin beside it.

Ruled out: longer than 13 s from the start, since looks go on for as long as the start is not resolved; no leases for doubtful starts, which would let a run at work end because its answer was lost.

Change: the worker notes when an order that carries a lease was last sent; the 13 s count from then.

Changed test: "a start that may come late is not over with its lease" expected the end 13 s after the start. Its looks carried leases up to 400 ms after it; it now expects none 12,999 ms after the last one and the end at 13 s.

--- a/crates/fleet/src/owner/due.rs
+++ b/crates/fleet/src/owner/due.rs
@@ -57,13 +57,15 @@
 
     /// Reports the runs of a worker that does not answer once their lease has ended.
     ///
-    /// A start without answer may be carried out later than that where leases count from the arrival.
+    /// A start without answer may be carried out later than that where leases count from the arrival, and
+    /// so may a look that renews its lease.
     pub(super) fn lapse(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get(id) else { return };
         if !worker.dark || now < worker.lease_end {
             return;
         }
-        let is_over = |held: &&Held| !held.is_unproven() || now.since(held.sent) >= LATE_LIMIT;
+        let is_late = now.since(worker.leased) >= LATE_LIMIT;
+        let is_over = |held: &&Held| !held.is_unproven() || is_late;
         let runs: Vec<RunKey> =
             worker.held.iter().filter(is_over).map(|held| held.run.clone()).collect();
         for run in runs {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -98,6 +98,8 @@
     pub lost_at: Option<Time>,
     /// Latest time at which a lease ends that this instance gave.
     pub lease_end: Time,
+    /// When an order that carries a lease was last sent.
+    pub leased: Time,
     /// Looks at runs in a row that the worker refused for a higher token.
     pub refusals: u32,
     /// The worker's clock when it answered the latest look that was read.
@@ -127,6 +129,7 @@
             dark: false,
             lost_at: None,
             lease_end: Time::ZERO,
+            leased: Time::ZERO,
             refusals: 0,
             seen_clock: 0,
             clock: None,
@@ -261,6 +264,7 @@
         // The answer was under way for a while, so the worker's clock is ahead of this.
         let until = clock + now.since(at).as_ms() + length.as_ms();
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
+        self.leased = now;
         Some(Lease { until })
     }
 }
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -458,9 +458,11 @@
     for after in 1..=4 {
         bed.look_at(&[], false, START + Span::from_ms(100 * after), &mut out);
     }
-    bed.tick(START + Span::from_secs(10), &mut out);
+    // The last of the looks carried a lease too.
+    let last = START + Span::from_ms(400);
+    bed.tick(last + Span::from_ms(12_999), &mut out);
     assert_eq!(ends(&out), 0, "no stop was accepted");
-    bed.tick(START + Span::from_secs(13), &mut out);
+    bed.tick(last + Span::from_secs(13), &mut out);
     assert_eq!(how(&out), [How::Stopped], "later than any order was carried out");
 }
 
@@ -629,3 +631,22 @@
         assert_eq!(bed.owner.runs(), usize::from(started.is_some()), "{name}");
     }
 }
+
+#[test]
+fn a_start_that_may_come_late_is_held_from_the_last_lease_on() {
+    // Guards against a second run where a late look renews the lease of a start that was carried out late.
+    let mut out = Output::default();
+    let (mut bed, _) = Bed::with_run(StartAnswer::Lost, &mut out);
+    let front: InstanceId = "e-2".parse().expect("a name");
+    let leased = START + Span::from_ms(6_000);
+    bed.owner.seen_by(&front, leased, leased);
+    for after in 0..4 {
+        bed.look_at(&[], false, leased + Span::from_ms(100 * after), &mut out);
+    }
+    assert_eq!(bed.owner.counts(), (0, 1), "the worker is silent");
+    let last = leased + Span::from_ms(300);
+    bed.tick(last + Span::from_ms(12_900), &mut out);
+    assert_eq!(ends(&out), 0, "the last look may have renewed the lease");
+    bed.tick(last + Span::from_secs(13), &mut out);
+    assert_eq!(how(&out), [How::Stopped], "later than any order was carried out");
+}
