--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -100,6 +100,8 @@
     pub lease_end: Time,
     /// Life that gave the last answer.
     pub life: Life,
+    /// When an order that carries a lease was last sent.
+    pub leased: Time,
     /// Looks at runs in a row that the worker refused for a higher token.
     pub refusals: u32,
     /// The worker's clock when it answered the latest look that was read.
@@ -130,6 +132,7 @@
             lost_at: None,
             lease_end: Time::ZERO,
             life: Life::UNKNOWN,
+            leased: Time::ZERO,
             refusals: 0,
             seen_clock: 0,
             clock: None,
@@ -276,6 +279,7 @@
         // The answer was under way for a while, so the worker's clock is ahead of this.
         let until = clock + now.since(at).as_ms() + length.as_ms();
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
+        self.leased = now;
         Some(Lease { until })
     }
 }
