fix(fleet): arrivals that the workers can carry refuse no job

Cause: a job that would miss its objective was judged behind all arrivals of its own priority to come. Ruled out: the margin of the first check, which does not decide here; correcting the slow estimate of arrivals for its start, after which a burst that ends is not forgotten. Change: arrivals of the own priority count only while all that goes first is more than the slots can carry, or for 4 s after an election, when the estimate is too low to tell.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -89,7 +89,7 @@
 pub use owner::Owner;
 pub use placing::{Choice, Worth};
 pub use probes::Probes;
-pub use refusing::{Cause, Hopeless, hopeless};
+pub use refusing::{Arriving, Cause, Hopeless, hopeless};
 pub use restart_budget::RestartBudget;
 pub use returns::Returns;
 pub use roster::{Known, Roster, Standing};
--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -53,16 +53,25 @@
     pub share: u64,
 }
 
+/// What arrives for a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Arriving<'a> {
+    /// Rates by priority, from the smallest number on.
+    pub rates: &'a [(u32, Rate)],
+    /// Whether they have been watched for long enough to tell that the workers can carry them.
+    pub settled: bool,
+}
+
 /// Jobs of a service that have not begun and whose last task gets no useful start.
 ///
-/// `arrivals` are by priority from the smallest number on, `mean_ms` is the mean run time of the tasks
+/// `mean_ms` is the mean run time of the tasks
 /// of an entry in milliseconds.
 #[must_use]
 pub fn hopeless(
     backlog: &mut Backlog,
     service: &str,
     mut forecast: Forecast,
-    arrivals: &[(u32, Rate)],
+    arrivals: Arriving<'_>,
     mean_ms: impl Fn(&Waiting) -> f64,
     returns: &mut Returns,
     now: Time,
@@ -71,7 +80,8 @@
     let is_alone = entries.len() == 1;
     let mut found = Vec::new();
     let mut ahead = 0.0;
-    let mut arrivals = Ahead { rates: arrivals, counted: 0 };
+    let settled = arrivals.settled;
+    let mut arrivals = Ahead { rates: arrivals.rates, counted: 0 };
     let same = |a: &&mut Entry, b: &&mut Entry| a.waiting.priority == b.waiting.priority;
     for level in entries.chunk_by_mut(same) {
         let priority = level[0].waiting.priority;
@@ -102,14 +112,17 @@
         // Jobs that can meet their objectives pass those that cannot, and those of zones that have had their
         // share.
         let mut waiting_only = forecast.clone();
+        let arriving = arrivals.work(|of| of <= priority);
         arrivals.expect(&mut forecast, |of| of <= priority);
         for (place, entry) in late.into_iter().enumerate() {
             let waiting = &mut entry.waiting;
             let mean = mean_ms(waiting);
             let start = forecast.last_start(waiting, mean);
             let unhindered = waiting_only.last_start(waiting, mean);
-            // One that was told to wait, or that waits alone, is not refused for arrivals that may not come.
-            let judged = if entry.kept || is_alone { unhindered } else { start };
+            // A queue of arrivals that the slots can carry drains, so that one which waits gets its turn. One that
+            // was told to wait, or that waits alone, is not refused for arrivals that may not come either.
+            let drains = settled && forecast.load(waiting, arriving) < 1.0;
+            let judged = if drains || entry.kept || is_alone { unhindered } else { start };
             let is_useful = |start: Span| now + start <= waiting.useful;
             let slots = forecast.slots(waiting);
             // The first one of a size without a worker may be what a worker comes back for.
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -4,8 +4,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Above, Arrivals, Backlog, Forecast, Hopeless, Life, Listing, Need, Output, Returns, RunBias,
-    RunKey, RunTimes, Sharing, Site, Sites, TaskKey, VecMap, Verdict, Waiting,
+    Above, Arrivals, Arriving, Backlog, Forecast, Hopeless, Life, Listing, Need, Output, Returns,
+    RunBias, RunKey, RunTimes, Sharing, Site, Sites, TaskKey, VecMap, Verdict, Waiting,
     backlog::latest_starts, learnt::Record, note::Note, output::Message, placing::Choice,
     probes::Probes, refusing, site::Run, waits::Waits,
 };
@@ -28,6 +28,8 @@
 /// Steps that are considered for a probe from one tick to the next: each look goes through all slow workers, and an overload has
 /// hundreds of steps that wait.
 const PROBE_TRIES: u32 = 16;
+/// Time after an election in which the estimate of what arrives is too low to rely on.
+const SETTLED: Span = Span::from_ms(4_000);
 /// Time from a grant to the start of the run.
 const START: Span = Span::from_ms(4);
 /// Time from the end of a run until its room can be granted again.
@@ -520,8 +522,10 @@
             }
             let mean = |waiting: &Waiting| held_ms(&self.bias, waiting);
             let (backlog, returns) = (&mut self.backlog, &mut self.returns);
+            let settled = self.since.is_some_and(|since| now.since(since) >= SETTLED);
+            let arriving = Arriving { rates: &arrivals, settled };
             let found =
-                refusing::hopeless(backlog, &service, forecast, &arrivals, mean, returns, now);
+                refusing::hopeless(backlog, &service, forecast, arriving, mean, returns, now);
             if found.is_empty() {
                 continue;
             }
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -5,8 +5,8 @@
 
 use common::{listed, need, site, waiting};
 use cranberryhatch_fleet::{
-    Backlog, Command, Forecast, Hopeless, Listed, Listing, Message, Output, Rate, Returns,
-    Scheduler, Site, TaskKey, Waiting, hopeless,
+    Arriving, Backlog, Command, Forecast, Hopeless, Listed, Listing, Message, Output, Rate,
+    Returns, Scheduler, Site, TaskKey, Waiting, hopeless,
 };
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
 use cranberryhatch_types::{Span, Time};
@@ -51,7 +51,8 @@
     let now = Time::from_ms(now);
     let forecast = Forecast::new(backlog.iter(), workers.iter(), now);
     let arrivals = [(0, Rate { room: urgent / 100.0, work: urgent })];
-    hopeless(&mut backlog, "svc", forecast, &arrivals, |_| 100.0, &mut Returns::default(), now)
+    let arriving = Arriving { rates: &arrivals, settled: true };
+    hopeless(&mut backlog, "svc", forecast, arriving, |_| 100.0, &mut Returns::default(), now)
 }
 
 /// Jobs of two tasks of 14 cores and 100 ms each, so 2,800 core-milliseconds.
