fix(fleet): runs are judged by the speed of their worker, and restarted as late only on slow ones

Change: a place and a start name the pace of the worker (pace_permille); a run is compared with what it takes there. A restart for the objective is for workers on which ended runs took far longer than elsewhere.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -169,7 +169,9 @@
                 let (since, lost, claimed) = (now, None, false);
                 let due = Some(Span::from_ms(place.due_ms.into())).filter(|due| *due > Span::ZERO);
                 let due = due.map(|due| now + due);
-                let placed = Placed { owner, token, worker, expected, due, since, lost, claimed };
+                let pace = place.pace_permille;
+                let placed =
+                    Placed { owner, token, worker, expected, pace, due, since, lost, claimed };
                 self.start(&key, placed, seen, now, out)
             });
             if started {
@@ -532,6 +534,7 @@
         service: policy.service.clone(),
         need: Some((&step.need).into()),
         run_ms: to_u32(place.expected.as_ms()),
+        pace_permille: place.pace,
         payload: job.payload.to_string(),
         kind: policy.kind.clone(),
         stalls: state.stalls,
--- a/crates/fleet/src/held.rs
+++ b/crates/fleet/src/held.rs
@@ -62,6 +62,8 @@
     pub kind: String,
     /// Expected run time.
     pub expected: Span,
+    /// Times that run time that a run takes on this worker, in thousandths; 0 for one.
+    pub pace: u32,
     /// When it has to end for the objective of its job; none if it cannot, or that is not known.
     pub due: Option<Time>,
     /// Earlier runs of the task that were stopped for lack of progress.
@@ -101,6 +103,7 @@
             need: Need::from(start.need.as_ref()?),
             kind: start.kind.clone(),
             expected: Span::from_ms(start.run_ms.into()),
+            pace: start.pace_permille,
             due: (start.due_ms > 0).then(|| now + Span::from_ms(start.due_ms.into())),
             stalls: start.stalls,
             sent: now,
@@ -118,6 +121,15 @@
         })
     }
 
+    /// Expected run time on this worker.
+    #[must_use]
+    pub fn expected_here(&self) -> Span {
+        match u64::from(self.pace) {
+            0 => self.expected,
+            pace => self.expected * pace / 1_000,
+        }
+    }
+
     /// Whether a front has ordered or claimed it from this owner.
     #[must_use]
     pub const fn is_claimed(&self) -> bool {
@@ -140,11 +152,11 @@
         };
         let ran = now.since(since);
         let total = match u64::from(self.percent.min(100)) {
-            0 => self.expected,
+            0 => self.expected_here(),
             percent => {
                 let seen = self.progressed.since(since).as_ms() * 100 / percent;
                 // A run that was found on the worker was at work before.
-                Span::from_ms(seen).max(self.expected / 2)
+                Span::from_ms(seen).max(self.expected_here() / 2)
             }
         };
         let left = Span::from_ms(total.as_ms().saturating_sub(ran.as_ms()));
@@ -187,7 +199,7 @@
     pub fn gains_elsewhere(&self, now: Time) -> bool {
         let (Stage::AtWork { since }, Some(due)) = (self.stage, self.due) else { return false };
         let ran = now.since(since).as_ms();
-        let expected = self.expected.as_ms().max(1);
+        let expected = self.expected_here().as_ms().max(1);
         let patience = 1 + 2 * u64::from(self.stalls);
         if ran < expected * patience * COMPARED_AFTER / 1_000 + STALL_SLACK.as_ms() {
             return false;
@@ -196,7 +208,7 @@
         let Some(total) = (ran * 100).checked_div(percent) else { return false };
         let is_slow = total >= expected * patience * SLOW_TOTAL / 1_000;
         let here = since + Span::from_ms(total);
-        let elsewhere = now + RESTART + Span::from_ms(expected * ELSEWHERE / 1_000);
+        let elsewhere = now + RESTART + (self.expected * ELSEWHERE / 1_000);
         is_slow && here > due && elsewhere <= due
     }
 
@@ -208,7 +220,7 @@
         let Stage::AtWork { since } = self.stage else { return false };
         let ran = now.since(since).as_ms();
         let patience = 1 + 2 * u64::from(self.stalls);
-        let expected = self.expected.as_ms().max(1) * patience;
+        let expected = self.expected_here().as_ms().max(1) * patience;
         let times = |factor: u64| expected * factor / 1_000 + STALL_SLACK.as_ms();
         if ran < times(JUDGED_AFTER) {
             return false;
--- a/crates/fleet/src/learnt.rs
+++ b/crates/fleet/src/learnt.rs
@@ -120,6 +120,15 @@
         self.workers.get(worker).map(|record| record.report(now))
     }
 
+    /// Whether runs that ended on a worker lately took far longer than elsewhere.
+    #[must_use]
+    pub fn is_slow(&self, worker: &WorkerId, now: Time) -> bool {
+        self.workers.get(worker).is_some_and(|record| {
+            let slowness = record.speed.cautious(self.average, now);
+            record.speed.is_doubtful() || Speed::is_slow(slowness, self.average)
+        })
+    }
+
     /// The report of all kinds.
     #[must_use]
     pub fn kinds(&self) -> Vec<KindTime> {
--- a/crates/fleet/src/owner/looks.rs
+++ b/crates/fleet/src/owner/looks.rs
@@ -159,6 +159,8 @@
     /// Stops runs that would end sooner if they were started again elsewhere.
     fn stop_stalled(&mut self, id: &WorkerId, seen: &Seen, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        // A run that is behind on a worker that is not slow is a long one, and would be elsewhere too.
+        let is_slow = self.learnt.is_slow(id, now);
         let mut stops = Vec::new();
         for held in &mut worker.held {
             // Progress that was not seen is no lack of progress.
@@ -169,7 +171,7 @@
             let cause = if held.is_stalled(now) {
                 Some(RestartCause::Stalled)
             } else {
-                let late = held.gains_elsewhere(now) && self.restarts.spend();
+                let late = is_slow && held.gains_elsewhere(now) && self.restarts.spend();
                 late.then_some(RestartCause::Late)
             };
             if let Some(cause) = cause {
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -195,6 +195,7 @@
         need: Need::default(),
         kind: String::new(),
         expected: Span::ZERO,
+        pace: 0,
         due: None,
         stalls: 0,
         sent: now,
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -459,6 +459,7 @@
                     run_ms: to_u32(expected.as_ms()),
                     token: site.token,
                     due_ms: to_u32(waiting.due.since(now).as_ms()),
+                    pace_permille: site.pace().permille(),
                 });
                 let key = TaskKey { job: waiting.job.clone(), step: waiting.step, task };
                 let run = Run { since: now, expected, away: choice.away_log, known };
--- a/crates/fleet/src/speeds.rs
+++ b/crates/fleet/src/speeds.rs
@@ -85,6 +85,14 @@
         f64::from(self.0) * PACE_STEP
     }
 
+    /// Times the expected run time that a run takes, in thousandths.
+    #[must_use]
+    pub fn permille(self) -> u32 {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
+        let permille = (self.factor() * 1_000.0).clamp(1.0, 100_000.0) as u32;
+        permille
+    }
+
     /// Times the expected run time that a run takes.
     #[must_use]
     pub fn factor(self) -> f64 {
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -27,6 +27,8 @@
     pub worker: WorkerId,
     /// Expected run time.
     pub expected: Span,
+    /// Times that run time that a run takes on the worker, in thousandths; 0 for one.
+    pub pace: u32,
     /// When the run has to end for the objective of its job; none if it cannot.
     pub due: Option<Time>,
     /// When the run was ordered.
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -74,6 +74,7 @@
         token: large(7),
         seen_ms: large(9_990),
         due_ms: small(160),
+        pace_permille: small(1_600),
     };
     let takeover = Takeover {
         worker: worker(),
@@ -103,6 +104,7 @@
         run_ms: small(100),
         token: large(7),
         due_ms: small(160),
+        pace_permille: small(1_600),
     };
     let standing = Standing {
         slowness_milli: -300,
