fix(fleet): jobs of sizes without a curve are not refused

Cause: the forecast has eight curves, one for each size and label of what waits. Change: sizes are classes of a quarter of a doubling of cores and a doubling of memory, each with its largest member; what has no curve is not judged. Measured: jobs_of_many_sizes_are_not_refused_while_there_is_room fails before (31 of 40 refused on idle workers) and passes after.

--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -23,9 +23,24 @@
 /// Slots that are less than this, in parts of one, are not looked for.
 const TRIFLE: f64 = 1e-6;
 
+/// Tasks of about the same size: jobs of one kind differ a little in what they declare.
+type Class = (u32, u32, u32);
+
+/// Classes of cores in each doubling.
+const CORE_CLASSES: f64 = 4.0;
+
+fn class_of(need: &Need) -> Class {
+    let log = f64::from(need.cores.get().max(1)).log2() * CORE_CLASSES;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "at most 128")]
+    let cores = log as u32;
+    (cores, need.memory.get().max(1).ilog2(), need.accels.get())
+}
+
 /// A size of tasks and the label that they ask for.
 #[derive(Clone, Debug)]
 struct Size {
+    class: Class,
+    // The largest of the class that waits.
     need: Need,
     label: String,
     // Slots on all workers, whether free or not.
@@ -156,9 +171,12 @@
         let mut last = 0;
         for waiting in waiting {
             last = last.max(step_at(waiting.useful, now));
-            if curves.len() < CURVES && !curves.iter().any(|curve| is_for(curve, waiting)) {
+            if let Some(curve) = curves.iter_mut().find(|curve| is_for(curve, waiting)) {
+                curve.size.need = curve.size.need.max(&waiting.need);
+            } else if curves.len() < CURVES {
                 curves.push(Curve {
                     size: Size {
+                        class: class_of(&waiting.need),
                         need: waiting.need,
                         label: waiting.label.clone(),
                         slots: 0.0,
@@ -195,6 +213,12 @@
         Self { curves }
     }
 
+    /// Whether it tells anything about a waiting task; there may be too many sizes and labels.
+    #[must_use]
+    pub fn covers(&self, waiting: &Waiting) -> bool {
+        self.curve(waiting).is_some()
+    }
+
     /// Slots of the size of a waiting task on all workers that may run it.
     #[must_use]
     pub fn slots(&self, waiting: &Waiting) -> f64 {
@@ -259,7 +283,7 @@
 }
 
 fn is_for(curve: &Curve, waiting: &Waiting) -> bool {
-    curve.size.need == waiting.need && curve.size.label == waiting.label
+    curve.size.class == class_of(&waiting.need) && curve.size.label == waiting.label
 }
 
 /// Adds the slots of a worker at the times at which they become free.
--- a/crates/fleet/src/need.rs
+++ b/crates/fleet/src/need.rs
@@ -21,6 +21,16 @@
         self.cores <= room.cores && self.memory <= room.memory && self.accels <= room.accels
     }
 
+    /// The larger of both in each part.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cores: self.cores.max(other.cores),
+            memory: self.memory.max(other.memory),
+            accels: self.accels.max(other.accels),
+        }
+    }
+
     /// How many tasks of this size fit into `room`; one task that asks for nothing fits once.
     #[must_use]
     pub fn times_in(&self, room: &Self) -> u32 {
--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -89,6 +89,9 @@
         let mut late: Vec<&mut Entry> = Vec::new();
         for entry in level {
             let waiting = &mut entry.waiting;
+            if now <= waiting.useful && !forecast.covers(waiting) {
+                continue;
+            }
             let mean = mean_ms(waiting);
             // The margin is for what is ahead; with its own tasks in it, small jobs would fill the queue up
             // to their limit, which is always past that of large ones.
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -9,7 +9,7 @@
     Returns, Scheduler, Site, TaskKey, Waiting, hopeless,
 };
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
-use cranberryhatch_types::{Span, Time};
+use cranberryhatch_types::{Count, Span, Time};
 
 struct Case {
     name: &'static str,
@@ -61,6 +61,20 @@
     names.iter().take(count).map(|name| waiting(name, useful / 2, useful)).collect()
 }
 
+#[test]
+fn jobs_of_many_sizes_are_not_refused_while_there_is_room() {
+    // Guards against refusals of sizes for which the forecast has no curve of its own: jobs of one kind
+    // declare memory that differs from job to job.
+    let queued = (0..40u32).map(|number| {
+        let mut need = need(13_000 + 50 * number);
+        need.memory = Count::new(1 << (number % 12));
+        let name = format!("job-{number}");
+        Waiting { need, ..waiting(&name, 500, 1_000) }
+    });
+    let found = refused(queued.collect(), &idle(40), 0.0, 0);
+    assert!(found.is_empty(), "{found:?}");
+}
+
 #[test]
 fn a_job_is_refused_when_the_work_ahead_leaves_no_useful_start() {
     let cases = [
