revert(fleet): a margin of a fifth of the run time on slower workers

Cause: with the margin, the first grant after a change of scheduler differs from the last one where two classes of workers are near the limit (tests/speeds.rs), since owner and scheduler estimate speeds a little differently.

--- a/crates/fleet/src/placing.rs
+++ b/crates/fleet/src/placing.rs
@@ -32,8 +32,6 @@
 /// Time that must be left to the objective on a worker that is slower than the fastest class: the estimate of its
 /// speed is off by some percent.
 const MARGIN: Span = Span::from_ms(10);
-/// Part of the run time that must be left besides.
-const MARGIN_PARTS: u64 = 5;
 /// Run time of a task that tells soon whether a worker has recovered.
 const SHORT: Span = Span::from_ms(250);
 /// What a run that starts now is worth to its job.
@@ -52,7 +50,7 @@
     #[must_use]
     pub fn of(waiting: &Waiting, factor: f64, now: Time) -> Self {
         let longest = waiting.due.since(waiting.on_time);
-        let margin = if factor > 1.0 { MARGIN + longest / MARGIN_PARTS } else { Span::ZERO };
+        let margin = if factor > 1.0 { MARGIN } else { Span::ZERO };
         let end = now + stretched(longest, factor) + margin;
         if end <= waiting.due {
             Self::OnTime
