fix(fleet): jobs past their use are served where room comes at once

Cause: a job of which three times the objective has passed was refused although room came within some 10 ms. Change: such a job waits if its last task starts within 50 ms and ends before the caller stops waiting. The new test fails without the change.

--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -126,6 +126,7 @@
         expected: Span::from_ms(100),
         on_time: NOW,
         due: NOW + Span::from_ms(100),
+        limit: NOW + Span::from_ms(100),
         useful: NOW,
         label: String::new(),
         rack: String::new(),
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -42,6 +42,8 @@
     pub on_time: Time,
     /// Latest end that meets the objective.
     pub due: Time,
+    /// When the caller stops waiting.
+    pub limit: Time,
     /// Latest start that is of any use.
     pub useful: Time,
     /// Label that a worker must have; empty for any.
--- a/crates/fleet/src/refusing.rs
+++ b/crates/fleet/src/refusing.rs
@@ -8,6 +8,8 @@
 
 use crate::{Backlog, Entry, Forecast, Waiting, arrivals::Rate, returns::Returns};
 
+/// Time within which room counts as there.
+const AT_ONCE: Span = Span::from_ms(50);
 /// Least share of the slots that arrivals of smaller priority numbers are taken to leave.
 const SPARE: f64 = 0.1;
 /// Largest part of what is left that is kept for other arrivals of the priority; callers who come back
@@ -126,7 +128,12 @@
             // was told to wait, or that waits alone, is not refused for arrivals that may not come either.
             let drains = settled && forecast.load(waiting, arriving) < 1.0;
             let judged = if drains || entry.kept || is_alone { unhindered } else { start };
-            let is_useful = |start: Span| now + start <= waiting.useful;
+            // Where room comes at once, an answer that is of no more use hurts nobody, and its caller still waits.
+            let end = Span::from_ms(whole(mean));
+            let is_useful = |start: Span| {
+                let ends = now + start + end <= waiting.limit;
+                now + start <= waiting.useful || (start <= AT_ONCE && ends)
+            };
             let slots = forecast.slots(waiting);
             // The first one of a size without a worker may be what a worker comes back for.
             let waits_for_worker = slots <= 0.0 && place == 0 && now <= waiting.useful;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -114,6 +114,7 @@
             expected,
             on_time,
             due: on_time + longest,
+            limit,
             useful,
             label: ask.label,
             rack: ask.rack,
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -38,6 +38,7 @@
         expected: Span::from_ms(100),
         on_time: Time::from_ms(on_time),
         due: Time::from_ms(on_time + 100),
+        limit: Time::from_ms(useful + 100),
         useful: Time::from_ms(useful),
         label: String::new(),
         rack: String::new(),
--- a/crates/fleet/tests/refusing.rs
+++ b/crates/fleet/tests/refusing.rs
@@ -61,6 +61,17 @@
     names.iter().take(count).map(|name| waiting(name, useful / 2, useful)).collect()
 }
 
+#[test]
+fn a_job_past_its_use_is_served_where_room_comes_at_once() {
+    // Guards against refusals on idle workers, as after a start of all instances: the caller still waits.
+    let late = |limit| Waiting { limit: Time::from_ms(limit), ..waiting("a", 50, 100) };
+    for (name, limit, expected) in [("time is left", 400, 0), ("the caller leaves before", 250, 1)]
+    {
+        let found = refused(vec![late(limit)], &idle(1), 0.0, 200);
+        assert_eq!(found.len(), expected, "{name}: {found:?}");
+    }
+}
+
 #[test]
 fn jobs_of_many_sizes_are_not_refused_while_there_is_room() {
     // Guards against refusals of sizes for which the forecast has no curve of its own: jobs of one kind
