--- a/crates/fleet/src/load_shedding.rs
+++ b/crates/fleet/src/load_shedding.rs
@@ -13,12 +13,6 @@
 
 /// Wait up to which capacity counts as available at once.
 const IMMEDIATE: Span = Span::from_ms(50);
-/// Load from which the arrivals count as exceeding the capacity. The measured rates of a load that
-/// the workers just carry vary by a tenth.
-const OVERLOAD: f64 = 1.1;
-/// Maximum time for which a job is held because it would start soon without further arrivals. It is
-/// shorter than callers notice.
-const MAX_HOLD: Span = Span::from_ms(25);
 /// Minimum share of the slots that is assumed to be left by arrivals of higher priority.
 const MIN_SPARE_SHARE: f64 = 0.1;
 /// Maximum share of the remaining slots that is set aside for new arrivals of the same priority;
@@ -92,8 +86,6 @@
     let is_alone = entries.len() == 1;
     let mut found = Vec::new();
     let mut ahead = 0.0;
-    // The forecast without any arrivals.
-    let mut current = forecast.clone();
     let reliable = arrivals.reliable;
     let mut arrivals = ExpectedArrivals { rates: arrivals.rates, applied: 0 };
     let same =
@@ -123,7 +115,6 @@
             }
             ahead += forecast.occupancy_ms(queued, mean);
             forecast.reserve(queued, mean);
-            current.reserve(queued, mean);
             entry.retained = true;
         }
         if late.is_empty() {
@@ -142,8 +133,7 @@
             // If the slots can carry the arrivals, the queue drains and every waiting job gets its
             // turn. A job that was retained before or that waits alone is not refused because of
             // future arrivals, which may not come.
-            let load = forecast.load(queued, arriving);
-            let drains = reliable && load < 1.0;
+            let drains = reliable && forecast.load(queued, arriving) < 1.0;
             let expected_start =
                 if drains || entry.retained || is_alone { without_arrivals } else { start };
             // If capacity is available at once, running the job does no harm even if its answer is
@@ -153,25 +143,18 @@
                 let ends = now + start + end <= queued.deadline;
                 now + start <= queued.useful_start || (start <= IMMEDIATE && ends)
             };
-            let is_servable = expected_start.is_some_and(is_useful);
-            let soon = if is_servable || load >= OVERLOAD {
-                None
-            } else {
-                soon_start(&mut current, queued, mean, now)
-            };
             let slots = forecast.slots(queued);
             // The first entry of a size without workers keeps waiting, because a worker may come
             // back for it.
             let waits_for_worker = slots <= 0.0 && place == 0 && now <= queued.useful_start;
-            if waits_for_worker || is_servable || soon.is_some() {
+            if waits_for_worker || expected_start.is_some_and(is_useful) {
                 ahead += forecast.occupancy_ms(queued, mean);
                 forecast.reserve(queued, mean);
                 queued_only.reserve(queued, mean);
-                current.reserve(queued, mean);
-                if let Some(start) = soon.or(expected_start) {
+                if let Some(start) = expected_start {
                     queued.forecast.get_or_insert((now, start));
                 }
-                entry.retained |= waits_for_worker || is_servable;
+                entry.retained = true;
                 continue;
             }
             let cause = if now > queued.useful_start {
@@ -205,22 +188,6 @@
     found
 }
 
-/// Returns the expected wait of a job's last task without any further arrivals, if it starts at once
-/// and in time and was not held for long.
-///
-/// It is designed for a load that varies around the capacity: a short queue keeps the workers busy
-/// between two arrivals.
-fn soon_start(
-    current: &mut Forecast,
-    queued: &QueuedTasks,
-    mean_ms: f64,
-    now: Time,
-) -> Option<Span> {
-    let start = current.last_start(queued, mean_ms)?;
-    let is_held = queued.forecast.is_some_and(|(since, _)| now.since(since) > MAX_HOLD);
-    (start <= IMMEDIATE && now + start <= queued.latest_start && !is_held).then_some(start)
-}
-
 /// Arrival rates by priority, and how many of them the forecast already includes.
 struct ExpectedArrivals<'a> {
     rates: &'a [(u32, ArrivalRate)],
--- a/crates/fleet/tests/load_shedding.rs
+++ b/crates/fleet/tests/load_shedding.rs
@@ -64,21 +64,12 @@
     for queued in queued {
         backlog.add(queued, Time::ZERO);
     }
-    find(&mut backlog, workers, urgent, now)
-}
-
-fn find(
-    backlog: &mut Backlog,
-    workers: &[WorkerView],
-    urgent: f64,
-    now: u64,
-) -> Vec<UnservableJob> {
     let now = Time::from_ms(now);
     let forecast = Forecast::new(backlog.iter(), workers.iter(), now);
     let arrivals = [(0, ArrivalRate { cores: urgent / 100.0, work: urgent })];
     let arriving = ArrivalRates { rates: &arrivals, reliable: true };
     find_unservable(
-        backlog,
+        &mut backlog,
         "svc",
         forecast,
         arriving,
@@ -274,33 +265,6 @@
     }
 }
 
-#[test]
-fn a_job_that_would_start_soon_is_held_for_a_moment() {
-    // Guards against refusals for future arrivals next to capacity that is about to become free,
-    // and against callers that are held although these arrivals come.
-    struct Case {
-        name: &'static str,
-        /// Capacity requested by urgent jobs; the worker has 28,000.
-        urgent: f64,
-        left: u64,
-        refused: [bool; 2],
-    }
-    let cases = [
-        Case { name: "about the capacity", urgent: 29_000.0, left: 40, refused: [false, true] },
-        Case { name: "twice the capacity", urgent: 56_000.0, left: 40, refused: [true, true] },
-        Case { name: "free later", urgent: 29_000.0, left: 120, refused: [true, true] },
-    ];
-    for Case { name, urgent, left, refused: expected } in cases {
-        let mut backlog = Backlog::default();
-        backlog.add(queued("a", 75, 150), Time::ZERO);
-        let workers = busy(1, left);
-        for (at, expected) in [0, 30].into_iter().zip(expected) {
-            let found = find(&mut backlog, &workers, urgent, at);
-            assert_eq!(!found.is_empty(), expected, "{name}, at {at} ms: {found:?}");
-        }
-    }
-}
-
 /// All instances have just restarted, and callers have sent five times what the workers can run
 /// before the deadlines.
 fn check_restart_under_overload(late: bool) {
