--- a/crates/load/src/driver.rs
+++ b/crates/load/src/driver.rs
@@ -1,4 +1,4 @@
-//! Sends a plan in open loop.
+//! Open-loop driver: sends each job of a plan at its time, without waiting for answers.
 
 use std::{
     net::SocketAddr,
@@ -20,26 +20,26 @@
 
 use crate::{JournalEntry, Outcome, Plan, PlannedJob};
 
-/// Keys fetched in one request.
+/// Number of keys fetched in one request.
 const KEY_BLOCK: usize = 5_000;
-/// Time beyond the deadline after which a caller stops waiting.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// Time after the deadline of a job for which its answer is awaited.
+const RESPONSE_MARGIN: Duration = Duration::from_secs(5);
 
-/// Where keys come from.
+/// Source of idempotency keys.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum KeySource {
-    /// The caller makes them; each is claimed in the platform's table.
+    /// The caller generates them; each is claimed in the platform's table.
     #[default]
     Own,
-    /// The instances hand them out in blocks.
+    /// The instances issue them in blocks.
     Issued,
 }
 
-/// What is loaded.
+/// The system under load.
 #[derive(Clone, Debug)]
 pub struct Target {
-    /// Entry instances; a job goes to one at random, as through a balancer.
+    /// Addresses of entry instances; each job is sent to a random one, as by a load balancer.
     pub entries: Vec<SocketAddr>,
     /// Token of the team.
     pub token: String,
@@ -47,11 +47,11 @@
     pub kind: String,
     /// Deadline of a job.
     pub deadline: Duration,
-    /// Where keys come from.
+    /// Source of idempotency keys.
     pub keys: KeySource,
 }
 
-/// Sends a plan and keeps a journal.
+/// Sends a plan and records the answers.
 pub struct Driver {
     client: Client,
     executor: Arc<Executor<'static>>,
@@ -73,7 +73,7 @@
     results: Vec<String>,
 }
 
-struct Sending {
+struct JobRequest {
     index: usize,
     entry: usize,
     key: String,
@@ -82,17 +82,17 @@
 }
 
 impl Driver {
-    /// A driver for a target.
+    /// Creates a driver for a target.
     #[must_use]
     pub fn new(executor: Arc<Executor<'static>>, target: Target) -> Self {
         let client = Client::new(Arc::clone(&executor)).connections(8_192);
         Self { client, executor, target: Arc::new(target) }
     }
 
-    /// Time of one exchange with an entry instance that starts nothing, in microseconds.
+    /// Returns the shortest of several round trips to an entry instance, in microseconds.
     ///
     /// # Errors
-    /// When the instance does not answer.
+    /// Returns an error if the instance does not answer.
     pub async fn round_trip(&self) -> anyhow::Result<u64> {
         let mut best = u64::MAX;
         for _ in 0..20 {
@@ -104,13 +104,13 @@
         Ok(best)
     }
 
-    /// Sends every job at its time, whatever the answers, and returns the journal.
+    /// Sends every job at its time and returns what the callers received.
     ///
     /// # Errors
-    /// When no keys can be had before the start.
+    /// Returns an error if no keys can be fetched before the start.
     pub async fn run(&self, plan: &Plan, seed: u64) -> anyhow::Result<Vec<JournalEntry>> {
         let mut rng = Rng::with_seed(seed);
-        let mut keys = self.make_keys(plan, &mut rng).await?;
+        let mut keys = self.create_keys(plan, &mut rng).await?;
         keys.reverse();
         let open = Arc::new(AtomicUsize::new(0));
         let (journal, entries) = async_channel::unbounded();
@@ -119,15 +119,15 @@
             let wait = Duration::from_millis(job.at).saturating_sub(begin.elapsed());
             Timer::after(wait).await;
             let Some((entry, key)) = keys.pop() else { break };
-            let sending = Sending { index, entry, key, job: job.clone(), begin };
+            let request = JobRequest { index, entry, key, job: job.clone(), begin };
             let (client, target) = (self.client.clone(), Arc::clone(&self.target));
             let (journal, open) = (journal.clone(), Arc::clone(&open));
             open.fetch_add(1, Ordering::Relaxed);
             let task = async move {
-                let line = send_job(&client, &target, sending).await;
+                let result = send_job(&client, &target, request).await;
                 open.fetch_sub(1, Ordering::Relaxed);
                 // The receiver outlives all senders.
-                let _ = journal.send(line).await;
+                let _ = journal.send(result).await;
             };
             self.executor.spawn(task).detach();
         }
@@ -140,7 +140,11 @@
         Ok(lines)
     }
 
-    async fn make_keys(&self, plan: &Plan, rng: &mut Rng) -> anyhow::Result<Vec<(usize, String)>> {
+    async fn create_keys(
+        &self,
+        plan: &Plan,
+        rng: &mut Rng,
+    ) -> anyhow::Result<Vec<(usize, String)>> {
         let count = self.target.entries.len();
         let nonce = rng.u32(..);
         let own = |index: usize| format!("{}-{nonce:08x}.{index}", unix_ms());
@@ -172,18 +176,18 @@
     }
 }
 
-async fn send_job(client: &Client, target: &Target, sending: Sending) -> JournalEntry {
-    let Sending { index, mut entry, key, job, begin } = sending;
+async fn send_job(client: &Client, target: &Target, request: JobRequest) -> JournalEntry {
+    let JobRequest { index, mut entry, key, job, begin } = request;
     let sent = micros(begin.elapsed()) / 1_000;
     let start = Instant::now();
     let body = Bytes::from(body_of(target, index, &job));
-    let timeout = target.deadline + PATIENCE;
+    let timeout = target.deadline + RESPONSE_MARGIN;
     let mut tries = 0;
     let response = loop {
         let Ok(request) = request_of(target, &key, body.clone()) else { break None };
         match client.send_within(target.entries[entry], request, timeout).await {
             Ok(response) => break Some(response),
-            // A balancer passes by an instance that takes no connection.
+            // A load balancer skips an instance that accepts no connection.
             Err(error) if error.is_unsent() && tries < target.entries.len() => {
                 tries += 1;
                 entry = (entry + 1) % target.entries.len();
--- a/crates/load/src/ideal.rs
+++ b/crates/load/src/ideal.rs
@@ -1,13 +1,13 @@
-//! The ideal: one central first-come queue over all live slots, with no delay of its own.
+//! Ideal dispatcher: one central first-in, first-out queue over all live slots, without overhead.
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use crate::Plan;
 
-/// Response time of each job, in milliseconds, without any round trip.
+/// Returns the response time of each job in milliseconds, without round trips.
 ///
-/// `capacity` gives from which time on how many slots live, in ascending order of time. A slot
-/// that goes ends the task it runs first.
+/// `capacity` holds the number of live slots, each from a time on, in ascending order. A slot that
+/// is removed completes its current task first.
 #[must_use]
 pub fn ideal(plan: &Plan, capacity: &[(u64, u32)]) -> Vec<u64> {
     let mut queue = Queue::new(capacity);
@@ -20,7 +20,7 @@
 
 struct Queue<'a> {
     capacity: &'a [(u64, u32)],
-    // When each slot that exists becomes free.
+    // Time at which each slot becomes free.
     free: BinaryHeap<Reverse<u64>>,
     slots: u32,
 }
@@ -30,7 +30,7 @@
         Self { capacity, free: BinaryHeap::new(), slots: 0 }
     }
 
-    /// Runs a task that arrived at a time, and returns its end.
+    /// Runs a task in the earliest slot and returns the time at which it ends.
     fn run(&mut self, arrival: u64, run: u64) -> u64 {
         loop {
             let start = self.free.peek().map_or(u64::MAX, |Reverse(free)| arrival.max(*free));
--- a/crates/load/src/journal.rs
+++ b/crates/load/src/journal.rs
@@ -1,9 +1,9 @@
-//! What callers sent and got.
+//! Records of jobs as seen by their callers.
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString};
 
-/// How a job ended for its caller.
+/// Outcome of a job for its caller.
 #[derive(
     Clone,
     Copy,
@@ -21,39 +21,39 @@
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Outcome {
-    /// Whole answer with the right results.
+    /// Complete answer with correct results.
     Complete,
-    /// Whole answer with results that are not those of this job.
+    /// Complete answer with results of another job.
     Wrong,
-    /// Refused, nothing ran.
+    /// Refused; no task has run.
     NotRun,
-    /// Failed.
+    /// Failed answer.
     Failed,
     /// May have run.
     Unknown,
-    /// No final answer in time.
+    /// No final answer before the deadline.
     Pending,
-    /// No answer at all.
+    /// No answer.
     Lost,
 }
 
-/// One job as its caller saw it.
+/// One job as seen by its caller.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JournalEntry {
     /// Index of the job in the plan.
     pub index: usize,
     /// Idempotency key.
     pub key: String,
-    /// When it was sent, in milliseconds after the start.
+    /// Time of sending in milliseconds after the start.
     pub sent: u64,
     /// Response time in microseconds.
     pub response: u64,
-    /// How it ended.
+    /// Outcome.
     pub outcome: Outcome,
     /// Code of a refusal or failure.
     pub code: String,
     /// Number of tasks.
     pub tasks: usize,
-    /// Whether it was marked as idempotent.
+    /// Whether the caller marked it as idempotent.
     pub idempotent: bool,
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,8 +1,8 @@
-//! Open-loop load against entry instances, and what an ideal dispatcher would have answered.
+//! Open-loop load on entry instances, compared with an ideal dispatcher.
 //!
-//! A [`Plan`] holds every arrival and run time and follows from a seed alone. The [`Driver`] sends
-//! it without waiting for answers, [`ideal`] computes the response times of one central queue for
-//! the same plan, and a [`Report`] compares both.
+//! A [`Plan`] holds every arrival and run time and depends only on a seed. The [`Driver`] sends it
+//! without waiting for answers, [`ideal`] computes the response times of one central queue for the
+//! same plan, and a [`Report`] compares both.
 //!
 //! ```
 //! use cranberryhatch_load::{Pattern, Plan, Workload, ideal};
--- a/crates/load/src/pattern.rs
+++ b/crates/load/src/pattern.rs
@@ -2,14 +2,14 @@
 
 use strum::{Display, EnumIter, EnumString};
 
-/// How jobs arrive.
+/// Pattern of arrivals.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Pattern {
     /// Mixed jobs at a constant mean rate.
     #[default]
     Steady,
-    /// Like steady, with five seconds in which three times as many slots are asked for as exist.
+    /// Like `Steady`, with five seconds in which jobs request three times the available slots.
     Burst,
     /// Single requests only.
     Small,
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -1,26 +1,27 @@
-//! Arrivals and run times, fixed before the run.
+//! Arrivals and run times of a run, generated in advance.
 
 use fastrand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::{Pattern, Workload};
 
-/// Most tasks in a job.
+/// Maximum number of tasks of a job.
 const LARGE_JOB: usize = 1_900;
-/// Length of a burst, and its start after the first arrival, in milliseconds.
+/// Length of a burst in milliseconds.
 const BURST_MS: u64 = 5_000;
+/// Start of a burst after the first arrival, in milliseconds.
 const BURST_START_MS: u64 = 5_000;
 
 /// One task of a planned job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedTask {
-    /// Time that it runs, in milliseconds.
+    /// Run time in milliseconds.
     pub run: u64,
-    /// Run time that the caller declares, in milliseconds.
+    /// Run time declared by the caller, in milliseconds.
     pub declared: u64,
 }
 
-/// A job and when it arrives.
+/// A job and the time of its arrival.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedJob {
     /// Arrival in milliseconds after the start.
@@ -31,15 +32,15 @@
     pub tasks: Vec<PlannedTask>,
 }
 
-/// All arrivals of a run, in their order.
+/// All arrivals of a run, in order of time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Plan {
-    /// The jobs.
+    /// Jobs in order of arrival.
     pub jobs: Vec<PlannedJob>,
 }
 
 impl Plan {
-    /// Makes the plan that follows from a workload.
+    /// Generates the plan of a workload.
     #[must_use]
     pub fn generate(workload: &Workload) -> Self {
         let mut rng = Rng::with_seed(workload.seed);
@@ -49,8 +50,8 @@
         loop {
             let job = planned_job(workload, &mut rng);
             let work: u64 = job.tasks.iter().map(|task| task.run).sum();
-            // The gap before a job follows from its work, so that the load has the wanted mean
-            // whatever the sizes of jobs.
+            // The gap before a job is proportional to its work, so that the mean load does not
+            // depend on the sizes of jobs.
             let busy = f64::from(workload.slots * percent_at(workload, at)) / 100.0;
             at += work as f64 / busy * exponential(&mut rng);
             if at >= end as f64 {
@@ -60,7 +61,7 @@
         }
     }
 
-    /// Number of tasks of all jobs.
+    /// Returns the number of tasks of all jobs.
     #[must_use]
     pub fn tasks(&self) -> usize {
         self.jobs.iter().map(|job| job.tasks.len()).sum()
@@ -86,7 +87,7 @@
     PlannedJob { at: 0, idempotent, tasks }
 }
 
-// Most tasks last 50 ms to 1 s, one in fifty several seconds.
+// Most tasks take 50 ms to 1 s, one in fifty takes several seconds.
 fn planned_task(workload: &Workload, rng: &mut Rng) -> PlannedTask {
     let run = if rng.u32(0..50) == 0 {
         rng.u64(2_000..=5_000)
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -1,4 +1,4 @@
-//! Plots as SVG.
+//! SVG plots of response times.
 
 use std::path::Path;
 
@@ -6,10 +6,10 @@
 
 /// Size of a plot in pixels.
 const SIZE: (u32, u32) = (900, 520);
-/// Ratio at which the plot ends.
+/// Upper end of the horizontal axis.
 const LARGEST_RATIO: f64 = 4.0;
 
-/// Why a plot could not be drawn.
+/// Failure to draw a plot.
 #[derive(Debug, thiserror::Error)]
 #[error("draw {path}: {detail}")]
 pub struct PlotError {
@@ -17,10 +17,10 @@
     detail: String,
 }
 
-/// Draws for each named series of sorted ratios which share of jobs is at most how far from the ideal.
+/// Draws the cumulative distribution of each named series of sorted ratios to the ideal.
 ///
 /// # Errors
-/// When the file cannot be written.
+/// Returns an error if the file cannot be written.
 pub fn plot_cdf(path: &Path, title: &str, series: &[(String, Vec<f64>)]) -> Result<(), PlotError> {
     draw(path, title, series)
         .map_err(|error| PlotError { path: path.display().to_string(), detail: error.to_string() })
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -6,36 +6,36 @@
 
 use crate::{JournalEntry, Outcome, Plan, ideal};
 
-/// A ratio is recorded in thousandths.
+/// Resolution of recorded ratios, in parts of 1.
 const RATIO_SCALE: f64 = 1_000.0;
 
 /// Percentiles of a quantity.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Percentiles {
-    /// Half of the values are at most this.
+    /// Median.
     pub p50: f64,
-    /// 99 of 100 values are at most this.
+    /// 99th percentile.
     pub p99: f64,
-    /// The largest value.
+    /// Maximum.
     pub worst: f64,
 }
 
 /// Figures of one run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// Jobs sent.
+    /// Number of jobs sent.
     pub jobs: usize,
-    /// Tasks of these jobs.
+    /// Number of tasks of these jobs.
     pub tasks: usize,
-    /// Response time of complete jobs divided by the ideal one.
+    /// Ratio of the response time of complete jobs to the ideal one.
     pub ratio: Percentiles,
     /// Response time of complete jobs in milliseconds.
     pub response: Percentiles,
-    /// Jobs by outcome.
+    /// Number of jobs by outcome.
     pub outcomes: Vec<(String, usize)>,
-    /// Refusals and failures by code.
+    /// Number of refusals and failures by code.
     pub codes: Vec<(String, usize)>,
-    /// Response time / ideal of each complete job, sorted.
+    /// Ratios of the response times of complete jobs to the ideal ones, sorted.
     #[serde(skip)]
     pub ratios: Vec<f64>,
 }
@@ -43,7 +43,7 @@
 impl Report {
     /// Compares a journal with the ideal for the same plan.
     ///
-    /// `round_trips` is the time of the round trips that no design avoids, in microseconds.
+    /// `round_trips` is the time of the unavoidable round trips in microseconds.
     #[must_use]
     pub fn new(
         plan: &Plan,
@@ -79,7 +79,7 @@
 fn percentiles(values: impl Iterator<Item = f64>) -> Percentiles {
     let mut histogram = Histogram::<u64>::new(3).expect("three digits are allowed");
     for value in values {
-        // The histogram grows by itself, so that no value is out of its range.
+        // The histogram resizes itself, so every value is in range.
         let _ = histogram.record((value * RATIO_SCALE) as u64);
     }
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / RATIO_SCALE;
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -2,40 +2,41 @@
 
 use crate::Pattern;
 
-/// Parameters from which a plan follows.
+/// Parameters that determine a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Workload {
-    /// How jobs arrive.
+    /// Pattern of arrivals.
     pub pattern: Pattern,
-    /// Slots of all workers.
+    /// Number of slots of all workers.
     pub slots: u32,
-    /// Share of the slots that the mean load keeps busy, in percent.
+    /// Mean share of busy slots in percent.
     pub percent: u32,
-    /// Length of the arrivals in seconds.
+    /// Time span of the arrivals in seconds.
     pub seconds: u32,
     /// Seed of the random numbers.
     pub seed: u64,
-    /// Largest factor by which declared run times are wrong, in both directions.
+    /// Maximum factor by which declared run times are too short or too long.
     pub error: u32,
     /// Share of idempotent jobs, in percent.
     pub idempotent: u32,
 }
 
 impl Workload {
-    /// A workload of 30 s at 70 % of the slots, declared run times wrong by up to ten times.
+    /// Creates a workload of 30 s that uses 70 % of the slots, with declared run times that are off by
+    /// a factor of up to ten.
     #[must_use]
     pub const fn new(pattern: Pattern, slots: u32) -> Self {
         Self { pattern, slots, percent: 70, seconds: 30, seed: 1, error: 10, idempotent: 50 }
     }
 
-    /// Sets the share of busy slots, in percent.
+    /// Sets the mean share of busy slots in percent.
     #[must_use]
     pub const fn percent(mut self, percent: u32) -> Self {
         self.percent = percent;
         self
     }
 
-    /// Sets the length in seconds.
+    /// Sets the time span of the arrivals in seconds.
     #[must_use]
     pub const fn seconds(mut self, seconds: u32) -> Self {
         self.seconds = seconds;
--- a/crates/load/tests/ideal.rs
+++ b/crates/load/tests/ideal.rs
@@ -1,4 +1,4 @@
-//! The ideal response times and the plans they are computed from.
+//! Tests of the ideal response times and of generated plans.
 
 use cranberryhatch_load::{Pattern, Plan, PlannedJob, PlannedTask, Workload, ideal};
 use strum::IntoEnumIterator;
@@ -28,13 +28,13 @@
             responses: &[20, 24],
         },
         Case {
-            name: "a slot that goes is not used again",
+            name: "a removed slot is not used again",
             jobs: &[(0, &[10, 10]), (12, &[10, 10])],
             capacity: &[(0, 2), (11, 1)],
             responses: &[10, 20],
         },
         Case {
-            name: "a slot that comes is used at once",
+            name: "an added slot is used at once",
             jobs: &[(0, &[10, 10])],
             capacity: &[(0, 1), (4, 2)],
             responses: &[14],
@@ -51,9 +51,9 @@
     }
 }
 
-/// Guards against runs that cannot be repeated, and against loads far from the wanted mean.
+/// Guards against runs that cannot be repeated, and against loads far from the requested mean.
 #[test]
-fn plans_follow_from_the_seed_and_have_the_wanted_load() {
+fn plans_depend_on_the_seed_and_have_the_requested_load() {
     for pattern in Pattern::iter().filter(|pattern| *pattern != Pattern::Burst) {
         let workload = Workload::new(pattern, 384).seconds(600).seed(3);
         let plan = Plan::generate(&workload);
