--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -1,4 +1,4 @@
-//! Cost of placing a task of instances that share workers.
+//! Cost of placing a task on workers that instances share.
 
 use std::time::Instant;
 
@@ -10,40 +10,40 @@
 
 use crate::Series;
 
-/// Grants for one point.
+/// Number of grants per point.
 const GRANTS: u32 = 20_000;
-/// Cores of a task, in thousandths; half of a worker.
+/// Cores of a task in thousandths, half of a worker.
 const TASK: u32 = 16_000;
-/// Share of the workers on which a task runs all the while, in tenths.
+/// Share of the workers that run a task throughout, in tenths.
 const BUSY: u32 = 8;
 const NOW: Time = Time::from_ms(10_000);
 
-/// Looks at the speeds of all workers for one point.
-const LOOKS: u32 = 200;
-/// Run times on the classes of workers where they differ, in milliseconds; 100 ms are expected.
+/// Number of updates of all speeds per point.
+const UPDATES: u32 = 200;
+/// Run times on each class of workers in milliseconds, where 100 ms are expected.
 const CLASSES: [u64; 3] = [100, 160, 270];
-/// Runs from which the speed of each worker is known.
+/// Number of runs per worker, enough to know its speed.
 const RUNS: u32 = 16;
 
-/// A grant, and the end of an earlier one, over all workers.
+/// Measures a grant and the end of an earlier run by the number of workers.
 pub(crate) fn grant_over_workers() -> Series {
     costs("grant of room to a task, and its end", |number| worker_view(number, 100))
 }
 
-/// The same on workers of three classes.
+/// Measures the same on workers of three classes.
 pub(crate) fn grant_over_classes() -> Series {
     costs("grant on workers of three speeds, and its end", |number| {
         worker_view(number, CLASSES[number as usize % CLASSES.len()])
     })
 }
 
-/// One look at the speeds of all workers.
+/// Measures an update of the speeds of all workers.
 pub(crate) fn assess_over_workers() -> Series {
     let cost = |workers: u32| {
         let mut pool: WorkerPool = (0..workers).map(|number| worker_view(number, 100)).collect();
         let begin = Instant::now();
-        (0..LOOKS).for_each(|_| pool.update_speeds(NOW));
-        begin.elapsed().as_secs_f64() * 1e9 / f64::from(LOOKS)
+        (0..UPDATES).for_each(|_| pool.update_speeds(NOW));
+        begin.elapsed().as_secs_f64() * 1e9 / f64::from(UPDATES)
     };
     [48, 350, 1_100, 3_000].into_iter().fold(
         Series::new("look at the speeds of all workers", "workers", "ns"),
@@ -73,7 +73,7 @@
         }
         let Some(placement) = pool.best_placement(&queued, NOW) else { break };
         let (id, key) = (placement.worker.id().clone(), task(number));
-        // Sizes differ a little, so that free rooms do.
+        // The sizes differ a little, and so does the free capacity.
         let need = need(TASK - number % 997);
         pool.update(&id, |worker| worker.grant(key.clone(), need, NOW));
         held.push_back((id, key));
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,4 @@
-//! Measures how the costs of a shard grow, and fits lines to them.
+//! Benchmarks of the costs of a shard by size, with fitted lines.
 //!
 //! ```
 //! use cranberryhatch_bench::Series;
--- a/crates/bench/src/line.rs
+++ b/crates/bench/src/line.rs
@@ -1,15 +1,15 @@
-//! Straight lines through measured points.
+//! Lines fitted to measured points.
 
 use serde::{Deserialize, Serialize};
 
 /// A line fitted by least squares.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
-    /// Growth per unit.
+    /// Slope per unit.
     pub slope: f64,
     /// Value at 0.
     pub base: f64,
-    /// Largest distance of a point from the line, as a share of the largest value.
+    /// Maximum distance of a point from the line, as a share of the largest value.
     pub error: f64,
 }
 
@@ -29,7 +29,7 @@
         Self { error: distance / largest, ..line }
     }
 
-    /// Value of the line.
+    /// Returns the value of the line at a size.
     #[must_use]
     pub const fn at(&self, x: f64) -> f64 {
         self.base + self.slope * x
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,4 +1,4 @@
-//! Prints how costs grow, as a table and on request as JSON.
+//! Prints the measured costs as a table and optionally writes them as JSON.
 
 use std::path::PathBuf;
 
--- a/crates/bench/src/memory.rs
+++ b/crates/bench/src/memory.rs
@@ -1,9 +1,9 @@
-//! Memory of this process.
+//! Memory use of this process.
 
-/// Size of a page; all supported machines use this one.
+/// Page size of all supported machines.
 const PAGE_BYTES: u64 = 4_096;
 
-/// Resident memory in bytes, 0 where the system does not tell.
+/// Returns the resident memory in bytes, or 0 if the system does not report it.
 #[must_use]
 pub fn resident_bytes() -> u64 {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/bench/src/rig.rs
+++ b/crates/bench/src/rig.rs
@@ -1,4 +1,4 @@
-//! A shard with workers that answer at once.
+//! A shard with workers that respond immediately.
 
 use std::sync::Arc;
 
@@ -11,10 +11,10 @@
     Accels, Bytes, Cores, Holder, Incarnation, JobKey, KeyName, ShardId, Slots, Span, Time,
 };
 
-/// Unix time of all keys.
+/// Unix time at which all keys are issued.
 const WALL: Time = Time::from_ms(1_700_000_000_000);
 
-/// A shard under test and its surroundings.
+/// A shard under test with its simulated environment.
 pub struct Rig {
     dispatcher: Dispatcher,
     holder: Holder,
@@ -27,10 +27,10 @@
 }
 
 impl Rig {
-    /// A shard with `workers` workers of eight slots, alone in its zone.
+    /// Creates a shard with `workers` workers of eight slots, alone in its zone.
     ///
     /// # Panics
-    /// When the ids are not valid, which would be a fault of this program.
+    /// Panics if an id is invalid, which would be a bug.
     #[must_use]
     pub fn new(workers: u32) -> Self {
         let instance: cranberryhatch_types::InstanceId = "e1".parse().expect("an id");
@@ -74,7 +74,7 @@
         self.handle(Event::Listed(Arc::new(listings)));
     }
 
-    /// Hands one heartbeat answer of each worker to the shard.
+    /// Delivers one heartbeat response of each worker to the shard.
     pub fn see(&mut self, workers: u32) {
         for number in 0..workers {
             let endpoint = Endpoint {
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Hands an event to the shard and keeps the attempts that it starts.
+    /// Delivers an event to the shard and records the attempts that it starts.
     pub fn handle(&mut self, event: Event) {
         self.events += 1;
         self.dispatcher.handle(self.now, event, &mut self.out);
@@ -106,13 +106,13 @@
         }
     }
 
-    /// Lets time pass by one tick of 10 ms.
+    /// Advances the time by one tick of 10 ms.
     pub fn tick(&mut self) {
         self.now = self.now + Span::from_ms(10);
         self.handle(Event::Tick);
     }
 
-    /// Submits a job under an issued key.
+    /// Submits a job with an issued key.
     pub fn submit(&mut self, team: u32, tasks: usize) {
         self.keys += 1;
         let name = KeyName::Issued { time: WALL, holder: self.holder.clone(), number: self.keys };
@@ -140,7 +140,7 @@
         self.handle(Event::Submit(submit));
     }
 
-    /// Answers every attempt in flight once.
+    /// Responds to every attempt in flight.
     pub fn answer(&mut self) {
         for attempt in std::mem::take(&mut self.started) {
             let answer = StartResponse::Done(bytes::Bytes::from_static(b"ok"));
@@ -148,19 +148,19 @@
         }
     }
 
-    /// Attempts in flight.
+    /// Returns the number of attempts in flight.
     #[must_use]
     pub const fn in_flight(&self) -> usize {
         self.started.len()
     }
 
-    /// Events handled so far.
+    /// Returns the number of events handled.
     #[must_use]
     pub const fn events(&self) -> u64 {
         self.events
     }
 
-    /// Replies given so far.
+    /// Returns the number of replies.
     #[must_use]
     pub const fn replies(&self) -> u64 {
         self.replies
--- a/crates/bench/src/series.rs
+++ b/crates/bench/src/series.rs
@@ -1,4 +1,4 @@
-//! Measured points of one quantity.
+//! Measurements of one quantity at several sizes.
 
 use serde::{Deserialize, Serialize};
 
@@ -7,9 +7,9 @@
 /// One quantity measured at several sizes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Series {
-    /// What is measured.
+    /// Name of the quantity.
     pub name: String,
-    /// What grows.
+    /// Name of the size.
     pub over: String,
     /// Unit of the values.
     pub unit: String,
@@ -18,7 +18,7 @@
 }
 
 impl Series {
-    /// A series without points.
+    /// Creates a series without points.
     #[must_use]
     pub fn new(name: &str, over: &str, unit: &str) -> Self {
         Self {
@@ -36,13 +36,13 @@
         self
     }
 
-    /// Line through the points.
+    /// Returns the line fitted to the points.
     #[must_use]
     pub fn fit(&self) -> Line {
         Line::fit(&self.points)
     }
 
-    /// Row of a table: name, points, line.
+    /// Returns a row of a table: name, points and line.
     #[must_use]
     pub fn row(&self) -> String {
         let line = self.fit();
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -14,17 +14,17 @@
     resident_bytes,
 };
 
-/// Tasks started for one point.
+/// Number of tasks started per point.
 const TASKS: u64 = 100_000;
-/// Tasks of a job in the measurements of starts.
+/// Number of tasks of a job in the measurements of starts.
 const JOB: usize = 100;
-/// Rounds of heartbeats for one point.
+/// Number of rounds of heartbeats per point.
 const ROUNDS: u32 = 2_000;
 
 /// Measures every quantity.
 #[must_use]
 pub fn measure() -> Vec<Series> {
-    // First, because memory that an earlier measurement freed would be used again unseen.
+    // First, because later measurements reuse memory that earlier ones have freed.
     let memory = memory_over_tasks();
     vec![
         memory,
@@ -42,13 +42,13 @@
     ]
 }
 
-/// Task starts and answers per second of one shard on one core.
+/// Returns the number of task starts and responses per second of one shard on one core.
 #[must_use]
 pub fn decisions_per_second(workers: u32, teams: u32) -> f64 {
     1e9 / start_cost(workers, teams)
 }
 
-// One start takes two events: a share of a submission or an earlier answer, and its own answer.
+// A start takes two events: a share of a submission or an earlier response, and its own response.
 fn start_cost(workers: u32, teams: u32) -> f64 {
     let mut rig = Rig::new(workers);
     let mut done = 0;
--- a/crates/codegen/src/main.rs
+++ b/crates/codegen/src/main.rs
@@ -1,7 +1,6 @@
 //! Generates the code of the schema crate from `peer.proto` and `settings.ini`.
 //!
-//! It depends on no other crate of the workspace, so that it still builds when the generated code
-//! does not. `cargo xtask generate` runs it.
+//! It depends on no other crate of the workspace, so it builds even if the generated code does not. `cargo xtask generate` runs it.
 
 mod generate;
 
--- a/crates/schema/src/key_spec.rs
+++ b/crates/schema/src/key_spec.rs
@@ -20,27 +20,27 @@
     Ratio,
     /// `on` or `off`.
     Flag,
-    /// One of a few names.
+    /// One of a fixed set of names.
     Choice,
     /// Any text.
     Text,
 }
 
-/// What the schema says of a key.
+/// Description of a key in the schema.
 #[derive(Clone, Copy, Debug)]
 pub struct KeySpec {
     /// Name in settings files, such as `lease.task`.
     pub name: &'static str,
     /// Type of the value.
     pub kind: ValueType,
-    /// Value when no level sets it.
+    /// Value if no level sets it.
     pub default: &'static str,
-    /// Smallest value, as text; empty for none.
+    /// Minimum as text; empty for none.
     pub min: &'static str,
-    /// Largest value, as text; empty for none.
+    /// Maximum as text; empty for none.
     pub max: &'static str,
-    /// Levels where it may be set.
+    /// Levels at which it may be set.
     pub levels: &'static [Level],
-    /// What it does.
+    /// Documentation.
     pub doc: &'static str,
 }
--- a/crates/schema/src/set_error.rs
+++ b/crates/schema/src/set_error.rs
@@ -1,13 +1,13 @@
-//! Failures of giving a setting its value.
+//! Errors of setting a value from text.
 
 use std::str::FromStr;
 
 use cranberryhatch_types::ParseError;
 
-/// Why a text is not a valid value of a setting.
+/// Error of a text that is not a valid value of a setting.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum SetError {
-    /// The text has the wrong form or unit.
+    /// The text is malformed or has the wrong unit.
     #[error(transparent)]
     Parse(#[from] ParseError),
     /// The value is out of its range.
@@ -15,17 +15,17 @@
     OutOfRange {
         /// The value.
         value: String,
-        /// Smallest value.
+        /// Minimum.
         min: &'static str,
-        /// Largest value.
+        /// Maximum.
         max: &'static str,
     },
-    /// The value is none of the allowed names.
+    /// The value is not one of the allowed names.
     #[error("{value:?} is not one of: {allowed}")]
     NotAllowed {
         /// The value.
         value: String,
-        /// The names allowed.
+        /// The allowed names.
         allowed: &'static str,
     },
 }
