--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -7,7 +7,7 @@
 //! Where the sizes of tasks differ, two tasks fit on a worker only if their sizes add up. The
 //! running tasks show what fits: a run that ends makes room for others in proportion to its cores,
 //! because smaller and larger tasks are paired. Counting the slots of one size on each worker would
-//! miss a third of the capacity and refuse jobs that can be served.
+//! miss much of the capacity and refuse jobs that can be served.
 //!
 //! Time is divided into steps. A curve holds the number of slots of one size that become free in
 //! each step. Work reserves the earliest slots and returns them when it ends.
