feat(edge): tell the source of applied settings in a log line and a metric

The record could not tell an instance that reads the store from one that gets its settings from a peer, so a late version had no visible path. The line 'settings' now names its source, and settings_sources_total counts versions by source. No change of behaviour.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -232,6 +232,10 @@
             LogEvent::AdmittedStopping { .. } => {
                 self.metrics.admitted_stopping.inc();
             }
+            LogEvent::Settings { source, .. } => {
+                let source = if source.is_some() { "peer" } else { "store" };
+                Metrics::count(&self.metrics.settings_sources, &source);
+            }
             LogEvent::Refused { cause, .. } => Metrics::count(&self.metrics.refusals, cause),
             LogEvent::Granted { kind, forecast: Some((expected, waited)), .. } => {
                 let error = expected.as_ms().abs_diff(waited.as_ms());
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -248,7 +248,10 @@
         LogEvent::DrainsAssumed { version, waited } => {
             log::warn!(version, waited_ms = waited.as_ms(); "{name}");
         }
-        LogEvent::Settings { version, before } => log::info!(version, before; "{name}"),
+        LogEvent::Settings { version, before, source } => {
+            let source = source.as_ref().map_or("store", |peer| peer.as_str());
+            log::info!(version, before, source; "{name}");
+        }
         LogEvent::Paused { gap } => log::warn!(gap_ms = gap.as_ms(); "{name}"),
         LogEvent::Unanswered { worker, request, run, waited } => {
             let run = run.as_ref().map_or_else(|| "none".to_owned(), run_text);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -92,6 +92,8 @@
     pub peers: Gauge<u64, AtomicU64>,
     /// Version of the current settings.
     pub settings_version: Gauge<u64, AtomicU64>,
+    /// Versions of the settings that were applied, by source: `store` or `peer`.
+    pub settings_sources: Family<CauseLabel, Counter>,
     /// Time since the worker list was last read or confirmed, in milliseconds.
     pub worker_list_age_ms: Gauge<u64, AtomicU64>,
     /// Requests to workers without a response in time, by kind of request.
@@ -134,6 +136,7 @@
             drained_zones: Gauge::default(),
             peers: Gauge::default(),
             settings_version: Gauge::default(),
+            settings_sources: Family::default(),
             worker_list_age_ms: Gauge::default(),
             unanswered_requests: Family::default(),
             resolved_requests: Family::default(),
@@ -186,6 +189,7 @@
         r.register("drained_zones", "Zones that are drained", self.drained_zones.clone());
         r.register("peers", "Peers in reach", self.peers.clone());
         r.register("settings_version", "Settings in force", self.settings_version.clone());
+        r.register("settings_sources", "Settings applied", self.settings_sources.clone());
         r.register(
             "worker_list_age_ms",
             "Age of the list of workers",
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -261,6 +261,8 @@
         version: u64,
         /// The previous version; 0 for none.
         before: u64,
+        /// The peer that sent them; `None` if they were read from the store.
+        source: Option<InstanceId>,
     },
     /// A zone was drained or restored.
     ZoneDrains {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -185,7 +185,8 @@
             Body::Drains(drains) => self.handle_drains(from, drains, now, out),
             Body::Beat(beat) => self.handle_heartbeat(from, &beat, now, out),
             Body::Settings(settings) => {
-                self.apply_settings(settings.version, settings.body.into(), now, out);
+                let source = Some(from.clone());
+                self.replace_settings(settings.version, settings.body.into(), source, now, out);
             }
             Body::Ask(ask) => self.scheduler.enqueue(from, ask, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
@@ -292,8 +293,21 @@
         }
     }
 
-    /// Applies settings that are newer than the current ones.
+    /// Applies settings read from the store if they are newer than the current ones.
     pub fn apply_settings(&mut self, version: u64, body: Bytes, now: Time, out: &mut Output) {
+        self.replace_settings(version, body, None, now, out);
+    }
+
+    /// Applies settings that are newer than the current ones. `source` is the peer that sent them;
+    /// `None` for the store.
+    fn replace_settings(
+        &mut self,
+        version: u64,
+        body: Bytes,
+        source: Option<InstanceId>,
+        now: Time,
+        out: &mut Output,
+    ) {
         let before = self.settings.0;
         if version <= before {
             return;
@@ -304,7 +318,7 @@
             self.first_settings_at = now;
         }
         self.members.me_mut().version = version;
-        out.log(LogEvent::Settings { version, before });
+        out.log(LogEvent::Settings { version, before, source });
         out.commands.push(Command::ApplySettings { version, body });
     }
 
