fix(fleet): send settings to lagging peers while they keep changing

Callers saw requests of a new route refused at one instance for as long as changes of the settings followed each other, although the other instances served it.

Cause: an instance that the store refuses gets its settings from its peers, and a peer sent them only if its own settings had not changed for 250 ms. That wait is there to leave instances alone that read the store themselves. While changes come more often, or just before each heartbeat, the condition does not hold, however old the version is that the other instance still has. The same condition guarded the zone drains.

Change: a peer compares the version in the heartbeat with the newest version that it has had for 250 ms, and sends the current one.

Evidence: crates/fleet/tests/settings.rs failed on the code before. It passes now, and a peer that reads the store itself is still sent nothing.

Ruled out for this test: processor time and links, which it does not model.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -60,6 +60,7 @@
 mod task_state;
 mod topology;
 mod vec_map;
+mod version_history;
 mod worker;
 mod worker_list;
 mod worker_pool;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -13,7 +13,7 @@
     Command, DrainFreshness, Front, Incarnation, InstanceInfo, Job, ListedWorker, Member, Members,
     NotRunCause, Outcome, Output, Owner, Owners, PollResult, RunKey, Scheduler, Shutdown,
     ShutdownProgress, StartResponse, TaskKey, Topology, VecMap, WorkerList, ZoneDrains,
-    log_event::LogEvent,
+    log_event::LogEvent, version_history::VersionHistory,
 };
 
 /// Heartbeat interval between two instances of which one runs tasks or schedules for the other.
@@ -29,8 +29,8 @@
 const ISOLATION_HOLD: Span = Span::from_ms(800);
 /// Gap between two ticks from which this process counts as paused.
 const PAUSE_THRESHOLD: Span = Span::from_ms(400);
-/// Time after a change of the settings in which a peer normally gets it from the store; a peer that
-/// is still behind afterwards gets it from this instance.
+/// Time in which a peer normally gets a version of the settings or drains from the store; a peer
+/// that lacks a version for longer gets the newest one from this instance.
 const SETTINGS_GRACE: Span = Span::from_ms(250);
 
 /// An instance: the front of its callers' jobs, the owner of its workers, and the scheduler if
@@ -52,12 +52,11 @@
     broken_links: VecMap<InstanceId, BrokenLink>,
     owners: Owners,
     settings: (u64, Bytes),
-    settings_at: Time,
+    settings_history: VersionHistory,
     // When the first settings were applied.
     first_settings_at: Time,
     drains: ZoneDrains,
-    // When the current zone drains were received.
-    drains_at: Time,
+    drains_history: VersionHistory,
     drain_freshness: DrainFreshness,
     started: Time,
     // State and view of the members that the last heartbeats announced.
@@ -95,10 +94,10 @@
             broken_links: VecMap::default(),
             owners: Owners::default(),
             settings: (0, Bytes::new()),
-            settings_at: now,
+            settings_history: VersionHistory::default(),
             first_settings_at: now,
             drains: ZoneDrains::default(),
-            drains_at: now,
+            drains_history: VersionHistory::default(),
             drain_freshness: DrainFreshness::new(now),
             started: now,
             announced: AnnouncedState::default(),
@@ -284,7 +283,7 @@
         peer.draining = beat.draining;
         peer.version = beat.version;
         self.members.update_peer(from, beat.core, beat.joined, now);
-        if beat.version < self.settings.0 && now.since(self.settings_at) >= SETTINGS_GRACE {
+        if beat.version < self.settings_history.settled(SETTINGS_GRACE, now) {
             let (version, body) = (self.settings.0, self.settings.1.to_vec());
             out.send(from, Body::Settings(Settings { version, body }));
         }
@@ -313,7 +312,7 @@
             return;
         }
         self.settings = (version, body.clone());
-        self.settings_at = now;
+        self.settings_history.record(version, now);
         if before == 0 {
             self.first_settings_at = now;
         }
--- a/crates/fleet/src/node/drained.rs
+++ b/crates/fleet/src/node/drained.rs
@@ -57,7 +57,7 @@
         out: &mut Output,
     ) {
         if next.version() > self.drains.version() {
-            self.drains_at = now;
+            self.drains_history.record(next.version(), now);
         }
         let changes = self.drains.replace(next);
         if changes.is_empty() {
@@ -108,7 +108,8 @@
         out: &mut Output,
     ) {
         let mine = self.drains.version();
-        if version < mine && (version == 0 || now.since(self.drains_at) >= SETTINGS_GRACE) {
+        let settled = self.drains_history.settled(SETTINGS_GRACE, now);
+        if version < settled || version == 0 && mine > 0 {
             out.send(from, Body::Drains(self.drains.to_message()));
         }
         // The peer has read a heartbeat sent since this instance's start or pause, so its version
