fix(fleet): count the workers that crash under a task, and give it up after two

Callers saw: a task that crashes its worker was started until the time limit of its job; one of them lost ten runs with ten workers, and their neighbours with them.

Cause: the owner reported the end of such a run as HOW_STOPPED, which the front counts towards no limit, and a front that got the job next started at zero.

Change: owners tell runs that were lost with their worker (HOW_CRASHED: it restarted, or refused connections until the lease ended; HOW_LOST: it was out of reach) from stopped ones. Each role keeps a ledger of the workers that were lost under a task. Owners repeat it in their reports, fronts in their requests, and a scheduler tells a front what it does not name, so that the count outlives any of the three. A loss is a crash once the worker list shows a successor under the id or the address of a worker that was not draining; two crashes give a job up as failed, three if some of the workers did not refuse connections. Until a loss is resolved, 6 s at most, a task waits when it would reach the limit. A task that is likely to have crashed a worker runs alone on an idle worker if there is one. New lines task-crashed and task-poisoned, metrics task_crashes and poisoned_jobs.

Evidence: crates/fleet/tests/poisoned.rs failed on the code before (28 starts after the third crash, 31 crashes of one task) and passes, also where the front, the owner, the scheduler or all but one instance are lost after a crash, and where workers come back under their id.

Tests changed: ends by a restart are asserted as HOW_CRASHED or HOW_LOST instead of HOW_STOPPED, which is as strict. The simulation accepts a failed job only if two workers crashed under one of its tasks.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -245,6 +245,12 @@
                 Metrics::count(&self.metrics.runs, &how.as_str_name());
                 Metrics::observe(&self.metrics.run_time, *took);
             }
+            LogEvent::TaskCrashed { .. } => {
+                self.metrics.task_crashes.inc();
+            }
+            LogEvent::TaskPoisoned { .. } => {
+                self.metrics.poisoned_jobs.inc();
+            }
             LogEvent::Stalled { cause, .. } => Metrics::count(&self.metrics.run_restarts, cause),
             LogEvent::Unanswered { request, .. } => {
                 Metrics::count(&self.metrics.unanswered_requests, request);
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -126,8 +126,12 @@
     }
 }
 
+fn task_text(task: &cranberryhatch_fleet::TaskKey) -> String {
+    format!("{}.{}.{}", task.job, task.step, task.task)
+}
+
 fn run_text(run: &cranberryhatch_fleet::RunKey) -> String {
-    format!("{}.{}.{}#{}", run.task.job, run.task.step, run.task.task, run.run)
+    format!("{}#{}", task_text(&run.task), run.run)
 }
 
 /// Returns the time in milliseconds, or -1 for `None`.
@@ -234,6 +238,10 @@
         LogEvent::WorkerDropped { worker, cause } => {
             log::info!(worker = worker.as_str(), cause = cause.to_string(); "{name}");
         }
+        LogEvent::TaskCrashed { task, worker, crashes } => {
+            log::warn!(task = task_text(task), worker = worker.as_str(), crashes; "{name}");
+        }
+        LogEvent::TaskPoisoned { task } => log::warn!(task = task_text(task); "{name}"),
         LogEvent::IncarnationEnded { worker, incarnation, runs } => {
             log::warn!(worker = worker.as_str(), born_ms = incarnation.born_ms(), runs; "{name}");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -53,6 +53,10 @@
     pub dropped_workers: Family<CauseLabel, Counter>,
     /// Owned workers whose process restarted under the same id.
     pub worker_restarts: Counter,
+    /// Workers that crashed under tasks of this instance's callers; a worker counts for each task.
+    pub task_crashes: Counter,
+    /// Jobs given up because too many workers crashed under a task.
+    pub poisoned_jobs: Counter,
     /// Runs found on a newly owned worker and stopped because no front claimed them.
     pub unclaimed_runs: Counter,
     /// Time from when a member became reachable until it was admitted to roles.
@@ -117,6 +121,8 @@
             forecast_error: Family::new_with_constructor(new_histogram),
             dropped_workers: Family::default(),
             worker_restarts: Counter::default(),
+            task_crashes: Counter::default(),
+            poisoned_jobs: Counter::default(),
             unclaimed_runs: Counter::default(),
             admission_time: new_histogram(),
             dropped_lines: Counter::default(),
@@ -162,6 +168,8 @@
         r.register("runs", "Ends of runs", self.runs.clone());
         r.register("dropped_workers", "Workers given up", self.dropped_workers.clone());
         r.register("ended_lives", "Own workers that restarted", self.worker_restarts.clone());
+        r.register("task_crashes", "Crashes of workers under tasks", self.task_crashes.clone());
+        r.register("poisoned_jobs", "Jobs given up for crashes", self.poisoned_jobs.clone());
         r.register("unclaimed_runs", "Runs that no front claimed", self.unclaimed_runs.clone());
         r.register("counting_seconds", "Up to counted as a member", self.admission_time.clone());
         r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -1,10 +1,10 @@
 //! A run that an owner has started on one of its workers, and when it is worth restarting
 //! elsewhere.
 
-use cranberryhatch_schema::fleet::{Held as HeldMessage, Start};
+use cranberryhatch_schema::fleet::{Held as HeldMessage, How, Start};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
-use crate::{Need, PendingPoll, RunKey, log_event::RestartCause};
+use crate::{Incarnation, Need, PendingPoll, RunKey, log_event::RestartCause};
 
 /// Allowance for the delay of progress reports.
 const STALL_SLACK: Span = Span::from_ms(50);
@@ -97,6 +97,8 @@
     /// Whether its run time is unknown: an earlier owner started it, or its end may have been
     /// noticed late.
     pub duration_unknown: bool,
+    /// Incarnation of the worker to which its start request was sent.
+    pub incarnation: Incarnation,
 }
 
 impl AssignedRun {
@@ -124,6 +126,7 @@
             progressed_at: now,
             predates_restart: false,
             duration_unknown: false,
+            incarnation: Incarnation::UNKNOWN,
         })
     }
 
@@ -192,6 +195,16 @@
         }
     }
 
+    /// Returns how it ended if the worker's process has ended. Without confirmation, it may not have
+    /// started before.
+    #[must_use]
+    pub const fn end_with_process(&self, draining: bool) -> How {
+        match (draining, self.stage) {
+            (false, RunStage::Running { .. }) => How::Crashed,
+            _ => end_out_of_reach(draining),
+        }
+    }
+
     /// Returns whether its start request may still be carried out at any time.
     #[must_use]
     pub const fn may_still_start(&self) -> bool {
@@ -240,3 +253,8 @@
         left > times(STALL_REMAINING_PERMILLE)
     }
 }
+
+/// Returns how a run ended whose worker is out of reach. A draining worker leaves without a crash.
+pub(crate) const fn end_out_of_reach(draining: bool) -> How {
+    if draining { How::Stopped } else { How::Lost }
+}
--- a/crates/fleet/src/backlog.rs
+++ b/crates/fleet/src/backlog.rs
@@ -57,6 +57,9 @@
     pub avoid: Vec<String>,
     /// Whether a task of the job has started.
     pub begun: bool,
+    /// Whether a worker was lost under the task, which may have crashed it. Such a task is queued
+    /// by itself.
+    pub suspect: bool,
     /// When the start of the last task was first forecast, and the forecast wait.
     pub forecast: Option<(Time, Span)>,
 }
--- a/crates/fleet/src/forecast.rs
+++ b/crates/fleet/src/forecast.rs
@@ -311,7 +311,7 @@
         return;
     }
     let available_at = step_at(worker.available_at(now), now);
-    if worker.is_on_probation() {
+    if worker.is_on_probation() || worker.is_exclusive() {
         let last = ends.last().map_or(0, |(end, _)| step_at(*end, now));
         curve.size.slots += 1.0;
         curve.add(last.max(available_at), 1.0);
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -4,6 +4,7 @@
 //! further run of a task only once the previous one certainly is not running any more.
 
 mod active;
+mod losses;
 mod takeover;
 
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Job, KindSettings, Outcome, Output, RunKey, TaskKey, VecMap,
+    Incarnation, Job, KindSettings, LossLedger, Outcome, Output, RunKey, TaskKey, VecMap, Verdict,
     log_event::LogEvent,
     members::text_hash,
     outcome::NotRunCause,
@@ -44,13 +45,17 @@
     scheduler: Option<InstanceId>,
     // When the last message from the scheduler was received.
     heard: Option<Time>,
+    losses: LossLedger,
+    // Jobs with tasks for which capacity is requested again at the next review of the losses.
+    requeued: Vec<String>,
 }
 
 impl Front {
     /// Creates a front without jobs.
     #[must_use]
     pub fn new(me: InstanceId, zone: String) -> Self {
-        Self { me, zone, jobs: VecMap::default(), scheduler: None, heard: None }
+        let (jobs, losses) = (VecMap::default(), LossLedger::default());
+        Self { me, zone, jobs, scheduler: None, heard: None, losses, requeued: Vec::new() }
     }
 
     /// Submits a job. A job that is already known gets the new caller, and the previous one an
@@ -90,39 +95,50 @@
             if !active.is_ready(index) {
                 continue;
             }
-            let mut tasks = Vec::new();
+            let number = to_u32(index as u64);
+            // Tasks that may crash their worker are placed by other rules, each by itself.
+            let (mut plain, mut suspects) = (Vec::new(), Vec::new());
             for (state, task) in active.steps[index].iter_mut().zip(0..) {
-                if state.phase == Phase::Ready {
-                    state.phase = Phase::Requested;
-                    tasks.push(task);
+                if state.phase != Phase::Ready {
+                    continue;
                 }
+                match self.losses.verdict(name, number, task, now) {
+                    Verdict::Clear => plain.push(task),
+                    Verdict::Suspect => {
+                        suspects.push((task, self.losses.messages_of(name, number, task, now)));
+                    }
+                    Verdict::Unresolved | Verdict::Poisoned => continue,
+                }
+                state.phase = Phase::Requested;
             }
-            if tasks.is_empty() {
-                continue;
+            let plain = Some((plain, Vec::new())).filter(|(tasks, _)| !tasks.is_empty());
+            let suspects = suspects.into_iter().map(|(task, lost)| (vec![task], lost));
+            for (tasks, lost) in plain.into_iter().chain(suspects) {
+                let (job, step) = (&active.job, &active.job.steps[index]);
+                let ask = Ask {
+                    job: job.name.clone(),
+                    step: number,
+                    tasks,
+                    kind: job.settings.kind.clone(),
+                    service: job.settings.service.clone(),
+                    priority: job.settings.priority,
+                    need: Some((&step.need).into()),
+                    declared_ms: to_u32(step.declared.as_ms()),
+                    age_ms: to_u32(now.since(job.arrived).as_ms()),
+                    left_ms: to_u32(job.deadline.since(now).as_ms()),
+                    label: step.label.clone(),
+                    rack: step.rack.clone(),
+                    spread: step.spread,
+                    avoid: active.avoid.clone(),
+                    begun: active.possible_runs > 0,
+                    zone: self.zone.clone(),
+                    stretch: job.settings.stretch,
+                    slack_ms: to_u32(job.settings.slack.as_ms()),
+                    lost,
+                };
+                active.requested_at = Some(now);
+                out.send(scheduler, Message::Ask(ask));
             }
-            let (job, step) = (&active.job, &active.job.steps[index]);
-            let ask = Ask {
-                job: job.name.clone(),
-                step: to_u32(index as u64),
-                tasks,
-                kind: job.settings.kind.clone(),
-                service: job.settings.service.clone(),
-                priority: job.settings.priority,
-                need: Some((&step.need).into()),
-                declared_ms: to_u32(step.declared.as_ms()),
-                age_ms: to_u32(now.since(job.arrived).as_ms()),
-                left_ms: to_u32(job.deadline.since(now).as_ms()),
-                label: step.label.clone(),
-                rack: step.rack.clone(),
-                spread: step.spread,
-                avoid: active.avoid.clone(),
-                begun: active.possible_runs > 0,
-                zone: self.zone.clone(),
-                stretch: job.settings.stretch,
-                slack_ms: to_u32(job.settings.slack.as_ms()),
-            };
-            active.requested_at = Some(now);
-            out.send(scheduler, Message::Ask(ask));
         }
     }
 
@@ -183,6 +199,7 @@
                     requested_at,
                     lost_since,
                     claimed,
+                    incarnation: Incarnation::new(place.born_ms),
                 };
                 self.start(&key, placed, seen, now, out)
             });
@@ -284,7 +301,7 @@
         }
         let mut failed = false;
         let mut never_started = false;
-        state.phase = Phase::Ready;
+        let phase = std::mem::replace(&mut state.phase, Phase::Ready);
         match how {
             How::Done => state.phase = Phase::Done,
             How::Failed => {
@@ -297,6 +314,13 @@
             }
             How::Stalled => state.stalls += 1,
             How::NotStarted | How::NoRoom | How::Unanswered => never_started = true,
+            How::Lost | How::Crashed => {
+                if let Phase::Placed(place) = phase {
+                    let (worker, incarnation) = (&place.worker, place.incarnation);
+                    let refused = how == How::Crashed;
+                    self.losses.record(&run.task, worker, incarnation, refused, now);
+                }
+            }
             How::Unknown | How::Stopped => {}
         }
         if never_started {
@@ -407,12 +431,14 @@
                 let stuck = active.closing_since.is_some_and(|at| now.since(at) >= CLOSING_LIMIT);
                 if lost || stuck {
                     let run = RunKey { task: key, run: state.run };
-                    gone.push((run, place.worker.to_string()));
+                    // The worker may have crashed while its owner was unreachable.
+                    let how = if lost { How::Lost } else { How::Stopped };
+                    gone.push((run, place.worker.to_string(), how));
                 }
             }
         }
-        for (run, worker) in gone {
-            self.end_run(&run, &worker, How::Stopped, now, out);
+        for (run, worker, how) in gone {
+            self.end_run(&run, &worker, how, now, out);
         }
         for (name, begun) in over {
             let outcome = if begun {
--- a/crates/fleet/src/front/active.rs
+++ b/crates/fleet/src/front/active.rs
@@ -62,6 +62,14 @@
         self.job.steps[step].after.iter().all(|earlier| self.step_done(*earlier))
     }
 
+    /// Returns whether a task has ended successfully.
+    pub(super) fn is_done(&self, step: u32, task: u32) -> bool {
+        let index = |number: u32| usize::try_from(number).ok();
+        let tasks = index(step).and_then(|step| self.steps.get(step));
+        let state = tasks.zip(index(task)).and_then(|(tasks, task)| tasks.get(task));
+        state.is_some_and(|state| state.phase == Phase::Done)
+    }
+
     pub(super) fn all_done(&self) -> bool {
         self.steps.iter().flatten().all(|task| task.phase == Phase::Done)
     }
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -4,7 +4,9 @@
 use cranberryhatch_types::{InstanceId, Time};
 
 use super::{Front, start_message};
-use crate::{Output, RunKey, TaskKey, log_event::LogEvent, output::Message, task_state::Phase};
+use crate::{
+    Incarnation, Output, RunKey, TaskKey, log_event::LogEvent, output::Message, task_state::Phase,
+};
 
 impl Front {
     /// Marks the runs of an unreachable owner, which was last heard at `heard`.
@@ -122,7 +124,9 @@
                 // The worker accepts requests of the new owner only, so a run that is not there
                 // cannot start any more. It may have run and ended without its report reaching this
                 // front.
-                ends.push((run, said.map_or(How::Stopped, Ended::how)));
+                let has_restarted = Incarnation::new(found.born_ms).is_after(place.incarnation);
+                let loss = if has_restarted { How::Crashed } else { How::Stopped };
+                ends.push((run, said.map_or(loss, Ended::how)));
             }
         }
         if !running.is_empty() {
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Incarnation, MembershipChange, NotRunCause, Outcome, RefusalCause, RunKey, ShutdownProgress,
-    ZoneChange,
+    TaskKey, ZoneChange,
 };
 
 /// A logged event with its details; its kebab-case text form is the name of the log line.
@@ -39,6 +39,20 @@
         /// Runs that were started.
         runs: u32,
     },
+    /// A worker crashed while it ran a task.
+    TaskCrashed {
+        /// The task.
+        task: TaskKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Workers that have crashed under the task.
+        crashes: usize,
+    },
+    /// A job is given up because too many workers crashed under a task.
+    TaskPoisoned {
+        /// The task.
+        task: TaskKey,
+    },
     /// The deadline of a job passed before any of its tasks ran.
     Expired {
         /// The job.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
-use cranberryhatch_schema::fleet::{Beat, Settings, Takeover, Workers, frame::Body};
+use cranberryhatch_schema::fleet::{Beat, Losses, Settings, Takeover, Workers, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
@@ -187,7 +187,14 @@
                 let source = Some(from.clone());
                 self.replace_settings(settings.version, settings.body.into(), source, now, out);
             }
-            Body::Ask(ask) => self.scheduler.enqueue(from, ask, now),
+            Body::Ask(ask) => {
+                let runs = self.scheduler.untold_losses(&ask, now);
+                self.scheduler.enqueue(from, ask, now);
+                if !runs.is_empty() {
+                    out.send(from, Body::Losses(Losses { runs }));
+                }
+            }
+            Body::Losses(losses) => self.front.merge_losses(&losses, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
             Body::Unused(unused) => {
                 if let Ok(worker) = unused.worker.parse::<WorkerId>() {
@@ -465,6 +472,8 @@
         let scheduler = self.elected.as_ref().and_then(|elected| self.links.get(elected));
         self.front.set_scheduler_heard(scheduler.map(|scheduler| scheduler.heard_at));
         self.front.tick(now, out);
+        self.front.review_losses(&self.listing, now, out);
+        self.scheduler.review_losses(&self.listing, now);
         if self.shutdown.is_some_and(|shutdown| shutdown.is_over(now)) {
             self.front.end_all(now, out);
             self.stopped = true;
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -145,6 +145,16 @@
     OtherIncarnation,
     /// No response; the request may have taken effect.
     NoResponse,
+    /// The connection was refused: as far as the network tells, the worker's process has ended.
+    Refused,
+}
+
+impl PollResponse {
+    /// Returns whether the worker did not respond.
+    #[must_use]
+    pub const fn is_missing(&self) -> bool {
+        matches!(self, Self::NoResponse | Self::Refused)
+    }
 }
 
 /// Status of a worker, from a poll.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -13,8 +13,8 @@
 use reconnect::Reconnects;
 
 use crate::{
-    AssignedRun, Command, ListedWorker, Output, ResponseTimes, RestartBudget, RunEnd, RunKey,
-    RunStats, VecMap, Worker, WorkerList,
+    AssignedRun, Command, ListedWorker, LossLedger, Output, ResponseTimes, RestartBudget, RunEnd,
+    RunKey, RunStats, VecMap, Worker, WorkerList,
     assigned_run::RunStage,
     log_event::{LogEvent, RequestKind, Resolution, RestartCause},
     members::{Owners, text_hash},
@@ -93,6 +93,9 @@
     last_tick: Option<Time>,
     paused_until: Time,
     run_stats: RunStats,
+    // Workers that were lost under runs, and whether the scheduler was not told of the last one.
+    losses: LossLedger,
+    losses_changed: bool,
 }
 
 impl Owner {
@@ -118,6 +121,8 @@
             last_tick: None,
             paused_until: Time::ZERO,
             run_stats: RunStats::default(),
+            losses: LossLedger::default(),
+            losses_changed: false,
         }
     }
 
@@ -240,6 +245,7 @@
             });
         }
         out.log(LogEvent::RunEnded { run: run.clone(), worker: id.clone(), how, took });
+        self.record_loss(id, &assigned, how, now);
         self.reconnects.record_end(
             &assigned.front,
             &ended_message(&assigned.run, id.as_str(), how, took),
@@ -255,6 +261,14 @@
         self.report_freed(&assigned, id.as_str(), how, took, out);
     }
 
+    fn record_loss(&mut self, id: &WorkerId, assigned: &AssignedRun, how: How, now: Time) {
+        if matches!(how, How::Lost | How::Crashed) {
+            let (task, incarnation) = (&assigned.run.task, assigned.incarnation);
+            self.losses.record(task, id, incarnation, how == How::Crashed, now);
+            self.losses_changed = true;
+        }
+    }
+
     fn report_freed(
         &self,
         assigned: &AssignedRun,
@@ -276,9 +290,16 @@
         out.send(scheduler, Message::Freed(freed));
     }
 
-    fn report_to_scheduler(&self, rooms: Vec<Room>, kinds: Vec<KindTime>, out: &mut Output) {
+    fn report_to_scheduler(
+        &self,
+        rooms: Vec<Room>,
+        kinds: Vec<KindTime>,
+        now: Time,
+        out: &mut Output,
+    ) {
         if let Some(scheduler) = &self.scheduler {
-            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds }));
+            let lost = self.losses.messages(now);
+            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds, lost }));
         }
     }
 
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -29,7 +29,7 @@
         let was_paused = self.paused_since(at, now);
         let Some(worker) = self.workers.get_mut(id) else { return };
         let poll = if worker.token == token { worker.take_poll(at) } else { None };
-        if let Some(poll) = poll.filter(|_| response != PollResponse::NoResponse) {
+        if let Some(poll) = poll.filter(|_| !response.is_missing()) {
             let took = (poll.wait == Span::ZERO && !was_paused).then(|| now.since(at));
             self.response_times.record_response(took);
         }
@@ -84,6 +84,10 @@
                 self.drop_worker(id, DropCause::OtherIncarnation, now, out);
             }
             PollResponse::NoResponse => self.handle_missing_response(id, poll, now, out),
+            PollResponse::Refused => {
+                worker.refuses = true;
+                self.handle_missing_response(id, poll, now, out);
+            }
         }
     }
 
@@ -115,6 +119,7 @@
             ends.push((end.run.clone(), wire_end(end.how)));
         }
         let mut stops = update_running(worker, poll, status, now, out);
+        let draining = worker.listed.draining;
         for assigned in &mut worker.runs {
             let listed = status.running.iter().any(|running| running.run == assigned.run)
                 || status.ended.iter().any(|end| end.run == assigned.run);
@@ -124,6 +129,9 @@
             if assigned.is_gone(poll) {
                 let how = match assigned.stage {
                     RunStage::Unconfirmed { .. } if !assigned.predates_restart => How::Unanswered,
+                    RunStage::Running { .. } if assigned.predates_restart => {
+                        assigned.end_with_process(draining)
+                    }
                     RunStage::Unconfirmed { .. }
                     | RunStage::Starting
                     | RunStage::Running { .. } => How::Stopped,
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -18,7 +18,7 @@
 impl Owner {
     /// Starts a run for a front.
     pub fn start(&mut self, front: &InstanceId, start: Start, now: Time, out: &mut Output) {
-        let Some(assigned) = AssignedRun::new(front.clone(), &start, now) else { return };
+        let Some(mut assigned) = AssignedRun::new(front.clone(), &start, now) else { return };
         self.heartbeat_seen(front, assigned.seen_heartbeat, now);
         let Ok(id) = start.worker.parse::<WorkerId>() else {
             return send_end(&assigned, &start.worker, How::NotStarted, Span::ZERO, out);
@@ -40,6 +40,7 @@
             payload: start.payload,
             lease,
         });
+        assigned.incarnation = worker.incarnation;
         worker.runs.push(assigned);
         self.restarts.earn();
     }
@@ -160,7 +161,9 @@
             IncarnationOrder::Current => {}
             IncarnationOrder::Earlier if response == StartResponse::Started => {
                 // The run ended with that incarnation.
-                return self.end(id, run, How::Stopped, now, out);
+                let draining = self.workers.get(id).is_some_and(|worker| worker.listed.draining);
+                let how = if draining { How::Stopped } else { How::Crashed };
+                return self.end(id, run, how, now, out);
             }
             IncarnationOrder::Earlier => {}
             IncarnationOrder::Later => self.handle_restart(id, &WorkerStatus::default(), now, out),
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -6,13 +6,13 @@
 //! requests with the earlier token can no longer take effect, and the status of the worker is
 //! complete.
 
-use cranberryhatch_schema::fleet::{Held as HeldMessage, How, Room};
+use cranberryhatch_schema::fleet::{Held as HeldMessage, Room};
 use cranberryhatch_types::{Span, Time, WorkerId};
 
 use super::{Owner, wire_end};
 use crate::{
     Incarnation, Output, RunKey, WorkerStatus,
-    assigned_run::RunStage,
+    assigned_run::{RunStage, end_out_of_reach},
     log_event::LogEvent,
     run_lease::{LEASE, LEASE_SLACK},
 };
@@ -74,6 +74,7 @@
         // poll in flight, whose lease is by the earlier clock, can extend that run until the poll
         // times out.
         worker.lease_end = worker.lease_end.max(now + IN_FLIGHT_LIMIT + LEASE + LEASE_SLACK);
+        let draining = worker.listed.draining;
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             assigned.duration_unknown = true;
@@ -85,7 +86,7 @@
             } else if runs {
                 assigned.stage = RunStage::Running { since: assigned.sent_at };
             } else if matches!(assigned.stage, RunStage::Running { .. }) {
-                ends.push((assigned.run.clone(), How::Stopped));
+                ends.push((assigned.run.clone(), assigned.end_with_process(draining)));
             }
         }
         for (run, how) in ends {
@@ -106,7 +107,7 @@
             born_ms: worker.incarnation.born_ms(),
             ..Room::default()
         };
-        self.report_to_scheduler(vec![room], Vec::new(), out);
+        self.report_to_scheduler(vec![room], Vec::new(), now, out);
     }
 
     /// Resolves the requests that were in flight during a restart, once the new incarnation has
@@ -120,6 +121,7 @@
         out: &mut Output,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let draining = worker.listed.draining;
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             if status.running.iter().any(|running| running.run == assigned.run) {
@@ -129,7 +131,10 @@
                 continue;
             }
             let ended = status.ended.iter().find(|end| end.run == assigned.run);
-            ends.push((assigned.run.clone(), ended.map_or(How::Stopped, |end| wire_end(end.how))));
+            ends.push((
+                assigned.run.clone(),
+                ended.map_or(end_out_of_reach(draining), |end| wire_end(end.how)),
+            ));
         }
         for (run, how) in ends {
             self.end(id, &run, how, now, out);
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -1,6 +1,6 @@
 //! How an instance takes over a worker, and how it gives a worker up.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover, Takeovers};
+use cranberryhatch_schema::fleet::{Claim, Ended, Room, Run, Takeover, Takeovers};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
@@ -8,7 +8,8 @@
     push_stop, wire_end,
 };
 use crate::{
-    AssignedRun, End, Members, Need, Output, PendingPoll, PollResponse, RunKey, WorkerStatus,
+    AssignedRun, End, Incarnation, Members, Need, Output, PendingPoll, PollResponse, RunKey,
+    WorkerStatus,
     assigned_run::RunStage,
     log_event::{DropCause, LogEvent},
     output::Message,
@@ -30,7 +31,9 @@
             PollResponse::OtherIncarnation => {
                 self.drop_worker(id, DropCause::OtherIncarnation, now, out);
             }
-            PollResponse::NoResponse => self.handle_missing_response(id, poll, now, out),
+            PollResponse::NoResponse | PollResponse::Refused => {
+                self.handle_missing_response(id, poll, now, out);
+            }
             PollResponse::Status(_) | PollResponse::Fenced => {
                 let token = self.next_token(0);
                 let Some(worker) = self.workers.get_mut(id) else { return };
@@ -59,6 +62,7 @@
             running: status.running.iter().map(|running| Run::from(&running.run)).collect(),
             ended: status.ended.iter().map(|end| takeover_end(id, end)).collect(),
             token: worker.token,
+            born_ms: status.incarnation.born_ms(),
         };
         if status.running.is_empty() {
             self.opened_idle.push(message);
@@ -82,7 +86,7 @@
         // A run that no front claims counts as orphaned and is stopped in the end.
         for running in &status.running {
             if worker.runs.iter().all(|assigned| assigned.run != running.run) {
-                worker.runs.push(orphaned_run(&self.me, &running.run, now));
+                worker.runs.push(orphaned_run(&self.me, &running.run, status.incarnation, now));
             }
         }
     }
@@ -115,6 +119,7 @@
             {
                 claimed.stage = assigned.stage;
                 claimed.percent = assigned.percent;
+                claimed.incarnation = assigned.incarnation;
                 claimed.duration_unknown = true;
                 *assigned = claimed;
             }
@@ -181,7 +186,9 @@
             // Its runs ended with that incarnation.
             self.run_stats.forget(id);
             for assigned in &worker.runs {
-                self.notify_end(assigned, id.as_str(), How::Stopped, Span::ZERO, out);
+                let how = assigned.end_with_process(worker.listed.draining);
+                self.record_loss(id, assigned, how, now);
+                self.notify_end(assigned, id.as_str(), how, Span::ZERO, out);
             }
         }
         if cause == DropCause::Fenced {
@@ -194,13 +201,13 @@
         } else if !worker.is_unopened() {
             // A worker that never accepted this instance's token may be owned by another instance.
             let room = Room { worker: id.to_string(), token: worker.token, ..Room::default() };
-            self.report_to_scheduler(vec![room], Vec::new(), out);
+            self.report_to_scheduler(vec![room], Vec::new(), now, out);
         }
     }
 }
 
 /// Creates the entry of a run that was found on a worker and whose front is not known yet.
-fn orphaned_run(me: &InstanceId, run: &RunKey, now: Time) -> AssignedRun {
+fn orphaned_run(me: &InstanceId, run: &RunKey, incarnation: Incarnation, now: Time) -> AssignedRun {
     AssignedRun {
         run: run.clone(),
         front: me.clone(),
@@ -221,6 +228,7 @@
         progressed_at: now,
         predates_restart: false,
         duration_unknown: true,
+        incarnation,
     }
 }
 
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -33,6 +33,7 @@
             self.end_expired_runs(id, now, out);
             self.drop_unused(id, list, owners, now, out);
         }
+        self.losses.review(list.crashes(), now);
         self.stop_unconfirmed(now, out);
         self.send_idle_takeovers(out);
         self.send_polls(now, out);
@@ -73,10 +74,11 @@
         }
         let is_late = now.since(worker.leased_at) >= LATE_REQUEST_LIMIT;
         let is_over = |assigned: &&AssignedRun| !assigned.may_still_start() || is_late;
-        let runs: Vec<RunKey> =
-            worker.runs.iter().filter(is_over).map(|assigned| assigned.run.clone()).collect();
-        for run in runs {
-            self.end(id, &run, How::Stopped, now, out);
+        let ends = worker.runs.iter().filter(is_over);
+        let ends: Vec<(RunKey, How)> =
+            ends.map(|assigned| (assigned.run.clone(), worker.loss_of(assigned))).collect();
+        for (run, how) in ends {
+            self.end(id, &run, how, now, out);
         }
     }
 
@@ -104,9 +106,10 @@
 
     pub(super) fn report(&mut self, now: Time, out: &mut Output) {
         let all = now.since(self.reported_at) >= REPORT_INTERVAL;
-        if !all && self.unreported.is_empty() {
+        if !all && self.unreported.is_empty() && !self.losses_changed {
             return;
         }
+        let has_losses = std::mem::take(&mut self.losses_changed);
         let changed = std::mem::take(&mut self.unreported);
         if all {
             self.reported_at = now;
@@ -125,9 +128,9 @@
                 born_ms: worker.incarnation.born_ms(),
             })
             .collect();
-        if !rooms.is_empty() {
+        if !rooms.is_empty() || has_losses {
             let kinds = if all { self.run_stats.report_kinds() } else { Vec::new() };
-            self.report_to_scheduler(rooms, kinds, out);
+            self.report_to_scheduler(rooms, kinds, now, out);
         }
     }
 }
--- a/crates/fleet/src/run_stats.rs
+++ b/crates/fleet/src/run_stats.rs
@@ -45,6 +45,8 @@
             How::Unanswered => self.lost_share += LOSS_WEIGHT * (1.0 - self.lost_share),
             How::Failed
             | How::Stopped
+            | How::Lost
+            | How::Crashed
             | How::NotStarted
             | How::NoRoom
             | How::Old
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -1,10 +1,10 @@
 //! Scheduler: grants capacity on workers to the waiting tasks of all instances.
 
-use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, Place, Refusal, Rooms};
+use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, LostRun, Place, Refusal, Rooms};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, Need, Output,
+    ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, LossLedger, Need, Output,
     OverservedZones, PlacementDecision, QueuedTasks, RetrySchedule, RunBias, RunKey, RunTimes,
     TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView, backlog::latest_starts,
     load_shedding, log_event::LogEvent, output::Message, placement::Placement,
@@ -85,6 +85,7 @@
     listed: usize,
     // When a usable worker was last known, by service.
     last_capacity: VecMap<String, Time>,
+    losses: LossLedger,
 }
 
 impl Scheduler {
@@ -95,10 +96,13 @@
 
     /// Adds waiting tasks to the backlog, except those that already wait.
     pub fn enqueue(&mut self, front: &InstanceId, ask: Ask, now: Time) {
-        let tasks = self.unknown_tasks(front, &ask);
+        self.losses.merge(&ask.lost, now);
+        let tasks = self.unknown_tasks(front, &ask, now);
         if tasks.is_empty() {
             return;
         }
+        let may_crash = |task: &u32| self.losses.is_suspect(&ask.job, ask.step, *task, now);
+        let suspect = tasks.iter().any(may_crash);
         let need = Need::from(&ask.need.unwrap_or_default());
         let expected = self.run_times.estimate(&ask.kind, Span::from_ms(ask.declared_ms.into()));
         let longest = Span::from_ms(expected.as_ms() * LONGEST_PERMILLE / 1_000);
@@ -129,6 +133,7 @@
             spread: ask.spread,
             avoid: ask.avoid,
             begun: ask.begun,
+            suspect,
             forecast: None,
         };
         if !queued.begun && ask.age_ms <= to_u32(ARRIVAL_MAX_AGE.as_ms()) {
@@ -145,11 +150,27 @@
         self.arrivals.record(&queued.service, queued.priority, cores, work, now);
     }
 
-    fn unknown_tasks(&self, front: &InstanceId, ask: &Ask) -> Vec<u32> {
+    fn unknown_tasks(&self, front: &InstanceId, ask: &Ask, now: Time) -> Vec<u32> {
         let same = |w: &&QueuedTasks| w.job == ask.job && w.step == ask.step && w.front == *front;
         let known: Vec<u32> =
             self.backlog.iter().filter(same).flat_map(|w| w.tasks.iter().copied()).collect();
-        ask.tasks.iter().copied().filter(|task| !known.contains(task)).collect()
+        let is_told =
+            |task: u32| self.losses.count(&ask.job, ask.step, task, now) <= named_losses(ask, task);
+        let unknown = |task: &u32| !known.contains(task) && is_told(*task);
+        ask.tasks.iter().copied().filter(unknown).collect()
+    }
+
+    /// Returns the losses under the tasks of a request that the front does not name. These tasks
+    /// are not queued until it does.
+    #[must_use]
+    pub fn untold_losses(&self, ask: &Ask, now: Time) -> Vec<LostRun> {
+        let mut untold = Vec::new();
+        for task in ask.tasks.iter().copied() {
+            if self.losses.count(&ask.job, ask.step, task, now) > named_losses(ask, task) {
+                untold.extend(self.losses.messages_of(&ask.job, ask.step, task, now));
+            }
+        }
+        untold
     }
 
     /// Removes the waiting tasks of a job.
@@ -259,6 +280,7 @@
             });
             (self.dirty, self.freed) = (true, true);
         }
+        self.losses.merge(&rooms.lost, now);
         self.listed = listing.all().len();
         if !rooms.kinds.is_empty() && !self.merged_owners.contains(owner) {
             self.merged_owners.push(owner.clone());
@@ -272,6 +294,11 @@
         self.workers.set_silent(|worker| silent.contains(&worker.owner));
     }
 
+    /// Resolves the losses of workers with the current list.
+    pub fn review_losses(&mut self, listing: &WorkerList, now: Time) {
+        self.losses.review(listing.crashes(), now);
+    }
+
     /// Applies a new list of workers.
     pub fn update_listing(&mut self, listing: &WorkerList) {
         self.listed = listing.all().len();
@@ -463,7 +490,7 @@
                     left.push(task);
                     continue;
                 }
-                let probe = if places.is_empty() && self.probe_budget > 0 {
+                let probe = if places.is_empty() && self.probe_budget > 0 && !queued.suspect {
                     self.probe_budget -= 1;
                     probe(&self.workers, &mut self.probes, queued, now, out)
                 } else {
@@ -493,6 +520,7 @@
                     token: worker.token,
                     due_ms: to_u32(queued.due.since(now).as_ms()),
                     pace_permille: worker.slowness_level().permille(),
+                    born_ms: worker.incarnation.born_ms(),
                 });
                 let key = TaskKey { job: queued.job.clone(), step: queued.step, task };
                 let run = GrantedRun {
@@ -500,6 +528,7 @@
                     expected,
                     rack_log: placement.rack_log,
                     kind_known: known,
+                    exclusive: queued.suspect,
                 };
                 let (id, is_probe) = (worker.id().clone(), probe.is_some());
                 let mean = self.bias.mean(&queued.kind, queued.expected);
@@ -605,6 +634,11 @@
     }
 }
 
+/// Returns the number of losses that a front names for a task.
+fn named_losses(ask: &Ask, task: u32) -> usize {
+    ask.lost.iter().filter(|run| run.task == task).count()
+}
+
 /// Returns the placement of a step's next task if it is to probe a slow worker.
 fn probe<'a>(
     workers: &'a WorkerPool,
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -2,6 +2,8 @@
 
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
+use crate::Incarnation;
+
 /// Progress of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
@@ -39,6 +41,8 @@
     /// Whether this owner found the run in a takeover and has not confirmed that it received the
     /// claim.
     pub claimed: bool,
+    /// Incarnation of the worker as the scheduler knew it.
+    pub incarnation: Incarnation,
 }
 
 /// One task of a job.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -1,9 +1,11 @@
 //! A worker that this instance owns or is about to own, and its leases.
 
+use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{
     AssignedRun, Incarnation, ListedWorker, PendingPoll, ResponseTimes, RunKey,
+    assigned_run::end_out_of_reach,
     output::Lease,
     run_lease::{LEASE_SLACK, lease_length},
 };
@@ -97,6 +99,8 @@
     pub responded_at: Time,
     /// Whether the worker is unresponsive: several consecutive polls were missed.
     pub unresponsive: bool,
+    /// Whether it has refused connections since its last response.
+    pub refuses: bool,
     /// Time of the last request that got no response.
     pub timed_out_at: Option<Time>,
     /// Latest end of all leases that this instance has given.
@@ -132,6 +136,7 @@
             polled_at: Time::ZERO,
             responded_at: now,
             unresponsive: false,
+            refuses: false,
             timed_out_at: None,
             lease_end: Time::ZERO,
             incarnation: Incarnation::UNKNOWN,
@@ -154,6 +159,16 @@
         self.ownership == Ownership::Open && !self.unresponsive && !self.listed.draining
     }
 
+    /// Returns how a run ends whose lease has ended while the worker did not respond.
+    #[must_use]
+    pub const fn loss_of(&self, assigned: &AssignedRun) -> How {
+        if self.refuses {
+            assigned.end_with_process(self.listed.draining)
+        } else {
+            end_out_of_reach(self.listed.draining)
+        }
+    }
+
     /// Opens a restarted worker again with a new token and resets what is known of its earlier
     /// incarnation.
     pub fn reopen(&mut self, token: u64, now: Time) {
@@ -178,6 +193,7 @@
     pub fn set_clock(&mut self, clock: u64, now: Time) {
         self.clock = Some((clock, now));
         self.responded_at = now;
+        self.refuses = false;
     }
 
     /// Returns whether the worker's clock is known.
--- a/crates/fleet/src/worker_list.rs
+++ b/crates/fleet/src/worker_list.rs
@@ -4,7 +4,7 @@
 
 use cranberryhatch_types::{Time, WorkerId};
 
-use crate::{Incarnation, Job, Need, Step, ZoneDrains};
+use crate::{Incarnation, Job, Need, Step, WorkerCrashes, ZoneDrains};
 
 /// A worker as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,6 +44,7 @@
     read: Vec<ListedWorker>,
     workers: Vec<ListedWorker>,
     drains: ZoneDrains,
+    crashes: WorkerCrashes,
     /// Time at which the list was last read from the platform.
     pub read_at: Time,
 }
@@ -53,11 +54,18 @@
     pub fn replace(&mut self, mut workers: Vec<ListedWorker>, now: Time) {
         workers.sort_by(|a, b| a.id.cmp(&b.id));
         workers.dedup_by(|a, b| a.id == b.id);
+        self.crashes.observe(&self.read, &workers, now);
         self.read = workers;
         self.apply();
         self.read_at = now;
     }
 
+    /// Returns the worker processes that have crashed recently.
+    #[must_use]
+    pub const fn crashes(&self) -> &WorkerCrashes {
+        &self.crashes
+    }
+
     /// Sets the zone drains; workers of drained zones count as draining.
     pub fn drain(&mut self, drains: &ZoneDrains) {
         self.drains = drains.clone();
--- a/crates/fleet/src/worker_pool.rs
+++ b/crates/fleet/src/worker_pool.rs
@@ -229,10 +229,22 @@
     /// Returns the placement with the lowest cost, or `None` if no worker has capacity.
     #[must_use]
     pub fn best_placement(&self, queued: &QueuedTasks, now: Time) -> Option<Placement<'_>> {
+        // A task that may crash its worker takes other tasks with it.
+        let idle = queued.suspect.then(|| self.best_of(queued, WorkerView::is_idle, now)).flatten();
+        idle.or_else(|| self.best_of(queued, |_| true, now))
+    }
+
+    fn best_of(
+        &self,
+        queued: &QueuedTasks,
+        is_candidate: impl Fn(&WorkerView) -> bool + Copy,
+        now: Time,
+    ) -> Option<Placement<'_>> {
         let levels = self.by_cores.iter().filter_map(|(slowness_level, workers)| {
             let first = workers.partition_point(|(cores, _)| *cores < queued.need.cores);
             let fitting = &workers[first..];
             let workers = fitting.iter().filter_map(|(_, index)| self.workers.value_at(*index));
+            let workers = workers.filter(move |worker| is_candidate(worker));
             (!fitting.is_empty()).then_some((*slowness_level, workers))
         });
         placement::best_placement(levels, queued, &self.rack_slowdown, now)
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -65,6 +65,8 @@
     pub rack_log: f64,
     /// Whether enough runs of the kind are known to judge the worker by this one.
     pub kind_known: bool,
+    /// Whether nothing else may start on the worker meanwhile, because the task may crash it.
+    pub exclusive: bool,
 }
 
 /// The scheduler's state of one worker.
@@ -87,6 +89,8 @@
     /// Whether the worker was last logged as slow.
     pub logged_slow: bool,
     reservations: Vec<Reservation>,
+    // Whether one of them is exclusive.
+    exclusive: bool,
     free: Need,
     pause_count: u32,
     paused_until: Time,
@@ -121,6 +125,7 @@
             last_probe: Time::ZERO,
             logged_slow: false,
             reservations: Vec::new(),
+            exclusive: false,
             free,
             pause_count: 0,
             paused_until: Time::ZERO,
@@ -153,7 +158,7 @@
     /// worker on probation that already has a task offers none.
     #[must_use]
     pub const fn offered_cores(&self) -> Cores {
-        let taken = self.is_on_probation() && !self.reservations.is_empty();
+        let taken = self.is_on_probation() && !self.reservations.is_empty() || self.exclusive;
         if taken || !self.is_usable() { Cores::new(0) } else { self.free.cores }
     }
 
@@ -231,7 +236,9 @@
     /// Returns whether the worker can be granted a task now.
     #[must_use]
     pub fn accepts_tasks(&self, now: Time) -> bool {
-        self.is_available(now) && (!self.is_on_probation() || self.reservations.is_empty())
+        self.is_available(now)
+            && (!self.is_on_probation() || self.reservations.is_empty())
+            && !self.exclusive
     }
 
     /// Returns whether the worker can be granted a task now or as soon as one of its runs ends.
@@ -288,6 +295,18 @@
         self.paused_until = self.paused_until.min(now + SHARED_PAUSE);
     }
 
+    /// Returns whether a task that may crash the worker runs there, and nothing else may start.
+    #[must_use]
+    pub const fn is_exclusive(&self) -> bool {
+        self.exclusive
+    }
+
+    /// Returns whether the worker holds no task.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
+        self.reservations.is_empty()
+    }
+
     /// Returns the number of tasks of a step that the worker holds.
     #[must_use]
     pub fn step_count(&self, job: &str, step: u32) -> u32 {
@@ -353,6 +372,8 @@
             .reservations
             .iter()
             .fold(self.listed.capacity, |free, p| free.saturating_sub(&p.need));
+        let is_exclusive = |reservation: &Reservation| reservation.run.is_some_and(|r| r.exclusive);
+        self.exclusive = self.reservations.iter().any(is_exclusive);
     }
 
     /// Merges statistics of the worker from before it was reported to this scheduler.
@@ -485,7 +506,13 @@
             How::Stalled | How::NotStarted => self.pause(now),
             How::NoRoom => self.paused_until = self.paused_until.max(now + REJECTED_PAUSE),
             // A start or stop request without a response says nothing about the runs on the worker.
-            How::Failed | How::Stopped | How::Old | How::Unanswered | How::Unknown => {}
+            How::Failed
+            | How::Stopped
+            | How::Lost
+            | How::Crashed
+            | How::Old
+            | How::Unanswered
+            | How::Unknown => {}
         }
         self.update_speed(now);
     }
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -47,6 +47,7 @@
         spread: 0,
         avoid: Vec::new(),
         begun: false,
+        suspect: false,
         forecast: None,
     }
 }
--- a/crates/fleet/tests/world/incarnations.rs
+++ b/crates/fleet/tests/world/incarnations.rs
@@ -19,6 +19,7 @@
         if self.workers[worker].up {
             let now = self.now;
             self.workers[worker].advance(now);
+            self.record_crash(worker);
             self.workers[worker].stop_process();
             self.schedule(now + down, EventKind::RestartWorker { worker, listed });
         }
--- a/crates/http/src/client_error.rs
+++ b/crates/http/src/client_error.rs
@@ -52,6 +52,13 @@
 }
 
 impl ClientError {
+    /// Returns whether the peer refused the connection: no process listens at its address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        let refused = std::io::ErrorKind::ConnectionRefused;
+        matches!(self, Self::Connect { source, .. } if source.kind() == refused)
+    }
+
     /// Returns `true` if the request was not sent, so that the peer cannot have processed it.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
