fix(fleet): take the run that started last for the cause of a crash

Callers saw jobs fail or wait that merely ran beside a task that crashed its worker: all runs of the worker counted alike.

Cause: the owner reported each run that a crash ended as HOW_CRASHED.

Change: only the run that started last is reported as the likely cause; the others are HOW_LOST, which counts towards the higher limit of three and puts no restriction on where they run next. A task that crashes its worker late in its run is still bounded by that limit.

Evidence: a new case table in crates/fleet/tests/owner.rs failed before (both runs HOW_CRASHED).

--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -1,7 +1,7 @@
 //! A run that an owner has started on one of its workers, and when it is worth restarting
 //! elsewhere.
 
-use cranberryhatch_schema::fleet::{Held as HeldMessage, How, Start};
+use cranberryhatch_schema::fleet::{Held as HeldMessage, Start};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{Incarnation, Need, PendingPoll, RunKey, log_event::RestartCause};
@@ -195,16 +195,6 @@
         }
     }
 
-    /// Returns how it ended if the worker's process has ended. Without confirmation, it may not have
-    /// started before.
-    #[must_use]
-    pub const fn end_with_process(&self, draining: bool) -> How {
-        match (draining, self.stage) {
-            (false, RunStage::Running { .. }) => How::Crashed,
-            _ => end_out_of_reach(draining),
-        }
-    }
-
     /// Returns whether its start request may still be carried out at any time.
     #[must_use]
     pub const fn may_still_start(&self) -> bool {
@@ -253,8 +243,3 @@
         left > times(STALL_REMAINING_PERMILLE)
     }
 }
-
-/// Returns how a run ended whose worker is out of reach. A draining worker leaves without a crash.
-pub(crate) const fn end_out_of_reach(draining: bool) -> How {
-    if draining { How::Stopped } else { How::Lost }
-}
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -12,7 +12,7 @@
     RunKey, Worker, WorkerStatus,
     assigned_run::RunStage,
     log_event::{DropCause, LogEvent, RequestKind, Resolution, RestartCause},
-    worker::Ownership,
+    worker::{Ownership, likely_cause, loss_of},
 };
 
 impl Owner {
@@ -119,18 +119,23 @@
             ends.push((end.run.clone(), wire_end(end.how)));
         }
         let mut stops = update_running(worker, poll, status, now, out);
+        let is_listed = |run: &RunKey| {
+            status.running.iter().any(|running| running.run == *run)
+                || status.ended.iter().any(|end| end.run == *run)
+        };
+        let ended_before =
+            |assigned: &&AssignedRun| assigned.predates_restart && !is_listed(&assigned.run);
+        let cause = likely_cause(worker.runs.iter().filter(ended_before));
         let draining = worker.listed.draining;
         for assigned in &mut worker.runs {
-            let listed = status.running.iter().any(|running| running.run == assigned.run)
-                || status.ended.iter().any(|end| end.run == assigned.run);
-            if listed {
+            if is_listed(&assigned.run) {
                 continue;
             }
             if assigned.is_gone(poll) {
                 let how = match assigned.stage {
                     RunStage::Unconfirmed { .. } if !assigned.predates_restart => How::Unanswered,
                     RunStage::Running { .. } if assigned.predates_restart => {
-                        assigned.end_with_process(draining)
+                        loss_of(draining, &assigned.run, cause.as_ref())
                     }
                     RunStage::Unconfirmed { .. }
                     | RunStage::Starting
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -12,9 +12,10 @@
 use super::{Owner, wire_end};
 use crate::{
     Incarnation, Output, RunKey, WorkerStatus,
-    assigned_run::{RunStage, end_out_of_reach},
+    assigned_run::RunStage,
     log_event::LogEvent,
     run_lease::{LEASE, LEASE_SLACK},
+    worker::loss_of,
 };
 
 /// Time within which requests that were in flight during a restart arrive or fail.
@@ -74,7 +75,7 @@
         // poll in flight, whose lease is by the earlier clock, can extend that run until the poll
         // times out.
         worker.lease_end = worker.lease_end.max(now + IN_FLIGHT_LIMIT + LEASE + LEASE_SLACK);
-        let draining = worker.listed.draining;
+        let (cause, draining) = (worker.likely_cause(), worker.listed.draining);
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             assigned.duration_unknown = true;
@@ -86,7 +87,8 @@
             } else if runs {
                 assigned.stage = RunStage::Running { since: assigned.sent_at };
             } else if matches!(assigned.stage, RunStage::Running { .. }) {
-                ends.push((assigned.run.clone(), assigned.end_with_process(draining)));
+                let how = loss_of(draining, &assigned.run, cause.as_ref());
+                ends.push((assigned.run.clone(), how));
             }
         }
         for (run, how) in ends {
@@ -133,7 +135,10 @@
             let ended = status.ended.iter().find(|end| end.run == assigned.run);
             ends.push((
                 assigned.run.clone(),
-                ended.map_or(end_out_of_reach(draining), |end| wire_end(end.how)),
+                ended.map_or_else(
+                    || loss_of(draining, &assigned.run, None),
+                    |end| wire_end(end.how),
+                ),
             ));
         }
         for (run, how) in ends {
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -185,8 +185,9 @@
         if cause == DropCause::OtherIncarnation {
             // Its runs ended with that incarnation.
             self.run_stats.forget(id);
+            let cause = worker.likely_cause();
             for assigned in &worker.runs {
-                let how = assigned.end_with_process(worker.listed.draining);
+                let how = worker.loss_of(&assigned.run, cause.as_ref());
                 self.record_loss(id, assigned, how, now);
                 self.notify_end(assigned, id.as_str(), how, Span::ZERO, out);
             }
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -74,9 +74,10 @@
         }
         let is_late = now.since(worker.leased_at) >= LATE_REQUEST_LIMIT;
         let is_over = |assigned: &&AssignedRun| !assigned.may_still_start() || is_late;
-        let ends = worker.runs.iter().filter(is_over);
+        let cause = worker.likely_cause().filter(|_| worker.refuses);
+        let runs = worker.runs.iter().filter(is_over).map(|assigned| &assigned.run);
         let ends: Vec<(RunKey, How)> =
-            ends.map(|assigned| (assigned.run.clone(), worker.loss_of(assigned))).collect();
+            runs.map(|run| (run.clone(), worker.loss_of(run, cause.as_ref()))).collect();
         for (run, how) in ends {
             self.end(id, &run, how, now, out);
         }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     AssignedRun, Incarnation, ListedWorker, PendingPoll, ResponseTimes, RunKey,
-    assigned_run::end_out_of_reach,
+    assigned_run::RunStage,
     output::Lease,
     run_lease::{LEASE_SLACK, lease_length},
 };
@@ -159,14 +159,17 @@
         self.ownership == Ownership::Open && !self.unresponsive && !self.listed.draining
     }
 
-    /// Returns how a run ends whose lease has ended while the worker did not respond.
+    /// Returns the run that is the most likely cause if the worker has crashed.
     #[must_use]
-    pub const fn loss_of(&self, assigned: &AssignedRun) -> How {
-        if self.refuses {
-            assigned.end_with_process(self.listed.draining)
-        } else {
-            end_out_of_reach(self.listed.draining)
-        }
+    pub fn likely_cause(&self) -> Option<RunKey> {
+        likely_cause(self.runs.iter())
+    }
+
+    /// Returns how a run ended that was lost with the worker, where `cause` is the likely cause of a
+    /// crash. A draining worker leaves without a crash.
+    #[must_use]
+    pub fn loss_of(&self, run: &RunKey, cause: Option<&RunKey>) -> How {
+        loss_of(self.listed.draining, run, cause)
     }
 
     /// Opens a restarted worker again with a new token and resets what is known of its earlier
@@ -312,3 +315,19 @@
         Some(Lease { until })
     }
 }
+
+/// Returns how a run ended that was lost with a worker; see [`Worker::loss_of`].
+pub(crate) fn loss_of(draining: bool, run: &RunKey, cause: Option<&RunKey>) -> How {
+    match (draining, cause == Some(run)) {
+        (true, _) => How::Stopped,
+        (false, true) => How::Crashed,
+        (false, false) => How::Lost,
+    }
+}
+
+/// Returns which of several runs is the most likely cause of a crash: the one that started last. A
+/// run without confirmation may not have started.
+pub(crate) fn likely_cause<'a>(runs: impl Iterator<Item = &'a AssignedRun>) -> Option<RunKey> {
+    let running = runs.filter(|run| matches!(run.stage, RunStage::Running { .. }));
+    running.max_by_key(|run| run.sent_at).map(|run| run.run.clone())
+}
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -760,3 +760,52 @@
     fixture.tick(last + Span::from_secs(13), &mut out);
     assert_eq!(how(&out), [How::Lost], "no request takes effect that late");
 }
+
+#[test]
+fn only_the_run_that_started_last_is_reported_as_the_cause_of_a_crash() {
+    struct Case {
+        name: &'static str,
+        response: PollResponse,
+        draining: bool,
+        ends: [How; 2],
+    }
+    let refused = PollResponse::Refused;
+    let cases = [
+        Case {
+            name: "crash",
+            response: refused.clone(),
+            draining: false,
+            ends: [How::Lost, How::Crashed],
+        },
+        Case {
+            name: "cut",
+            response: PollResponse::NoResponse,
+            draining: false,
+            ends: [How::Lost; 2],
+        },
+        Case { name: "drained", response: refused, draining: true, ends: [How::Stopped; 2] },
+    ];
+    for Case { name, response, draining, ends } in cases {
+        let mut out = Output::default();
+        let (mut fixture, first) = Fixture::with_run(StartResponse::Started, &mut out);
+        let at = |ms: u64| START + Span::from_ms(ms);
+        let mut request = start(fixture.token, at(50));
+        request.run = Some(Run { job: "j".to_owned(), step: 0, task: 1, run: 1 });
+        let second = RunKey::from(request.run.as_ref().expect("a run"));
+        let (worker, front) = (fixture.worker.clone(), "e-2".parse().expect("a name"));
+        fixture.owner.start(&front, request, at(50), &mut out);
+        let started = StartResponse::Started;
+        fixture.owner.handle_start_response(&worker, &second, started, None, at(50), &mut out);
+        fixture.poll_runs(&[first, second], true, at(60), &mut out);
+        let mut listed = listed("w", "a", 32_000);
+        listed.draining = draining;
+        fixture.listing.replace(vec![listed], at(60));
+        fixture.owner.update_listed(&fixture.listing);
+        for after in 0..4 {
+            fixture.poll_with(&response, at(70 + 10 * after), &mut out);
+        }
+        out.commands.clear();
+        fixture.tick(at(1_500), &mut out);
+        assert_eq!(how(&out), ends, "{name}");
+    }
+}
