fix(fleet): bound the workers that tasks with a crash take at a time

Callers saw jobs refused or late by the hundred while a few tasks crashed workers.

Cause: each task that had crashed a worker was started again at once.

Change: the scheduler starts such tasks only while they, and the workers that others of them may have crashed in the last 4.5 s, are a sixteenth of the service's workers at most. A run that ends without a crash frees its place at once.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -6,9 +6,9 @@
 use crate::{
     ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, LossLedger, Need, Output,
     OverservedZones, PlacementDecision, QueuedTasks, RetrySchedule, RunBias, RunKey, RunTimes,
-    TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView, backlog::latest_starts,
-    load_shedding, log_event::LogEvent, output::Message, placement::Placement,
-    placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
+    Suspects, TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView,
+    backlog::latest_starts, load_shedding, log_event::LogEvent, output::Message,
+    placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
     worker_view::GrantedRun,
 };
 
@@ -86,6 +86,7 @@
     // When a usable worker was last known, by service.
     last_capacity: VecMap<String, Time>,
     losses: LossLedger,
+    suspects: Suspects,
 }
 
 impl Scheduler {
@@ -319,6 +320,9 @@
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
         let is_timed = !freed.kind.is_empty();
+        if !matches!(how, How::Crashed | How::Lost) {
+            self.suspects.clear(&run.task);
+        }
         let run_known = self.workers.get(&worker).and_then(|worker| worker.granted_run(&run.task));
         let tells =
             self.run_times.is_known(&freed.kind) && run_known.is_none_or(|run| run.kind_known);
@@ -476,6 +480,7 @@
         let mut placement_cache = std::mem::take(&mut self.placement_cache);
         for queued in self.backlog.iter_mut() {
             if queued.need.cores > largest_free
+                || queued.suspect && !may_start(&self.suspects, &self.workers, queued, now)
                 || placement_cache.is_full(queued)
                 || placement_cache.must_wait(queued, now)
             {
@@ -530,6 +535,9 @@
                     kind_known: known,
                     exclusive: queued.suspect,
                 };
+                if queued.suspect {
+                    self.suspects.start(&queued.service, key.clone(), now);
+                }
                 let (id, is_probe) = (worker.id().clone(), probe.is_some());
                 let mean = self.bias.mean(&queued.kind, queued.expected);
                 self.workers.update(&id, |worker| {
@@ -634,6 +642,12 @@
     }
 }
 
+/// Returns whether a task that may crash its worker may start now.
+fn may_start(suspects: &Suspects, workers: &WorkerPool, queued: &QueuedTasks, now: Time) -> bool {
+    let of_service = |worker: &&WorkerView| worker.listed.service == queued.service;
+    suspects.may_start(&queued.service, workers.iter().filter(of_service).count(), now)
+}
+
 /// Returns the number of losses that a front names for a task.
 fn named_losses(ask: &Ask, task: u32) -> usize {
     ask.lost.iter().filter(|run| run.task == task).count()
--- a/crates/fleet/tests/poisoned.rs
+++ b/crates/fleet/tests/poisoned.rs
@@ -172,3 +172,32 @@
         assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn tasks_with_a_crash_take_few_workers_at_a_time() {
+    // A sixteenth of the workers; a crashed one takes tasks again after 4 s at the earliest.
+    const WORKERS: usize = 32;
+    const ALLOWED: usize = 2;
+    for seed in 1..=SEEDS {
+        let mut world = World::new(seed, 3, INSTANCES, WORKERS);
+        world.patience = 20_000;
+        for round in 0..40 {
+            world.poisoned_request(POISONED + round, 1, 14_000, 60);
+            world.run_until(world.now + 100);
+        }
+        world.run_until(world.now + 20_000);
+        let mut crashed = Vec::new();
+        let mut again = Vec::new();
+        for crash in &world.crashes {
+            if crashed.contains(&crash.task) {
+                again.push(crash.at);
+            }
+            crashed.push(crash.task.clone());
+        }
+        assert!(again.len() > ALLOWED, "seed {seed}: {} second crashes", again.len());
+        for crash in &again {
+            let close = again.iter().filter(|at| (*crash..*crash + 4_000).contains(*at)).count();
+            assert!(close <= ALLOWED, "seed {seed}: {close} crashes within 4 s of {crash}");
+        }
+    }
+}
