fix(fleet): grant by the current capacity of a worker

Callers saw tasks delayed by refused starts after a worker had shrunk, and capacity unused for up to a second after one had grown.

Cause: the scheduler took over a changed capacity from the worker list, but worked out the free part of it only with the next grant, end or report.

Change: the free capacity follows the list at once.

Evidence: grants_follow_a_change_of_the_capacity_at_once failed before for a worker that had grown (0 of 1 task granted). Starts never exceeded the capacity: the owner checks it with everything that still runs or is being stopped. A test with workers that do not guard their capacity, and shrink and grow under load, lost responses and lost instances, passes before and after; it fails when the owner's check is taken out.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -264,7 +264,7 @@
             });
             let held: Vec<_> = held.collect();
             self.workers.update(&id, |worker| {
-                worker.listed = listed.clone();
+                worker.set_listed(listed.clone());
                 worker.owner = owner.clone();
                 worker.token = room.token;
                 worker.incarnation =
@@ -306,7 +306,7 @@
         self.saved_stats.retain(|id, _| listing.get(id).is_some());
         self.workers.retain(|worker| match listing.get(worker.id()) {
             Some(listed) => {
-                worker.listed = listed.clone();
+                worker.set_listed(listed.clone());
                 true
             }
             None => false,
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -148,6 +148,12 @@
         &self.listed.id
     }
 
+    /// Sets the worker as the platform lists it; its capacity may have changed.
+    pub fn set_listed(&mut self, listed: ListedWorker) {
+        self.listed = listed;
+        self.update_free();
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub const fn free(&self) -> &Need {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+mod capacity;
 mod crashes;
 mod incarnations;
 mod worker;
@@ -864,9 +865,13 @@
         };
         let response = fake.start(token, work, lease, sent, now);
         let from = Some((fake.clock(now), fake.incarnation()));
+        let exceeds = response == StartResponse::Started && fake.is_overloaded(now);
         if response == StartResponse::Started {
             self.starts.push(run.clone());
         }
+        if exceeds {
+            self.violations.push(format!("{now}: {run:?} exceeds the capacity of {worker}"));
+        }
         if responds {
             let worker = worker.clone();
             self.schedule_soon(EventKind::StartResponse {
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -41,6 +41,8 @@
     pub former_ids: Vec<WorkerId>,
     /// Whether it rejects starts that exceed its capacity.
     pub guards: bool,
+    /// Time of the last change of its capacity.
+    pub resized_at: u64,
     /// Whether leases count from the arrival of the request that carries them.
     pub lease_from_arrival: bool,
     /// All runs that ended successfully.
@@ -67,6 +69,7 @@
             crashed: false,
             former_ids: Vec::new(),
             guards: true,
+            resized_at: 0,
             lease_from_arrival: false,
             done: Vec::new(),
             rate,
