perf(fleet): report each lost run once, and look crashes up by id

An owner repeated all losses of the last two minutes in each report to the scheduler, and each role compared them with all crashes at each tick. Owners now report a loss once to each scheduler, again after an election or a lost link, and crashes are kept sorted by worker. A successor at an address counts only if its incarnation is later, so that a copied entry of another writer shows no crash. Damaged messages with losses are part of tests/malformed.rs.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -11,7 +11,7 @@
 
 use active::ActiveJob;
 use cranberryhatch_schema::fleet::{
-    Ask, Ended, Grant, How, Refusal, Start, Stop, Unused, Withdraw,
+    Ask, Ended, Grant, How, LostRun, Refusal, Start, Stop, Unused, Withdraw,
 };
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -114,28 +114,8 @@
             let plain = Some((plain, Vec::new())).filter(|(tasks, _)| !tasks.is_empty());
             let suspects = suspects.into_iter().map(|(task, lost)| (vec![task], lost));
             for (tasks, lost) in plain.into_iter().chain(suspects) {
-                let (job, step) = (&active.job, &active.job.steps[index]);
-                let ask = Ask {
-                    job: job.name.clone(),
-                    step: number,
-                    tasks,
-                    kind: job.settings.kind.clone(),
-                    service: job.settings.service.clone(),
-                    priority: job.settings.priority,
-                    need: Some((&step.need).into()),
-                    declared_ms: to_u32(step.declared.as_ms()),
-                    age_ms: to_u32(now.since(job.arrived).as_ms()),
-                    left_ms: to_u32(job.deadline.since(now).as_ms()),
-                    label: step.label.clone(),
-                    rack: step.rack.clone(),
-                    spread: step.spread,
-                    avoid: active.avoid.clone(),
-                    begun: active.possible_runs > 0,
-                    zone: self.zone.clone(),
-                    stretch: job.settings.stretch,
-                    slack_ms: to_u32(job.settings.slack.as_ms()),
-                    lost,
-                };
+                let ask = ask_message(active, &self.zone, number, tasks, lost, now);
+                let Some(ask) = ask else { continue };
                 active.requested_at = Some(now);
                 out.send(scheduler, Message::Ask(ask));
             }
@@ -564,6 +544,39 @@
     }
 }
 
+fn ask_message(
+    active: &ActiveJob,
+    zone: &str,
+    number: u32,
+    tasks: Vec<u32>,
+    lost: Vec<LostRun>,
+    now: Time,
+) -> Option<Ask> {
+    let job = &active.job;
+    let step = job.steps.get(usize::try_from(number).ok()?)?;
+    Some(Ask {
+        job: job.name.clone(),
+        step: number,
+        tasks,
+        kind: job.settings.kind.clone(),
+        service: job.settings.service.clone(),
+        priority: job.settings.priority,
+        need: Some((&step.need).into()),
+        declared_ms: to_u32(step.declared.as_ms()),
+        age_ms: to_u32(now.since(job.arrived).as_ms()),
+        left_ms: to_u32(job.deadline.since(now).as_ms()),
+        label: step.label.clone(),
+        rack: step.rack.clone(),
+        spread: step.spread,
+        avoid: active.avoid.clone(),
+        begun: active.possible_runs > 0,
+        zone: zone.to_owned(),
+        stretch: job.settings.stretch,
+        slack_ms: to_u32(job.settings.slack.as_ms()),
+        lost,
+    })
+}
+
 fn start_message(job: &Job, key: &TaskKey, state: &TaskState, seen: Time) -> Option<Start> {
     let Phase::Placed(place) = &state.phase else { return None };
     let step = job.steps.get(usize::try_from(key.step).ok()?)?;
--- a/crates/fleet/src/loss_ledger.rs
+++ b/crates/fleet/src/loss_ledger.rs
@@ -236,11 +236,12 @@
         self.losses_of(job, step, task, now).map(|loss| loss.to_message(job, now)).collect()
     }
 
-    /// Returns all losses for other instances.
+    /// Returns the losses since a time for other instances.
     #[must_use]
-    pub fn messages(&self, now: Time) -> Vec<LostRun> {
-        let all = self.jobs.iter();
-        all.flat_map(|(job, losses)| losses.iter().map(|loss| loss.to_message(job, now))).collect()
+    pub fn messages_since(&self, since: Time, now: Time) -> Vec<LostRun> {
+        let all = self.jobs.iter().flat_map(|(job, losses)| losses.iter().map(move |l| (job, l)));
+        let recent = all.filter(|(_, loss)| loss.at >= since);
+        recent.map(|(job, loss)| loss.to_message(job, now)).collect()
     }
 
     /// Returns the jobs with losses, sorted by name.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -93,8 +93,9 @@
     last_tick: Option<Time>,
     paused_until: Time,
     run_stats: RunStats,
-    // Workers that were lost under runs, and whether the scheduler was not told of the last one.
+    // Workers that were lost under runs, and when the scheduler was last told of them.
     losses: LossLedger,
+    losses_reported_at: Time,
     losses_changed: bool,
 }
 
@@ -122,6 +123,7 @@
             paused_until: Time::ZERO,
             run_stats: RunStats::default(),
             losses: LossLedger::default(),
+            losses_reported_at: Time::ZERO,
             losses_changed: false,
         }
     }
@@ -192,6 +194,7 @@
     pub fn set_scheduler(&mut self, scheduler: Option<InstanceId>) {
         self.scheduler = scheduler;
         self.reported_at = Time::ZERO;
+        self.losses_reported_at = Time::ZERO;
     }
 
     /// Sets the instances that are reachable.
@@ -291,16 +294,16 @@
     }
 
     fn report_to_scheduler(
-        &self,
+        &mut self,
         rooms: Vec<Room>,
         kinds: Vec<KindTime>,
         now: Time,
         out: &mut Output,
     ) {
-        if let Some(scheduler) = &self.scheduler {
-            let lost = self.losses.messages(now);
-            out.send(scheduler, Message::Rooms(Rooms { rooms, kinds, lost }));
-        }
+        let Some(scheduler) = &self.scheduler else { return };
+        let lost = self.losses.messages_since(self.losses_reported_at, now);
+        self.losses_reported_at = now;
+        out.send(scheduler, Message::Rooms(Rooms { rooms, kinds, lost }));
     }
 
     /// Returns the longest time since an open worker last responded, which is when its lease was
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -98,7 +98,7 @@
     }
 
     /// Reports to the scheduler that a worker takes no runs until it is opened again.
-    fn report_closed(&self, id: &WorkerId, now: Time, out: &mut Output) {
+    fn report_closed(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get(id) else { return };
         let held: Vec<HeldMessage> =
             worker.runs.iter().map(|assigned| assigned.report(now)).collect();
--- a/crates/fleet/src/worker_crashes.rs
+++ b/crates/fleet/src/worker_crashes.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_types::{Span, Time, WorkerId};
 
-use crate::{Incarnation, ListedWorker};
+use crate::{Incarnation, ListedWorker, VecMap};
 
 /// Time for which a crash is remembered, and for which a worker that is not listed any more may
 /// turn out to have crashed.
@@ -23,15 +23,18 @@
 pub struct WorkerCrashes {
     // Processes that are not listed any more, oldest first.
     departed: Vec<ListedProcess>,
-    // Crashed processes, oldest first.
-    crashed: Vec<(Time, WorkerId, Incarnation)>,
+    // Crashed processes by id.
+    crashed: VecMap<WorkerId, Vec<(Incarnation, Time)>>,
 }
 
 impl WorkerCrashes {
     /// Compares two successive versions of the list, both sorted by id.
     pub fn observe(&mut self, before: &[ListedWorker], after: &[ListedWorker], now: Time) {
         self.departed.retain(|process| now.since(process.at) < RETENTION);
-        self.crashed.retain(|(at, ..)| now.since(*at) < RETENTION);
+        self.crashed.retain(|_, processes| {
+            processes.retain(|(_, at)| now.since(*at) < RETENTION);
+            !processes.is_empty()
+        });
         let find = |list: &[ListedWorker], id: &WorkerId| {
             list.binary_search_by(|known| known.id.cmp(id)).ok()
         };
@@ -40,9 +43,7 @@
             match find(before, &listed.id).map(|index| &before[index]) {
                 None => added.push(listed),
                 Some(known) if listed.incarnation.is_after(known.incarnation) => {
-                    if !known.draining {
-                        self.crashed.push((now, known.id.clone(), known.incarnation));
-                    }
+                    self.add_crash(known, now);
                 }
                 Some(_) => {}
             }
@@ -50,30 +51,20 @@
         let gone = before.iter().filter(|known| find(after, &known.id).is_none());
         self.departed.extend(gone.map(|known| ListedProcess { listed: known.clone(), at: now }));
         for successor in added {
-            self.add_predecessors(successor, after, now);
+            let departed = self.departed.iter().map(|process| &process.listed);
+            let replaced = departed.chain(after).filter(|known| replaces(successor, known));
+            let replaced: Vec<ListedWorker> = replaced.cloned().collect();
+            replaced.iter().for_each(|known| self.add_crash(known, now));
         }
     }
 
-    /// Adds the processes that had the id or the address of a new one before.
-    fn add_predecessors(&mut self, successor: &ListedWorker, listed: &[ListedWorker], now: Time) {
-        let replaces = |known: &ListedWorker| {
-            let is_later = successor.incarnation.is_after(known.incarnation);
-            !known.draining
-                && if known.id == successor.id { is_later } else { known.addr == successor.addr }
-        };
-        let departed = self.departed.iter().map(|process| &process.listed);
-        let found: Vec<(WorkerId, Incarnation)> = departed
-            .chain(listed)
-            .filter(|known| replaces(known))
-            .map(|known| (known.id.clone(), known.incarnation))
-            .collect();
-        for (id, incarnation) in found {
-            let is_known = |(_, known, ended): &(Time, WorkerId, Incarnation)| {
-                *known == id && *ended == incarnation
-            };
-            if !self.crashed.iter().any(is_known) {
-                self.crashed.push((now, id, incarnation));
-            }
+    fn add_crash(&mut self, ended: &ListedWorker, now: Time) {
+        if ended.draining {
+            return;
+        }
+        let processes = self.crashed.get_or_insert_with(ended.id.clone(), Vec::new);
+        if !processes.iter().any(|(incarnation, _)| *incarnation == ended.incarnation) {
+            processes.push((ended.incarnation, now));
         }
     }
 
@@ -81,8 +72,17 @@
     /// counts.
     #[must_use]
     pub fn contains(&self, worker: &WorkerId, incarnation: Incarnation) -> bool {
-        self.crashed.iter().any(|(_, id, ended)| {
-            id == worker && (!incarnation.is_known() || *ended == incarnation)
-        })
+        let processes = self.crashed.get(worker).map(Vec::as_slice).unwrap_or_default();
+        processes.iter().any(|(ended, _)| !incarnation.is_known() || *ended == incarnation)
+    }
+}
+
+/// Returns whether a new process has the id or the address of an earlier one.
+fn replaces(successor: &ListedWorker, known: &ListedWorker) -> bool {
+    let is_later = successor.incarnation.is_after(known.incarnation);
+    if known.id == successor.id {
+        return is_later;
     }
+    let is_ordered = is_later || !known.incarnation.is_known();
+    known.addr == successor.addr && is_ordered
 }
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -9,8 +9,8 @@
 use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step};
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant, Held, KindTime, Listed,
-    Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings, Standing, Start,
-    Stop, Takeover, Takeovers, Unused, Withdraw, Workers,
+    Losses, LostRun, Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings,
+    Standing, Start, Stop, Takeover, Takeovers, Unused, Withdraw, Workers,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
@@ -83,7 +83,18 @@
         token: large(9),
         born_ms: 0,
     };
+    let lost = LostRun {
+        job: job(),
+        step: small(0),
+        task: small(0),
+        worker: worker(),
+        born_ms: large(1_700_000_000_000),
+        crashed: true,
+        age_ms: small(50),
+        refused: true,
+    };
     let ask = Ask {
+        lost: vec![lost.clone()],
         job: job(),
         tasks: vec![0, small(1)],
         age_ms: small(5),
@@ -156,7 +167,8 @@
             obeying: vec![Obeying { worker: worker(), token: large(7) }],
         }),
         Message::Confirm(Confirm { runs: run().into_iter().collect() }),
-        Message::Rooms(Rooms { rooms: vec![room], kinds: vec![kind], lost: Vec::new() }),
+        Message::Rooms(Rooms { rooms: vec![room], kinds: vec![kind], lost: vec![lost.clone()] }),
+        Message::Losses(Losses { runs: vec![lost] }),
         Message::Drains(Drains { version: large(5), zones: vec!["a".to_owned()] }),
         Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
         Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
