--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -126,12 +126,8 @@
     }
 }
 
-fn task_text(task: &cranberryhatch_fleet::TaskKey) -> String {
-    format!("{}.{}.{}", task.job, task.step, task.task)
-}
-
 fn run_text(run: &cranberryhatch_fleet::RunKey) -> String {
-    format!("{}#{}", task_text(&run.task), run.run)
+    format!("{}.{}.{}#{}", run.task.job, run.task.step, run.task.task, run.run)
 }
 
 /// Returns the time in milliseconds, or -1 for `None`.
@@ -239,9 +235,13 @@
             log::info!(worker = worker.as_str(), cause = cause.to_string(); "{name}");
         }
         LogEvent::TaskCrashed { task, worker, crashes } => {
-            log::warn!(task = task_text(task), worker = worker.as_str(), crashes; "{name}");
+            let (job, step, number) = (task.job.as_str(), task.step, task.task);
+            log::warn!(job, step, task = number, worker = worker.as_str(), crashes; "{name}");
+        }
+        LogEvent::TaskPoisoned { task } => {
+            let (job, step, number) = (task.job.as_str(), task.step, task.task);
+            log::warn!(job, step, task = number; "{name}");
         }
-        LogEvent::TaskPoisoned { task } => log::warn!(task = task_text(task); "{name}"),
         LogEvent::IncarnationEnded { worker, incarnation, runs } => {
             log::warn!(worker = worker.as_str(), born_ms = incarnation.born_ms(), runs; "{name}");
         }
