fix(fleet): do not take a restart behind a lost owner for a crash of its task

Callers saw a job fail although only one worker had crashed under its task.

Cause: where a new owner opened a worker that had restarted, the front took the restart for a crash of the run that it had there. That run may have ended before, with the lease of the lost owner.

Change: such a loss counts as one whose cause is uncertain.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -125,7 +125,8 @@
                 // cannot start any more. It may have run and ended without its report reaching this
                 // front.
                 let has_restarted = Incarnation::new(found.born_ms).is_after(place.incarnation);
-                let loss = if has_restarted { How::Crashed } else { How::Stopped };
+                // The worker may have restarted after the run had ended.
+                let loss = if has_restarted { How::Lost } else { How::Stopped };
                 ends.push((run, said.map_or(loss, Ended::how)));
             }
         }
