--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -188,7 +188,7 @@
                 self.replace_settings(settings.version, settings.body.into(), source, now, out);
             }
             Body::Ask(ask) => {
-                let runs = self.scheduler.untold_losses(&ask, now);
+                let runs = self.scheduler.unnamed_losses(&ask, now);
                 self.scheduler.enqueue(from, ask, now);
                 if !runs.is_empty() {
                     out.send(from, Body::Losses(Losses { runs }));
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -155,23 +155,23 @@
         let same = |w: &&QueuedTasks| w.job == ask.job && w.step == ask.step && w.front == *front;
         let known: Vec<u32> =
             self.backlog.iter().filter(same).flat_map(|w| w.tasks.iter().copied()).collect();
-        let is_told =
+        let is_named =
             |task: u32| self.losses.count(&ask.job, ask.step, task, now) <= named_losses(ask, task);
-        let unknown = |task: &u32| !known.contains(task) && is_told(*task);
+        let unknown = |task: &u32| !known.contains(task) && is_named(*task);
         ask.tasks.iter().copied().filter(unknown).collect()
     }
 
     /// Returns the losses under the tasks of a request that the front does not name. These tasks
     /// are not queued until it does.
     #[must_use]
-    pub fn untold_losses(&self, ask: &Ask, now: Time) -> Vec<LostRun> {
-        let mut untold = Vec::new();
+    pub fn unnamed_losses(&self, ask: &Ask, now: Time) -> Vec<LostRun> {
+        let mut unnamed = Vec::new();
         for task in ask.tasks.iter().copied() {
             if self.losses.count(&ask.job, ask.step, task, now) > named_losses(ask, task) {
-                untold.extend(self.losses.messages_of(&ask.job, ask.step, task, now));
+                unnamed.extend(self.losses.messages_of(&ask.job, ask.step, task, now));
             }
         }
-        untold
+        unnamed
     }
 
     /// Removes the waiting tasks of a job.
