--- a/crates/fleet/src/worker_crashes.rs
+++ b/crates/fleet/src/worker_crashes.rs
@@ -50,12 +50,29 @@
         }
         let gone = before.iter().filter(|known| find(after, &known.id).is_none());
         self.departed.extend(gone.map(|known| ListedProcess { listed: known.clone(), at: now }));
+        for known in self.replaced_by(&added, after) {
+            self.add_crash(&known, now);
+        }
+    }
+
+    /// Returns the processes whose id or address a new one has.
+    fn replaced_by(&self, added: &[&ListedWorker], after: &[ListedWorker]) -> Vec<ListedWorker> {
+        if added.is_empty() {
+            return Vec::new();
+        }
+        let departed = || self.departed.iter().map(|process| &process.listed);
+        let mut by_addr: Vec<&ListedWorker> = departed().chain(after).collect();
+        by_addr.sort_by_key(|known| known.addr);
+        let mut replaced = Vec::new();
         for successor in added {
-            let departed = self.departed.iter().map(|process| &process.listed);
-            let replaced = departed.chain(after).filter(|known| replaces(successor, known));
-            let replaced: Vec<ListedWorker> = replaced.cloned().collect();
-            replaced.iter().for_each(|known| self.add_crash(known, now));
+            let first = by_addr.partition_point(|known| known.addr < successor.addr);
+            let same_addr =
+                by_addr[first..].iter().copied().take_while(|known| known.addr == successor.addr);
+            let same_id = departed().filter(|known| known.id == successor.id);
+            let earlier = same_addr.chain(same_id).filter(|known| precedes(known, successor));
+            replaced.extend(earlier.cloned());
         }
+        replaced
     }
 
     fn add_crash(&mut self, ended: &ListedWorker, now: Time) {
@@ -77,12 +94,10 @@
     }
 }
 
-/// Returns whether a new process has the id or the address of an earlier one.
-fn replaces(successor: &ListedWorker, known: &ListedWorker) -> bool {
+/// Returns whether a process is an earlier one than its successor under the same id or address.
+///
+/// Without incarnations, the id of a worker changes with its process.
+fn precedes(known: &ListedWorker, successor: &ListedWorker) -> bool {
     let is_later = successor.incarnation.is_after(known.incarnation);
-    if known.id == successor.id {
-        return is_later;
-    }
-    let is_ordered = is_later || !known.incarnation.is_known();
-    known.addr == successor.addr && is_ordered
+    is_later || known.id != successor.id && !known.incarnation.is_known()
 }
