--- a/crates/bench/src/grants.rs
+++ b/crates/bench/src/grants.rs
@@ -135,6 +135,7 @@
         spread: 0,
         avoid: Vec::new(),
         begun: false,
+        suspect: false,
         forecast: None,
     }
 }
