fix(fleet): match the end of a run by its worker too

Cause: a front matched a reported end by the task and the number of the run. Run numbers start at 1 with each submission of a job. The end of an earlier submission's run on another worker therefore counted as the end of the current run, which went on while the task was started a second time, without a stop for the first. Such reports reach a front that is back under its name, and all fronts if an owner found the run in a takeover. An end done on the other worker answered the job while its own run went on.

Ruled out: the reports of a takeover, claims and stops name the worker already.

Change: Front::ended and Front::relinked ignore ends on other workers.

Test: end_of_an_earlier_submissions_run_on_another_worker_starts_no_second_run failed in its first case before (the task was requested again) and passes now. cargo test -p cranberryhatch-fleet up to the overload tests: only the known red.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -262,10 +262,16 @@
         let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
         let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
         let Some(state) = active.task(&run.task) else { return };
+        let Phase::Placed(place) = &state.phase else { return };
+        // Run numbers start anew with each submission, so an earlier submission may have had a run
+        // of the same number on another worker.
+        if place.worker.as_str() != ended.worker {
+            return;
+        }
         // A previous owner may consider a run ended whose lease the current owner has extended.
         // Only an end that the worker itself reported is final.
         let is_final = matches!(ended.how(), How::Done | How::Failed);
-        if !is_final && matches!(&state.phase, Phase::Placed(place) if place.owner != *from) {
+        if !is_final && place.owner != *from {
             return;
         }
         self.end_run(&run, &ended.worker, ended.how(), now, out);
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -59,7 +59,8 @@
                     continue;
                 }
                 let said = relinked.ended.iter().find(|ended| {
-                    ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
+                    ended.worker == place.worker.as_str()
+                        && ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
                 });
                 // The run may still be running if the claim of a run that the owner found was lost,
                 // or if the worker has accepted another owner.
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -262,6 +262,36 @@
     }
 }
 
+#[test]
+fn end_of_an_earlier_submissions_run_on_another_worker_starts_no_second_run() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        how: How,
+    }
+    let cases = [
+        Case { name: "stopped, reported by the owner of both", from: "o", how: How::Stopped },
+        Case { name: "lost, reported by the owner of both", from: "o", how: How::Lost },
+        Case { name: "done, reported by the owner of both", from: "o", how: How::Done },
+        Case { name: "failed, reported by another owner", from: "p", how: How::Failed },
+        Case { name: "done, reported by another owner", from: "p", how: How::Done },
+    ];
+    for Case { name, from, how } in cases {
+        let mut out = Output::default();
+        let mut front = placed(&mut out);
+        let worker = "another".to_owned();
+        let ended = Ended { run: Some(run()), worker, how: how.into(), took_ms: 9 };
+        front.ended(&id(from), &ended, SENT, &mut out);
+        assert!(out.commands.is_empty(), "{name}: {:?}", out.commands);
+
+        front.owner_unreachable(&id("o"), SENT, &mut out);
+        out.commands.clear();
+        let relinked = Relinked { running: Vec::new(), ended: vec![ended], obeying: Vec::new() };
+        front.relinked(&id("o"), &relinked, SENT, SENT, &mut out);
+        assert!(out.commands.is_empty(), "{name}, after a reconnect: {:?}", out.commands);
+    }
+}
+
 #[test]
 fn run_ends_determine_the_job_outcome() {
     struct Case {
