fix(fleet): give a job to its latest submission only

On real processes a task ran on two workers at once, which for the users means two prints for one order.

No one compared the jobs of two fronts; only the end of the connection and, for a lost front, the time of a lease stood between two starts. Class of fault: the end of a right is inferred from silence or from a local event, not agreed on.

Change: the scheduler, which sees each request before any start, remembers which front has the latest submission of a job (by the job's age, submissions.rs) and withholds a task while a worker holds a run of it. The front of the earlier submission and the owners of its runs are told to end them (Superseded), again every 250 ms. Owners report the front of each run, so that a new scheduler knows it. The same check covers a front that gave a run up which its owner still holds. Log lines superseded and withheld, counters superseded_jobs and withheld_tasks.

Not covered: two schedulers at a time in a partition, and a new scheduler before the owners have reported.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -251,6 +251,13 @@
             LogEvent::TaskPoisoned { .. } => {
                 self.metrics.poisoned_jobs.inc();
             }
+            LogEvent::Superseded { .. } => {
+                self.metrics.superseded_jobs.inc();
+            }
+            LogEvent::Withheld { tasks, .. } => {
+                let tasks = u64::try_from(*tasks).unwrap_or(u64::MAX);
+                self.metrics.withheld_tasks.inc_by(tasks);
+            }
             LogEvent::Stalled { cause, .. } => Metrics::count(&self.metrics.run_restarts, cause),
             LogEvent::Unanswered { request, .. } => {
                 Metrics::count(&self.metrics.unanswered_requests, request);
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -170,6 +170,18 @@
             log::info!(job, scheduler, heard_ms, asked_ms, waiting, ahead_ms; "{name}");
         }
         LogEvent::CallerGone { job, age } => log::info!(job, age_ms = age.as_ms(); "{name}"),
+        LogEvent::Superseded { job, by, age, runs } => {
+            log::warn!(job, by = by.as_str(), age_ms = age.as_ms(), runs; "{name}");
+        }
+        LogEvent::Withheld { task, tasks, front, earlier, worker } => {
+            let (job, step, number) = (task.job.as_str(), task.step, task.task);
+            let earlier = earlier.as_ref().map_or("none", |id| id.as_str());
+            let worker = worker.as_ref().map_or("none", |id| id.as_str());
+            log::warn!(
+                job, step, task = number, tasks, front = front.as_str(), earlier, worker;
+                "{name}"
+            );
+        }
         LogEvent::Granted { job, tasks, slack, forecast, .. } => {
             let expected_ms = ms_or_none(forecast.map(|(expected, _)| expected));
             let waited_ms = ms_or_none(forecast.map(|(_, waited)| waited));
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -57,6 +57,10 @@
     pub task_crashes: Counter,
     /// Jobs given up because too many workers crashed under a task.
     pub poisoned_jobs: Counter,
+    /// Jobs closed because their callers have submitted them again at another front.
+    pub superseded_jobs: Counter,
+    /// Tasks that waited at the scheduler because another run of them could be active.
+    pub withheld_tasks: Counter,
     /// Runs found on a newly owned worker and stopped because no front claimed them.
     pub unclaimed_runs: Counter,
     /// Time from when a member became reachable until it was admitted to roles.
@@ -123,6 +127,8 @@
             worker_restarts: Counter::default(),
             task_crashes: Counter::default(),
             poisoned_jobs: Counter::default(),
+            superseded_jobs: Counter::default(),
+            withheld_tasks: Counter::default(),
             unclaimed_runs: Counter::default(),
             admission_time: new_histogram(),
             dropped_lines: Counter::default(),
@@ -170,6 +176,12 @@
         r.register("ended_lives", "Own workers that restarted", self.worker_restarts.clone());
         r.register("task_crashes", "Crashes of workers under tasks", self.task_crashes.clone());
         r.register("poisoned_jobs", "Jobs given up for crashes", self.poisoned_jobs.clone());
+        r.register(
+            "superseded_jobs",
+            "Jobs submitted again elsewhere",
+            self.superseded_jobs.clone(),
+        );
+        r.register("withheld_tasks", "Tasks with another active run", self.withheld_tasks.clone());
         r.register("unclaimed_runs", "Runs that no front claimed", self.unclaimed_runs.clone());
         r.register("counting_seconds", "Up to counted as a member", self.admission_time.clone());
         r.register("dropped_lines", "Log lines dropped", self.dropped_lines.clone());
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -149,7 +149,13 @@
     #[must_use]
     pub fn report(&self, now: Time) -> HeldMessage {
         let left_ms = u32::try_from(self.remaining(now).as_ms()).unwrap_or(u32::MAX);
-        HeldMessage { run: Some((&self.run).into()), need: Some((&self.need).into()), left_ms }
+        let front = if self.is_claimed() { self.front.to_string() } else { String::new() };
+        HeldMessage {
+            run: Some((&self.run).into()),
+            need: Some((&self.need).into()),
+            left_ms,
+            front,
+        }
     }
 
     /// Returns the expected remaining run time, extrapolated from its progress if it has any.
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -394,6 +394,29 @@
         }
     }
 
+    /// Closes a job whose caller has submitted it again at another front, `age` ago.
+    pub fn superseded(
+        &mut self,
+        job: &str,
+        by: &InstanceId,
+        age: Span,
+        now: Time,
+        out: &mut Output,
+    ) {
+        // The caller may have come back here since.
+        let is_earlier = |active: &&ActiveJob| {
+            active.closing_since.is_none() && now.since(active.job.arrived) > age
+        };
+        let Some(active) = self.jobs.get(job).filter(is_earlier) else { return };
+        out.log(LogEvent::Superseded {
+            job: job.to_owned(),
+            by: by.clone(),
+            age: now.since(active.job.arrived),
+            runs: active.placed().count(),
+        });
+        self.close(job, Some(Outcome::GivenUp), now, out);
+    }
+
     /// Cancels a job, and returns whether it was known.
     pub fn cancel(&mut self, name: &str, now: Time, out: &mut Output) -> bool {
         let known = self.jobs.get(name).is_some_and(|active| active.closing_since.is_none());
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -93,6 +93,30 @@
         /// Time since the job arrived.
         age: Span,
     },
+    /// The caller of a job has submitted it again at another front, which has the job now.
+    Superseded {
+        /// The job.
+        job: String,
+        /// Front of the later submission.
+        by: InstanceId,
+        /// Time since the job arrived here.
+        age: Span,
+        /// Runs that may be active and are stopped.
+        runs: usize,
+    },
+    /// Requested tasks wait, because another run of them may be active.
+    Withheld {
+        /// First of the tasks.
+        task: TaskKey,
+        /// Number of tasks.
+        tasks: usize,
+        /// Front that requested capacity.
+        front: InstanceId,
+        /// Front of the earlier submission, if it is known and another one.
+        earlier: Option<InstanceId>,
+        /// Worker that holds a run of the first task.
+        worker: Option<WorkerId>,
+    },
     /// An unresponsive worker responds again.
     WorkerReached {
         /// The worker.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,7 +6,9 @@
 
 use bytes::Bytes;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
-use cranberryhatch_schema::fleet::{Beat, Losses, Settings, Takeover, Workers, frame::Body};
+use cranberryhatch_schema::fleet::{
+    Beat, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
+};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
@@ -189,11 +191,12 @@
             }
             Body::Ask(ask) => {
                 let runs = self.scheduler.unnamed_losses(&ask, now);
-                self.scheduler.enqueue(from, ask, now);
+                self.scheduler.handle_ask(from, ask, now, out);
                 if !runs.is_empty() {
                     out.send(from, Body::Losses(Losses { runs }));
                 }
             }
+            Body::Superseded(superseded) => self.handle_superseded(&superseded, now, out),
             Body::Losses(losses) => self.front.merge_losses(&losses, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
             Body::Unused(unused) => {
@@ -234,6 +237,16 @@
         }
     }
 
+    fn handle_superseded(&mut self, superseded: &Superseded, now: Time, out: &mut Output) {
+        let Ok(front) = superseded.front.parse::<InstanceId>() else { return };
+        let Ok(by) = superseded.by.parse::<InstanceId>() else { return };
+        if front == self.members.me().id {
+            let age = Span::from_ms(superseded.age_ms.into());
+            self.front.superseded(&superseded.job, &by, age, now, out);
+        }
+        self.owner.stop_superseded(&superseded.job, &front, now, out);
+    }
+
     fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
         self.owner.observe_token(found.token);
         let me = &self.members.me().id;
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -282,6 +282,28 @@
         }
     }
 
+    /// Stops the runs of a job that a front has, since a later submission has superseded its own.
+    pub fn stop_superseded(&mut self, job: &str, front: &InstanceId, now: Time, out: &mut Output) {
+        for (_, worker) in self.workers.iter_mut() {
+            let of_job = |assigned: &&mut AssignedRun| {
+                assigned.run.task.job == job && assigned.front == *front
+            };
+            let mut stops = Vec::new();
+            for assigned in worker.runs.iter_mut().filter(of_job) {
+                assigned.wanted = false;
+                if assigned.stop_requested.is_none() {
+                    assigned.stop_requested = Some(now);
+                    if assigned.stage != RunStage::Starting {
+                        stops.push(assigned.run.clone());
+                    }
+                }
+            }
+            for run in stops {
+                push_stop(worker, &run, &self.response_times, now, out);
+            }
+        }
+    }
+
     /// Handles the response to a stop request.
     pub fn handle_stop_response(
         &mut self,
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -1,16 +1,19 @@
 //! Scheduler: grants capacity on workers to the waiting tasks of all instances.
 
+mod withheld;
+
 use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, LostRun, Place, Refusal, Rooms};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
     ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, LossLedger, Need, Output,
     OverservedZones, PlacementDecision, QueuedTasks, RetrySchedule, RunBias, RunKey, RunTimes,
-    Suspects, TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView,
+    Submissions, Suspects, TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView,
     backlog::latest_starts, load_shedding, log_event::LogEvent, output::Message,
     placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
     worker_view::GrantedRun,
 };
+use withheld::WithheldTasks;
 
 /// Maximum number of jobs whose first failure is remembered.
 const MAX_FIRST_FAILURES: usize = 1_000;
@@ -87,6 +90,9 @@
     last_capacity: VecMap<String, Time>,
     losses: LossLedger,
     suspects: Suspects,
+    submissions: Submissions,
+    // Tasks of which another run may be active.
+    withheld: Vec<WithheldTasks>,
 }
 
 impl Scheduler {
@@ -177,11 +183,13 @@
     /// Removes the waiting tasks of a job.
     pub fn withdraw(&mut self, front: &InstanceId, job: &str) {
         self.backlog.remove(|queued| queued.job == job && queued.front == *front);
+        self.discard_withheld(front, Some(job));
     }
 
     /// Removes the waiting tasks of an instance and the workers that it owned.
     pub fn remove_instance(&mut self, instance: &InstanceId) {
         self.backlog.remove(|queued| queued.front == *instance);
+        self.discard_withheld(instance, None);
         for worker in self.workers.iter().filter(|worker| worker.owner == *instance) {
             self.saved_stats.insert(worker.id().clone(), *worker.stats());
         }
@@ -201,6 +209,8 @@
         self.merged_owners = Vec::new();
         self.reports_since = None;
         self.all_reported = false;
+        self.submissions = Submissions::default();
+        self.withheld = Vec::new();
     }
 
     /// Expects reports of owners that became reachable again.
@@ -257,6 +267,8 @@
             let held = room.held.into_iter().filter_map(|held| {
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
+                let front = held.front.parse::<InstanceId>().ok();
+                self.submissions.record_run(&key.task.job, front, now);
                 if span > Span::ZERO {
                     left.push((key.task.clone(), span));
                 }
@@ -406,6 +418,10 @@
         self.reports_since.get_or_insert(now);
         if tick {
             self.probe_budget = PROBE_BUDGET;
+            self.submissions.remove_old(now);
+        }
+        if tick || self.dirty {
+            self.review_withheld(now, out);
         }
         if tick || self.workers.is_stale() {
             self.workers.update_speeds(now);
--- /dev/null
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -0,0 +1,189 @@
+//! Requested tasks of which another run may still be active, so that they are withheld from the
+//! backlog.
+//!
+//! The caller of a job that is submitted again has lost its first front, which may not know it. The
+//! latest submission gets the job: the earlier front and the owners of its runs are told to end
+//! them.
+
+use cranberryhatch_schema::fleet::{Ask, Superseded};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
+
+use super::{Scheduler, to_u32};
+use crate::{
+    Output, Submission, SubmissionOrder, TaskKey, WorkerView, log_event::LogEvent, output::Message,
+};
+
+/// Interval at which the earlier front and the owners are notified again; a message may be lost
+/// with its link.
+const NOTICE_INTERVAL: Span = Span::from_ms(250);
+
+/// Tasks of a request that are withheld.
+#[derive(Clone, Debug)]
+pub(super) struct WithheldTasks {
+    front: InstanceId,
+    // Front of the earlier submission; none if it is unknown, or if there is no other submission.
+    earlier: Option<InstanceId>,
+    ask: Ask,
+    since: Time,
+    notified_at: Option<Time>,
+}
+
+impl WithheldTasks {
+    /// Removes the tasks for which `is_free` returns true, and returns the request for them as the
+    /// front would send it now.
+    fn take(&mut self, is_free: impl Fn(&TaskKey) -> bool, now: Time) -> Option<Ask> {
+        let (job, step) = (&self.ask.job, self.ask.step);
+        let key = |task: &u32| TaskKey { job: job.clone(), step, task: *task };
+        let (free, rest): (Vec<u32>, Vec<u32>) =
+            self.ask.tasks.iter().copied().partition(|task| is_free(&key(task)));
+        self.ask.tasks = rest;
+        let waited = to_u32(now.since(self.since).as_ms());
+        (!free.is_empty()).then(|| Ask {
+            tasks: free,
+            age_ms: self.ask.age_ms.saturating_add(waited),
+            left_ms: self.ask.left_ms.saturating_sub(waited),
+            ..self.ask.clone()
+        })
+    }
+
+    fn is_over(&self, now: Time) -> bool {
+        let left = Span::from_ms(self.ask.left_ms.into());
+        self.ask.tasks.is_empty() || now.since(self.since) >= left
+    }
+}
+
+impl Scheduler {
+    /// Handles a front's request for capacity: queues its tasks, except those of which another run
+    /// may be active.
+    pub fn handle_ask(&mut self, front: &InstanceId, ask: Ask, now: Time, out: &mut Output) {
+        let arrived = now - Span::from_ms(ask.age_ms.into());
+        let deadline = now + Span::from_ms(ask.left_ms.into());
+        let submission = Submission { front: front.clone(), arrived, deadline };
+        let earlier = match self.submissions.record(&ask.job, submission, now) {
+            SubmissionOrder::Only if ask.begun => None,
+            SubmissionOrder::Only => return self.enqueue(front, ask, now),
+            SubmissionOrder::Latest { earlier } => {
+                self.discard_earlier(front, &ask.job);
+                Some(earlier)
+            }
+            SubmissionOrder::Superseded { by, arrived } => {
+                let age = now.since(arrived);
+                let superseded = superseded_message(&ask.job, front, &by, age);
+                return out.send(front, Message::Superseded(superseded));
+            }
+        };
+        // A run that this front itself was granted may not have been started.
+        let counts_grants = earlier.is_some();
+        let is_withheld = |task: &u32| {
+            self.withheld.iter().any(|w| {
+                w.front == *front
+                    && (&w.ask.job, w.ask.step) == (&ask.job, ask.step)
+                    && w.ask.tasks.contains(task)
+            })
+        };
+        let tasks: Vec<u32> = ask.tasks.iter().copied().filter(|task| !is_withheld(task)).collect();
+        let ask = Ask { tasks, ..ask };
+        let mut withheld = WithheldTasks {
+            front: front.clone(),
+            earlier: earlier.flatten(),
+            ask,
+            since: now,
+            notified_at: None,
+        };
+        let is_free = |key: &TaskKey| self.holders(key, counts_grants).next().is_none();
+        if let Some(free) = withheld.take(is_free, now) {
+            self.enqueue(front, free, now);
+        }
+        if withheld.ask.tasks.is_empty() {
+            return;
+        }
+        self.log_withheld(&withheld, out);
+        self.notify_earlier(&mut withheld, now, out);
+        self.withheld.push(withheld);
+    }
+
+    /// Queues withheld tasks whose other runs have ended, and repeats the notices for the others.
+    pub(super) fn review_withheld(&mut self, now: Time, out: &mut Output) {
+        for mut withheld in std::mem::take(&mut self.withheld) {
+            if withheld.is_over(now) {
+                continue;
+            }
+            let is_free = |key: &TaskKey| self.holders(key, true).next().is_none();
+            if let Some(free) = withheld.take(is_free, now) {
+                let front = withheld.front.clone();
+                self.enqueue(&front, free, now);
+            }
+            if !withheld.ask.tasks.is_empty() {
+                self.notify_earlier(&mut withheld, now, out);
+                self.withheld.push(withheld);
+            }
+        }
+    }
+
+    /// Removes what other fronts have requested for a job.
+    fn discard_earlier(&mut self, front: &InstanceId, job: &str) {
+        self.backlog.remove(|queued| queued.job == job && queued.front != *front);
+        self.withheld.retain(|withheld| withheld.ask.job != job || withheld.front == *front);
+    }
+
+    /// Removes the withheld tasks of a front: all, or those of one job.
+    pub(super) fn discard_withheld(&mut self, front: &InstanceId, job: Option<&str>) {
+        self.withheld.retain(|withheld| {
+            withheld.front != *front || job.is_some_and(|job| withheld.ask.job != job)
+        });
+    }
+
+    /// Returns the workers that hold a run of a task, or that were granted one if `grants`.
+    fn holders(&self, task: &TaskKey, grants: bool) -> impl Iterator<Item = &WorkerView> {
+        self.workers.iter().filter(move |worker| worker.holds(task, grants))
+    }
+
+    fn notify_earlier(&self, withheld: &mut WithheldTasks, now: Time, out: &mut Output) {
+        let Some(earlier) = &withheld.earlier else { return };
+        if withheld.notified_at.is_some_and(|at| now.since(at) < NOTICE_INTERVAL) {
+            return;
+        }
+        withheld.notified_at = Some(now);
+        let ask = &withheld.ask;
+        let age = Span::from_ms(ask.age_ms.into()) + now.since(withheld.since);
+        let message = superseded_message(&ask.job, earlier, &withheld.front, age);
+        let keys = ask.tasks.iter().map(|task| TaskKey {
+            job: ask.job.clone(),
+            step: ask.step,
+            task: *task,
+        });
+        let mut targets = vec![earlier.clone()];
+        for key in keys {
+            targets.extend(self.holders(&key, true).map(|worker| worker.owner.clone()));
+        }
+        targets.sort();
+        targets.dedup();
+        for target in &targets {
+            out.send(target, Message::Superseded(message.clone()));
+        }
+    }
+
+    fn log_withheld(&self, withheld: &WithheldTasks, out: &mut Output) {
+        let ask = &withheld.ask;
+        let Some(task) = ask.tasks.first() else { return };
+        let task = TaskKey { job: ask.job.clone(), step: ask.step, task: *task };
+        let holder = self.holders(&task, true).next();
+        let worker: Option<WorkerId> = holder.map(|worker| worker.id().clone());
+        out.log(LogEvent::Withheld {
+            tasks: ask.tasks.len(),
+            task,
+            front: withheld.front.clone(),
+            earlier: withheld.earlier.clone(),
+            worker,
+        });
+    }
+}
+
+fn superseded_message(job: &str, front: &InstanceId, by: &InstanceId, age: Span) -> Superseded {
+    Superseded {
+        job: job.to_owned(),
+        front: front.to_string(),
+        by: by.to_string(),
+        age_ms: to_u32(age.as_ms()),
+    }
+}
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -52,6 +52,8 @@
     // Expected end and the run time from which it was derived; `None` if unknown.
     end: Option<(Time, Span)>,
     run: Option<GrantedRun>,
+    // Whether the owner has reported it.
+    reported: bool,
 }
 
 /// A run that this scheduler granted.
@@ -324,7 +326,8 @@
 
     /// Reserves capacity for a task.
     pub fn grant(&mut self, task: TaskKey, need: Need, now: Time) {
-        self.reservations.push(Reservation { task, need, at: now, end: None, run: None });
+        let reported = false;
+        self.reservations.push(Reservation { task, need, at: now, end: None, run: None, reported });
         self.update_free();
     }
 
@@ -336,6 +339,7 @@
             at: run.since,
             end: None,
             run: Some(run),
+            reported: false,
         });
         self.update_free();
     }
@@ -346,6 +350,16 @@
         self.reservations.iter().find(|reservation| reservation.task == *task)?.run
     }
 
+    /// Returns whether the owner has reported a run of a task, or whether the task was granted
+    /// capacity here if `grants`.
+    #[must_use]
+    pub fn holds(&self, task: &TaskKey, grants: bool) -> bool {
+        let holds = |reservation: &Reservation| {
+            (grants || reservation.reported) && reservation.task == *task
+        };
+        self.reservations.iter().any(holds)
+    }
+
     /// Releases the capacity of a task.
     pub fn release(&mut self, task: &TaskKey) {
         self.reservations.retain(|reservation| reservation.task != *task);
@@ -368,7 +382,7 @@
             let known = before.iter().find(|reservation| reservation.task == task);
             let (end, run) =
                 known.map_or((None, None), |reservation| (reservation.end, reservation.run));
-            Reservation { task, need, at: old, end, run }
+            Reservation { task, need, at: old, end, run, reported: true }
         }));
         self.update_free();
     }
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -34,6 +34,7 @@
             run: Some(Run { job: "running".to_owned(), step: 0, task, run: 1 }),
             need: Some((&need(14_000)).into()),
             left_ms: 10_000,
+            front: String::new(),
         };
         let held = (0..self.running).map(held).collect();
         let room = Room { worker: "w".to_owned(), token: 1, held, open: true, ..Room::default() };
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -10,7 +10,7 @@
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant, Held, KindTime, Listed,
     Losses, LostRun, Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings,
-    Standing, Start, Stop, Takeover, Takeovers, Unused, Withdraw, Workers,
+    Standing, Start, Stop, Superseded, Takeover, Takeovers, Unused, Withdraw, Workers,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
@@ -129,11 +129,13 @@
     let room = Room {
         worker: worker(),
         token: large(8),
-        held: vec![Held { run: run(), need: need(), left_ms: small(50) }],
+        held: vec![Held { run: run(), need: need(), left_ms: small(50), front: "e-1".to_owned() }],
         open: true,
         standing: Some(standing),
         born_ms: large(1_700_000_000_000),
     };
+    let superseded =
+        Superseded { job: job(), front: "e-1".to_owned(), by: "e-2".to_owned(), age_ms: small(20) };
     let kind = KindTime { kind: "k".to_owned(), log_milli: 4_600, samples: small(20) };
     let entry = Entry { id: worker(), listed: Some(Listed::default()) };
     vec![
@@ -169,6 +171,7 @@
         Message::Confirm(Confirm { runs: run().into_iter().collect() }),
         Message::Rooms(Rooms { rooms: vec![room], kinds: vec![kind], lost: vec![lost.clone()] }),
         Message::Losses(Losses { runs: vec![lost] }),
+        Message::Superseded(superseded),
         Message::Drains(Drains { version: large(5), zones: vec!["a".to_owned()] }),
         Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
         Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -442,6 +442,7 @@
                 run: Some(Run { job: name(*job), step: 0, task: *task, run: 1 }),
                 need: Some((&need(self.jobs[*job].cores)).into()),
                 left_ms: u32::try_from(left).expect("a short time"),
+                front: String::new(),
             }
         });
         let (name, held) = (worker.id.clone(), held.collect());
