test(fleet): a job that is resubmitted while its half-open front lives

Cause: not fixed here. The callers of the model either break together with their instance or tell it that they leave. A connection that breaks on the caller's side only leaves a front that keeps its job, while the caller sends the job to another front 1,300 ms later.

Change: the model breaks connections on the caller's side only, on request or at a rate, and the job goes to another instance.

--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -72,6 +72,7 @@
         request_late: rng.u32(20..=300),
         poll_late: *rng.choice(&[0, 500, 1_000]).expect("some"),
         caller_leaves: *rng.choice(&[0, 100]).expect("some"),
+        half_open: 0,
     };
     let lease_from_arrival = rng.bool() && arrival;
     world.workers.iter_mut().for_each(|worker| worker.lease_from_arrival = lease_from_arrival);
@@ -90,6 +91,7 @@
         request_late: *rng.choice(&[0, 0, 50]).expect("some"),
         caller_leaves: *rng.choice(&[0, 100]).expect("some"),
         poll_late: 0,
+        half_open: 0,
     };
     run_with_rates(world, rng, odds, zones, instances, fault_set)
 }
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -37,6 +37,8 @@
 const WALL: u64 = 1_800_000_000_000;
 /// Delay before a caller whose connection broke sends its job again.
 const RESEND: u64 = 1_300;
+/// Longest time from a submission until its connection breaks on the caller's side only.
+const HALF_OPEN_DELAY: u64 = 1_500;
 /// Longest time between two events that an instance handles after a pause.
 const RESUME_STEP: u64 = 4;
 /// Interval at which a worker checks a poll that it holds open.
@@ -127,6 +129,10 @@
         request: usize,
         attempt: usize,
     },
+    CallerBreaks {
+        request: usize,
+        attempt: usize,
+    },
     StartInstance {
         node: usize,
     },
@@ -226,6 +232,8 @@
     pub ticket: u64,
     pub answer: Option<Outcome>,
     pub abandoned: bool,
+    /// Whether the connection broke without the instance noticing it.
+    pub half_open: bool,
 }
 
 /// A start request that an owner sent.
@@ -247,6 +255,8 @@
     /// Share of polls without response that are carried out late.
     pub poll_late: u32,
     pub caller_leaves: u32,
+    /// Share of submissions whose connection breaks on the caller's side only.
+    pub half_open: u32,
 }
 
 /// The simulated system.
@@ -549,6 +559,9 @@
             EventKind::CallerLeaves { request, attempt } => {
                 self.caller_leaves_attempt(request, attempt);
             }
+            EventKind::CallerBreaks { request, attempt } => {
+                self.break_attempt(request, attempt);
+            }
             EventKind::StartInstance { node } => self.start_instance(node),
             EventKind::ResumeInstance { node } => self.resume(node),
             EventKind::RestartWorker { worker, listed } => self.restart_process(worker, listed),
@@ -1131,9 +1144,14 @@
         if self.requests[request].outcome.is_some() || self.requests[request].attempts.len() > 4 {
             return;
         }
-        let alive: Vec<usize> = (0..self.instances.len())
+        let mut alive: Vec<usize> = (0..self.instances.len())
             .filter(|node| self.instances[*node].node.is_some() && !self.instances[*node].paused)
             .collect();
+        if let Some(former) = self.requests[request].attempts.last().filter(|last| last.half_open)
+            && alive.len() > 1
+        {
+            alive.retain(|node| *node != former.node);
+        }
         if alive.is_empty() {
             self.schedule(self.now + RESEND, EventKind::Submit { request });
             return;
@@ -1153,8 +1171,30 @@
             ticket,
             answer: None,
             abandoned: false,
+            half_open: false,
         });
         self.with_node(node, |n, now, out| n.submit(ticket, job, now, out));
+        // No number is drawn at a rate of 0, so that the faults of earlier seeds stay the same.
+        if self.fault_rates.half_open > 0 && self.chance(self.fault_rates.half_open) {
+            let at = self.now + self.rng.u64(1..HALF_OPEN_DELAY);
+            let attempt = self.requests[request].attempts.len() - 1;
+            self.schedule(at, EventKind::CallerBreaks { request, attempt });
+        }
+    }
+
+    /// Breaks the connection of a request's last submission on the caller's side only: the instance
+    /// keeps the job, and the caller sends it again at another instance.
+    pub fn break_caller(&mut self, request: usize) {
+        self.break_attempt(request, self.requests[request].attempts.len() - 1);
+    }
+
+    fn break_attempt(&mut self, request: usize, attempt: usize) {
+        let Some(made) = self.requests[request].attempts.get_mut(attempt) else { return };
+        if made.abandoned || made.answer.is_some() {
+            return;
+        }
+        (made.abandoned, made.half_open) = (true, true);
+        self.schedule(self.now + RESEND, EventKind::Submit { request });
     }
 
     /// Lets callers resubmit whose deadline passed without an answer, such as those of a paused
