test(fuzz): seeds with connections that break on the caller's side only

Change: a family of seeds in which one in ten to six in ten submissions end like that, with enough workers that most jobs run; half of the fronts notice it after 4 s at most, the others never. FUZZ_UNAWARE_SEEDS sets the range; cargo test runs seeds 1 to 20.

--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -72,13 +72,28 @@
         request_late: rng.u32(20..=300),
         poll_late: *rng.choice(&[0, 500, 1_000]).expect("some"),
         caller_leaves: *rng.choice(&[0, 100]).expect("some"),
-        half_open: 0,
+        ..FaultRates::default()
     };
     let lease_from_arrival = rng.bool() && arrival;
     world.workers.iter_mut().for_each(|worker| worker.lease_from_arrival = lease_from_arrival);
     run_with_rates(world, rng, odds, zones, instances, FaultSet::Full)
 }
 
+/// Injects the faults of [`run_seed`] where connections also break on the caller's side only.
+fn run_unaware_seed(seed: u64) -> Vec<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (zones, instances) = (rng.usize(1..4), rng.usize(2..7));
+    // Enough workers that most jobs run.
+    let world = World::new(seed, zones, instances, rng.usize(8..40));
+    let odds = FaultRates {
+        answer_lost: *rng.choice(&[0, 0, 20]).expect("some"),
+        caller_leaves: *rng.choice(&[0, 100]).expect("some"),
+        half_open: rng.u32(100..=600),
+        ..FaultRates::default()
+    };
+    run_with_rates(world, rng, odds, zones, instances, FaultSet::Full)
+}
+
 fn run_faults(
     world: World,
     mut rng: fastrand::Rng,
@@ -90,8 +105,7 @@
         answer_lost: *rng.choice(&[0, 0, 20, 100]).expect("some"),
         request_late: *rng.choice(&[0, 0, 50]).expect("some"),
         caller_leaves: *rng.choice(&[0, 100]).expect("some"),
-        poll_late: 0,
-        half_open: 0,
+        ..FaultRates::default()
     };
     run_with_rates(world, rng, odds, zones, instances, fault_set)
 }
@@ -270,8 +284,27 @@
     run_range("FUZZ_WIDE_SEEDS", run_wide_seed);
 }
 
+/// The same where connections break on the caller's side only: `FUZZ_UNAWARE_SEEDS=1..2000`; a few
+/// seeds by default.
+#[test]
+fn nothing_breaks_while_fronts_keep_jobs_that_callers_sent_elsewhere() {
+    run_seeds(
+        &range_of("FUZZ_UNAWARE_SEEDS").unwrap_or_else(|| "1..21".to_owned()),
+        run_unaware_seed,
+    );
+}
+
+fn range_of(variable: &str) -> Option<String> {
+    std::env::var(variable).ok()
+}
+
 fn run_range(variable: &str, run_seed: impl Fn(u64) -> Vec<String>) {
-    let Ok(range) = std::env::var(variable) else { return };
+    if let Some(range) = range_of(variable) {
+        run_seeds(&range, run_seed);
+    }
+}
+
+fn run_seeds(range: &str, run_seed: impl Fn(u64) -> Vec<String>) {
     let (from, to) = range.split_once("..").expect("FROM..TO");
     let (from, to): (u64, u64) = (from.parse().expect("a seed"), to.parse().expect("a seed"));
     let mut broken = 0;
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -39,6 +39,8 @@
 const RESEND: u64 = 1_300;
 /// Longest time from a submission until its connection breaks on the caller's side only.
 const HALF_OPEN_DELAY: u64 = 1_500;
+/// Longest time until an instance notices that, if it does.
+const NOTICE_DELAY: u64 = 4_000;
 /// Longest time between two events that an instance handles after a pause.
 const RESUME_STEP: u64 = 4;
 /// Interval at which a worker checks a poll that it holds open.
@@ -132,6 +134,12 @@
     CallerBreaks {
         request: usize,
         attempt: usize,
+        // Time until the instance notices it; none if it never does.
+        noticed: Option<u64>,
+    },
+    BreakNoticed {
+        request: usize,
+        attempt: usize,
     },
     StartInstance {
         node: usize,
@@ -559,8 +567,19 @@
             EventKind::CallerLeaves { request, attempt } => {
                 self.caller_leaves_attempt(request, attempt);
             }
-            EventKind::CallerBreaks { request, attempt } => {
+            EventKind::CallerBreaks { request, attempt, noticed } => {
                 self.break_attempt(request, attempt);
+                if let Some(after) = noticed {
+                    let kind = EventKind::BreakNoticed { request, attempt };
+                    self.schedule(self.now + after, kind);
+                }
+            }
+            EventKind::BreakNoticed { request, attempt } => {
+                let Attempt { node, generation, ticket, .. } =
+                    self.requests[request].attempts[attempt];
+                if self.instances[node].generation == generation {
+                    self.with_node(node, |n, now, out| n.caller_gone(ticket, now, out));
+                }
             }
             EventKind::StartInstance { node } => self.start_instance(node),
             EventKind::ResumeInstance { node } => self.resume(node),
@@ -1178,7 +1197,8 @@
         if self.fault_rates.half_open > 0 && self.chance(self.fault_rates.half_open) {
             let at = self.now + self.rng.u64(1..HALF_OPEN_DELAY);
             let attempt = self.requests[request].attempts.len() - 1;
-            self.schedule(at, EventKind::CallerBreaks { request, attempt });
+            let noticed = self.rng.bool().then(|| self.rng.u64(1..NOTICE_DELAY));
+            self.schedule(at, EventKind::CallerBreaks { request, attempt, noticed });
         }
     }
 
