--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -45,6 +45,8 @@
     pub resized_at: u64,
     /// Whether leases count from the arrival of the request that carries them.
     pub lease_from_arrival: bool,
+    /// Time from the end of the lease until its timer ends the runs.
+    pub timer_delay: u64,
     /// All runs that ended successfully.
     pub done: Vec<RunKey>,
     // Speed of its clock in thousandths.
@@ -71,6 +73,7 @@
             guards: true,
             resized_at: 0,
             lease_from_arrival: false,
+            timer_delay: 0,
             done: Vec::new(),
             rate,
             clock_offset: 7_000,
@@ -120,7 +123,7 @@
     /// Ends the runs that are due by `now`.
     pub fn advance(&mut self, now: u64) {
         let clock = self.clock(now);
-        let expired = clock >= self.lease_until;
+        let expired = clock >= self.lease_until + self.timer_delay;
         self.crashed |= self.runs.iter().any(|run| run.crashes && run.until <= now);
         if self.crashed {
             return;
