feat(fleet): log restarted runs, resubmitted jobs and stopped runs of lost fronts

A second run of a task left no line that tells why the earlier one counted as ended, so a wrong report, an expired run and a job with two fronts could not be told apart.

Fronts log run-restarted (evidence, reporter, earlier worker and owner), start-retried, run-expired and resubmitted; owners log front-runs-stopped. Lines about a run give its front; run-ended is unsampled if the front no longer wanted the run. Counters: restarted_runs by cause, resubmitted_jobs. No decision changes.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -251,6 +251,12 @@
             LogEvent::TaskPoisoned { .. } => {
                 self.metrics.poisoned_jobs.inc();
             }
+            LogEvent::RunRestarted { previous, .. } => {
+                Metrics::count(&self.metrics.restarted_runs, &previous.end.cause);
+            }
+            LogEvent::Resubmitted { .. } => {
+                self.metrics.resubmitted_jobs.inc();
+            }
             LogEvent::Stalled { cause, .. } => Metrics::count(&self.metrics.run_restarts, cause),
             LogEvent::Unanswered { request, .. } => {
                 Metrics::count(&self.metrics.unanswered_requests, request);
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -6,7 +6,7 @@
 };
 
 use cranberryhatch_fleet::{LogEvent, Outcome, VecMap, is_sampled};
-use cranberryhatch_types::{Span, Time};
+use cranberryhatch_types::{InstanceId, Span, Time};
 use logforth::{append, diagnostic, layout, record};
 
 /// Maximum number of lines of one name per window; further lines are dropped and counted.
@@ -118,8 +118,9 @@
         | LogEvent::Answered { job, outcome: Outcome::Completed, .. } => {
             is_sampled(job, SAMPLE_ONE_IN)
         }
-        LogEvent::RunEnded { run, how, .. } => {
-            *how != cranberryhatch_schema::fleet::How::Done
+        LogEvent::RunEnded { run, how, wanted, .. } => {
+            !wanted
+                || *how != cranberryhatch_schema::fleet::How::Done
                 || is_sampled(&run.task.job, SAMPLE_ONE_IN)
         }
         _ => true,
@@ -135,6 +136,10 @@
     span.map_or(-1, |span| i64::try_from(span.as_ms()).unwrap_or(-1))
 }
 
+fn id_or_none(id: Option<&InstanceId>) -> &str {
+    id.map_or("none", InstanceId::as_str)
+}
+
 fn write(name: &'static str, event: &LogEvent) {
     match event {
         LogEvent::Admitted { job, kind, tasks, left } => {
@@ -188,27 +193,55 @@
             );
         }
         LogEvent::Probed { worker, job } => log::info!(worker = worker.as_str(), job; "{name}"),
-        LogEvent::RunEnded { run, worker, how, took } => {
-            let how = how.as_str_name();
+        LogEvent::RunEnded { run, worker, how, took, front, wanted } => {
+            let (how, front) = (how.as_str_name(), id_or_none(front.as_ref()));
             log::info!(
-                run = run_text(run), worker = worker.as_str(), how, took_ms = took.as_ms();
+                run = run_text(run), worker = worker.as_str(), how, took_ms = took.as_ms(), front,
+                wanted;
                 "{name}"
             );
         }
-        LogEvent::Stalled { run, worker, took, expected, percent, cause } => {
+        LogEvent::Stalled { run, worker, took, expected, percent, cause, front } => {
             log::warn!(
                 run = run_text(run), worker = worker.as_str(), took_ms = took.as_ms(),
-                expected_ms = expected.as_ms(), percent, cause = cause.to_string();
+                expected_ms = expected.as_ms(), percent, cause = cause.to_string(),
+                front = id_or_none(front.as_ref());
                 "{name}"
             );
         }
-        LogEvent::StartRefused { run, worker, cause, age } => {
+        LogEvent::StartRefused { run, worker, cause, age, front } => {
             log::warn!(
                 run = run_text(run), worker = worker.as_str(), cause = cause.to_string(),
-                age_ms = age.as_ms();
+                age_ms = age.as_ms(), front = front.as_str();
+                "{name}"
+            );
+        }
+        LogEvent::RunRestarted { run, worker, owner, previous, since }
+        | LogEvent::StartRetried { run, worker, owner, previous, since } => {
+            let end = &previous.end;
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), owner = owner.as_str(),
+                cause = end.cause.to_string(), how = end.how.as_str_name(),
+                reporter = end.reporter.as_str(), reported_worker = end.worker.as_str(),
+                since_ms = since.as_ms(), earlier_run = previous.run,
+                earlier_worker = previous.worker.as_str(), earlier_owner = previous.owner.as_str();
                 "{name}"
             );
         }
+        LogEvent::RunExpired { run, worker, owner, silence, closing } => {
+            let (silence_ms, closing_ms) = (ms_or_none(*silence), ms_or_none(*closing));
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), owner = owner.as_str(), silence_ms,
+                closing_ms;
+                "{name}"
+            );
+        }
+        LogEvent::Resubmitted { job, age, runs, closing } => {
+            log::warn!(job, age_ms = age.as_ms(), runs, closing_ms = ms_or_none(*closing); "{name}");
+        }
+        LogEvent::FrontRunsStopped { front, runs, cause } => {
+            log::warn!(front = front.as_str(), runs, cause = cause.to_string(); "{name}");
+        }
         LogEvent::RunLost { run, owner } => {
             log::warn!(run = run_text(run), owner = owner.as_str(); "{name}");
         }
@@ -261,19 +294,20 @@
             log::info!(version, before, source; "{name}");
         }
         LogEvent::Paused { gap } => log::warn!(gap_ms = gap.as_ms(); "{name}"),
-        LogEvent::Unanswered { worker, request, run, waited } => {
+        LogEvent::Unanswered { worker, request, run, waited, front } => {
             let run = run.as_ref().map_or_else(|| "none".to_owned(), run_text);
             log::info!(
                 worker = worker.as_str(), order = request.to_string(), run,
-                waited_ms = waited.as_ms();
+                waited_ms = waited.as_ms(), front = id_or_none(front.as_ref());
                 "{name}"
             );
         }
-        LogEvent::Resolved { worker, request, run, outcome, took } => {
+        LogEvent::Resolved { worker, request, run, outcome, took, front } => {
             let run = run.as_ref().map_or_else(|| "none".to_owned(), run_text);
             log::info!(
                 worker = worker.as_str(), order = request.to_string(), run,
-                outcome = outcome.to_string(), took_ms = took.as_ms();
+                outcome = outcome.to_string(), took_ms = took.as_ms(),
+                front = id_or_none(front.as_ref());
                 "{name}"
             );
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -108,6 +108,11 @@
     pub unanswered_time: KindHistograms,
     /// Runs stopped to be restarted on another worker, by cause.
     pub run_restarts: Family<CauseLabel, Counter>,
+    /// Runs started after an earlier run of their task that may have been running, by the evidence
+    /// of its end.
+    pub restarted_runs: Family<CauseLabel, Counter>,
+    /// Jobs submitted again to this instance while it had them.
+    pub resubmitted_jobs: Counter,
 }
 
 impl Default for Metrics {
@@ -148,6 +153,8 @@
             resolved_requests: Family::default(),
             unanswered_time: Family::new_with_constructor(new_histogram),
             run_restarts: Family::default(),
+            restarted_runs: Family::default(),
+            resubmitted_jobs: Counter::default(),
         };
         metrics.register();
         metrics
@@ -204,6 +211,8 @@
             self.worker_list_age_ms.clone(),
         );
         r.register("restarts", "Runs started again elsewhere", self.run_restarts.clone());
+        r.register("restarted_runs", "Runs after an earlier run", self.restarted_runs.clone());
+        r.register("resubmitted_jobs", "Jobs submitted again", self.resubmitted_jobs.clone());
         r.register("unanswered_orders", "Orders without answer", self.unanswered_requests.clone());
         r.register("resolved_orders", "Orders that were resolved", self.resolved_requests.clone());
         r.register(
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -145,6 +145,12 @@
         !self.kind.is_empty()
     }
 
+    /// Returns the front that has started or claimed the run at this owner, if one has.
+    #[must_use]
+    pub fn claimed_front(&self) -> Option<InstanceId> {
+        self.is_claimed().then(|| self.front.clone())
+    }
+
     /// Returns its entry in the report to the scheduler.
     #[must_use]
     pub fn report(&self, now: Time) -> HeldMessage {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -16,7 +16,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Incarnation, Job, KindSettings, LossLedger, Outcome, Output, RunKey, TaskKey, VecMap, Verdict,
+    EndReport, Incarnation, Job, KindSettings, LossLedger, Outcome, Output, PreviousRun,
+    RunEndCause, RunKey, TaskKey, VecMap, Verdict,
     log_event::LogEvent,
     members::text_hash,
     outcome::NotRunCause,
@@ -62,6 +63,12 @@
     /// answer.
     pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
         if let Some(active) = self.jobs.get_mut(&job.name) {
+            out.log(LogEvent::Resubmitted {
+                job: job.name.clone(),
+                age: now.since(active.job.arrived),
+                runs: active.placed().count(),
+                closing: active.closing_since.map(|at| now.since(at)),
+            });
             if active.closing_since.is_some() {
                 if let Some((older, _)) = active.resubmitted.replace((ticket, job)) {
                     out.answer(older, Outcome::GivenUp);
@@ -225,6 +232,10 @@
             return false;
         }
         let owner = placed.owner.clone();
+        if let Some(previous) = state.previous.take() {
+            let run = RunKey { task: key.clone(), run: state.run + 1 };
+            out.log(restart_event(run, &placed, previous, now));
+        }
         state.place(placed);
         let state = state.clone();
         let start = start_message(&active.job, key, &state, seen);
@@ -268,10 +279,12 @@
         if !is_final && matches!(&state.phase, Phase::Placed(place) if place.owner != *from) {
             return;
         }
-        self.end_run(&run, &ended.worker, ended.how(), now, out);
+        let (cause, how) = (RunEndCause::Reported, ended.how());
+        let (reporter, worker) = (from.clone(), ended.worker.clone());
+        self.end_run(&run, EndReport { cause, how, reporter, worker }, now, out);
     }
 
-    fn end_run(&mut self, run: &RunKey, worker: &str, how: How, now: Time, out: &mut Output) {
+    fn end_run(&mut self, run: &RunKey, end: EndReport, now: Time, out: &mut Output) {
         let name = &run.task.job;
         let Some(active) = self.jobs.get_mut(name) else { return };
         let attempts = active.job.settings.attempts.max(1);
@@ -282,6 +295,13 @@
         let mut failed = false;
         let mut never_started = false;
         let phase = std::mem::replace(&mut state.phase, Phase::Ready);
+        let how = end.how;
+        let worker = end.worker.clone();
+        if let (Phase::Placed(place), true) = (&phase, how != How::Done) {
+            let (worker, owner) = (place.worker.clone(), place.owner.clone());
+            let previous = PreviousRun { run: run.run, worker, owner, end, ended_at: now };
+            state.previous = Some(Box::new(previous));
+        }
         match how {
             How::Done => state.phase = Phase::Done,
             How::Failed => {
@@ -308,11 +328,11 @@
         }
         if let (How::NoRoom, Some(scheduler)) = (how, &self.scheduler) {
             let TaskKey { job, step, task } = run.task.clone();
-            let unused = Unused { worker: worker.to_owned(), job, step, task, refused: true };
+            let unused = Unused { worker: worker.clone(), job, step, task, refused: true };
             out.send(scheduler, Message::Unused(unused));
         }
-        if matches!(how, How::Failed | How::Stalled) && !active.avoid.iter().any(|w| w == worker) {
-            active.avoid.push(worker.to_owned());
+        if matches!(how, How::Failed | How::Stalled) && !active.avoid.contains(&worker) {
+            active.avoid.push(worker);
         }
         if failed && active.closing_since.is_none() {
             self.close(name, Some(Outcome::Failed), now, out);
@@ -412,13 +432,25 @@
                 if lost || stuck {
                     let run = RunKey { task: key, run: state.run };
                     // The worker may have crashed while its owner was unreachable.
-                    let how = if lost { How::Lost } else { How::Stopped };
-                    gone.push((run, place.worker.to_string(), how));
+                    let (cause, how) = if lost {
+                        (RunEndCause::Expired, How::Lost)
+                    } else {
+                        (RunEndCause::ClosingLimit, How::Stopped)
+                    };
+                    let (reporter, worker) = (self.me.clone(), place.worker.to_string());
+                    out.log(LogEvent::RunExpired {
+                        run: run.clone(),
+                        worker: place.worker.clone(),
+                        owner: place.owner.clone(),
+                        silence: place.lost_since.map(|heard| now.since(heard)),
+                        closing: active.closing_since.map(|at| now.since(at)),
+                    });
+                    gone.push((run, EndReport { cause, how, reporter, worker }));
                 }
             }
         }
-        for (run, worker, how) in gone {
-            self.end_run(&run, &worker, how, now, out);
+        for (run, end) in gone {
+            self.end_run(&run, end, now, out);
         }
         for (name, begun) in over {
             let outcome = if begun {
@@ -598,6 +630,16 @@
     })
 }
 
+fn restart_event(run: RunKey, placed: &Placed, previous: Box<PreviousRun>, now: Time) -> LogEvent {
+    let (worker, owner) = (placed.worker.clone(), placed.owner.clone());
+    let since = now.since(previous.ended_at);
+    if previous.was_refused() {
+        LogEvent::StartRetried { run, worker, owner, previous, since }
+    } else {
+        LogEvent::RunRestarted { run, worker, owner, previous, since }
+    }
+}
+
 fn stop(key: &TaskKey, state: &TaskState, out: &mut Output) {
     let Phase::Placed(place) = &state.phase else { return };
     let run = RunKey { task: key.clone(), run: state.run };
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -1,11 +1,12 @@
 //! Runs whose owner became unreachable or was replaced.
 
-use cranberryhatch_schema::fleet::{Claim, Confirm, Ended, How, Relinked, Run, Takeover};
+use cranberryhatch_schema::fleet::{Claim, Confirm, How, Relinked, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Time};
 
 use super::{Front, start_message};
 use crate::{
-    Incarnation, Output, RunKey, TaskKey, log_event::LogEvent, output::Message, task_state::Phase,
+    EndReport, Incarnation, Output, RunEndCause, RunKey, TaskKey, log_event::LogEvent,
+    output::Message, task_state::Phase,
 };
 
 impl Front {
@@ -69,15 +70,19 @@
                 if said.is_none() && (place.claimed || place.requested_at < since || !is_owned) {
                     continue;
                 }
-                let worker = place.worker.to_string();
-                ends.push((run, worker, said.map_or(How::Stopped, Ended::how)));
+                let (cause, how) = match said {
+                    Some(ended) => (RunEndCause::ReconnectEnded, ended.how()),
+                    None => (RunEndCause::ReconnectMissing, How::Stopped),
+                };
+                let (reporter, worker) = (from.clone(), place.worker.to_string());
+                ends.push((run, EndReport { cause, how, reporter, worker }));
             }
         }
         if !kept.is_empty() {
             out.send(from, Message::Confirm(Confirm { runs: kept }));
         }
-        for (run, worker, how) in ends {
-            self.end_run(&run, &worker, how, now, out);
+        for (run, end) in ends {
+            self.end_run(&run, end, now, out);
         }
     }
 
@@ -127,15 +132,20 @@
                 let has_restarted = Incarnation::new(found.born_ms).is_after(place.incarnation);
                 // The worker may have restarted after the run had ended.
                 let loss = if has_restarted { How::Lost } else { How::Stopped };
-                ends.push((run, said.map_or(loss, Ended::how)));
+                let (cause, how) = match said {
+                    Some(ended) => (RunEndCause::TakeoverEnded, ended.how()),
+                    None => (RunEndCause::TakeoverMissing, loss),
+                };
+                let (reporter, worker) = (from.clone(), found.worker.clone());
+                ends.push((run, EndReport { cause, how, reporter, worker }));
             }
         }
         if !running.is_empty() {
             let claim = Claim { worker: found.worker.clone(), runs: claims };
             out.send(from, Message::Claim(claim));
         }
-        for (run, how) in ends {
-            self.end_run(&run, &found.worker, how, now, out);
+        for (run, end) in ends {
+            self.end_run(&run, end, now, out);
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -46,6 +46,7 @@
 mod pending_poll;
 mod placement;
 mod placement_cache;
+mod previous_run;
 mod probes;
 mod rack_slowdown;
 mod response_times;
@@ -80,7 +81,9 @@
 pub use incarnation::Incarnation;
 pub use job::{Job, KindSettings, Step};
 pub use load_shedding::{ArrivalRates, RefusalCause, UnservableJob, find_unservable};
-pub use log_event::{DropCause, LogEvent, RequestKind, Resolution, RestartCause, StartRefusal};
+pub use log_event::{
+    DropCause, LogEvent, RequestKind, Resolution, RestartCause, StartRefusal, StopCause,
+};
 pub use loss_ledger::{CRASH_LIMIT, LossLedger, SILENT_CRASH_LIMIT, Verdict};
 pub use members::{Member, Members, MembershipChange, Owners, text_hash};
 pub use need::Need;
@@ -93,6 +96,7 @@
 pub use owner::Owner;
 pub use pending_poll::PendingPoll;
 pub use placement::{Placement, Timeliness};
+pub use previous_run::{EndReport, PreviousRun, RunEndCause};
 pub use probes::Probes;
 pub use response_times::ResponseTimes;
 pub use restart_budget::RestartBudget;
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -5,8 +5,8 @@
 use strum::IntoStaticStr;
 
 use crate::{
-    Incarnation, MembershipChange, NotRunCause, Outcome, RefusalCause, RunKey, ShutdownProgress,
-    TaskKey, ZoneChange,
+    Incarnation, MembershipChange, NotRunCause, Outcome, PreviousRun, RefusalCause, RunKey,
+    ShutdownProgress, TaskKey, ZoneChange,
 };
 
 /// A logged event with its details; its kebab-case text form is the name of the log line.
@@ -175,6 +175,10 @@
         how: How,
         /// Time for which it ran.
         took: Span,
+        /// Its front; none if no front has claimed it.
+        front: Option<InstanceId>,
+        /// Whether the front still wanted it, as far as the owner knew.
+        wanted: bool,
     },
     /// A run with too little progress was stopped, to be restarted elsewhere.
     Stalled {
@@ -190,6 +194,8 @@
         percent: u32,
         /// Why.
         cause: RestartCause,
+        /// Its front; none if no front has claimed it.
+        front: Option<InstanceId>,
     },
     /// This owner refused a start without a request to the worker.
     StartRefused {
@@ -202,6 +208,8 @@
         /// Age of this instance's oldest heartbeat among those last echoed by the fronts of the
         /// worker's runs; the time since the machine started if one of the runs is unclaimed.
         age: Span,
+        /// Front that requested the start.
+        front: InstanceId,
     },
     /// The owner of a run became unreachable, so the run may end without a report.
     RunLost {
@@ -210,6 +218,67 @@
         /// The owner.
         owner: InstanceId,
     },
+    /// A run was started after an earlier run of its task that may have been running.
+    RunRestarted {
+        /// The new run.
+        run: RunKey,
+        /// Its worker.
+        worker: WorkerId,
+        /// Owner of that worker.
+        owner: InstanceId,
+        /// The earlier run.
+        previous: Box<PreviousRun>,
+        /// Time since the earlier run counted as ended.
+        since: Span,
+    },
+    /// A run was started after the start of an earlier run of its task was refused.
+    StartRetried {
+        /// The new run.
+        run: RunKey,
+        /// Its worker.
+        worker: WorkerId,
+        /// Owner of that worker.
+        owner: InstanceId,
+        /// The earlier run.
+        previous: Box<PreviousRun>,
+        /// Time since the start of the earlier run was refused.
+        since: Span,
+    },
+    /// A front gave up a run without a report of its end.
+    RunExpired {
+        /// The run.
+        run: RunKey,
+        /// Its worker.
+        worker: WorkerId,
+        /// Owner of that worker.
+        owner: InstanceId,
+        /// Time since the owner was last heard, or since the start if later; none if the owner is
+        /// reachable.
+        silence: Option<Span>,
+        /// Time since the job was answered; none if it was not.
+        closing: Option<Span>,
+    },
+    /// A job was submitted again to the front that has it.
+    Resubmitted {
+        /// The job.
+        job: String,
+        /// Time since it was first submitted.
+        age: Span,
+        /// Number of its runs that may be running.
+        runs: usize,
+        /// Time since the first submission was answered or its caller disconnected; none if it is
+        /// still active.
+        closing: Option<Span>,
+    },
+    /// An owner stopped the runs of a front.
+    FrontRunsStopped {
+        /// The front.
+        front: InstanceId,
+        /// Number of runs.
+        runs: usize,
+        /// Why.
+        cause: StopCause,
+    },
     /// A link to a peer came up.
     PeerUp {
         /// The peer.
@@ -308,6 +377,8 @@
         run: Option<RunKey>,
         /// Time spent waiting for the response.
         waited: Span,
+        /// Front of the run; none if there is no run or no front has claimed it.
+        front: Option<InstanceId>,
     },
     /// The fate of a request without a response was resolved.
     Resolved {
@@ -321,6 +392,8 @@
         outcome: Resolution,
         /// Time since the request was first sent.
         took: Span,
+        /// Front of the run; none if there is no run or no front has claimed it.
+        front: Option<InstanceId>,
     },
 }
 
@@ -334,6 +407,16 @@
     Late,
 }
 
+/// Why an owner stopped the runs of a front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StopCause {
+    /// The front is unreachable.
+    Unreachable,
+    /// The front did not confirm the runs in time after a reconnect.
+    Unconfirmed,
+}
+
 /// Kind of a request to a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -245,9 +245,17 @@
                 run: Some(run.clone()),
                 outcome,
                 took: now.since(assigned.sent_at),
+                front: assigned.claimed_front(),
             });
         }
-        out.log(LogEvent::RunEnded { run: run.clone(), worker: id.clone(), how, took });
+        out.log(LogEvent::RunEnded {
+            run: run.clone(),
+            worker: id.clone(),
+            how,
+            took,
+            front: assigned.claimed_front(),
+            wanted: assigned.wanted,
+        });
         self.record_loss(id, &assigned, how, now);
         self.reconnects.record_end(
             &assigned.front,
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -66,6 +66,7 @@
                         run: None,
                         outcome: Resolution::Answered,
                         took: now.since(from),
+                        front: None,
                     });
                 }
                 if std::mem::take(&mut worker.unresponsive) {
@@ -215,6 +216,7 @@
                     expected: assigned.expected,
                     percent: assigned.percent,
                     cause,
+                    front: assigned.claimed_front(),
                 });
                 stops.push(assigned.run.clone());
             }
@@ -242,7 +244,13 @@
         }
         if !worker.unresponsive {
             let (worker, waited) = (id.clone(), now.since(poll.sent_at));
-            out.log(LogEvent::Unanswered { worker, request: RequestKind::Poll, run: None, waited });
+            out.log(LogEvent::Unanswered {
+                worker,
+                request: RequestKind::Poll,
+                run: None,
+                waited,
+                front: None,
+            });
         }
         worker.missed_since.get_or_insert(poll.sent_at);
         if was_paused {
@@ -341,6 +349,7 @@
                 run: Some(assigned.run.clone()),
                 outcome: Resolution::Running,
                 took: now.since(assigned.sent_at),
+                front: assigned.claimed_front(),
             }),
         }
         // Without a response to the start request, the time at which the run started is unknown.
--- a/crates/fleet/src/owner/reconnect.rs
+++ b/crates/fleet/src/owner/reconnect.rs
@@ -4,7 +4,13 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use super::{Owner, push_stop};
-use crate::{Output, RunKey, assigned_run::RunStage, output::Message, worker::Ownership};
+use crate::{
+    Output, RunKey, VecMap,
+    assigned_run::RunStage,
+    log_event::{LogEvent, StopCause},
+    output::Message,
+    worker::Ownership,
+};
 
 /// Time for which reported ends are kept in case they were lost with a link; an unresponsive link
 /// is closed sooner.
@@ -81,6 +87,7 @@
         if fronts.is_empty() {
             return;
         }
+        let mut stopped: VecMap<InstanceId, usize> = VecMap::default();
         for (_, worker) in self.workers.iter_mut() {
             let mut stops = Vec::new();
             let reconnects = worker
@@ -91,6 +98,7 @@
                 .filter(|assigned| assigned.is_claimed() && fronts.contains(&assigned.front))
             {
                 assigned.stop_requested = Some(now);
+                *stopped.get_or_insert_with(assigned.front.clone(), || 0) += 1;
                 if assigned.stage != RunStage::Starting {
                     stops.push(assigned.run.clone());
                 }
@@ -99,5 +107,9 @@
                 push_stop(worker, &run, &self.response_times, now, out);
             }
         }
+        for (front, runs) in stopped.iter() {
+            let (front, runs, cause) = (front.clone(), *runs, StopCause::Unconfirmed);
+            out.log(LogEvent::FrontRunsStopped { front, runs, cause });
+        }
     }
 }
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -10,7 +10,7 @@
 use crate::{
     AssignedRun, Command, Incarnation, Output, ResponseTimes, RunKey, StartResponse, WorkerStatus,
     assigned_run::RunStage,
-    log_event::{DropCause, LogEvent, RequestKind, Resolution, StartRefusal},
+    log_event::{DropCause, LogEvent, RequestKind, Resolution, StartRefusal, StopCause},
     output::{Lease, Message},
     worker::{Ownership, Worker},
 };
@@ -97,7 +97,8 @@
             .min()
             .unwrap_or(now);
         let (run, age) = (assigned.run.clone(), now.since(oldest));
-        out.log(LogEvent::StartRefused { run, worker: id.clone(), cause, age });
+        let front = assigned.front.clone();
+        out.log(LogEvent::StartRefused { run, worker: id.clone(), cause, age, front });
         send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
         self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
     }
@@ -217,11 +218,13 @@
                 let waited = now.since(assigned.sent_at);
                 let (worker_id, request) = (id.clone(), RequestKind::Start);
                 let run = Some(run.clone());
+                let front = assigned.claimed_front();
                 out.log(LogEvent::Unanswered {
                     worker: worker_id,
                     request,
                     run: run.clone(),
                     waited,
+                    front: front.clone(),
                 });
                 if assigned.stage != RunStage::Starting {
                     // A poll has shown that it runs.
@@ -232,6 +235,7 @@
                         run,
                         outcome,
                         took: waited,
+                        front,
                     });
                 }
                 assigned.stage = RunStage::Unconfirmed { last_poll, stop_accepted: None };
@@ -313,6 +317,7 @@
                 request,
                 run: Some(run.clone()),
                 waited,
+                front: assigned.claimed_front(),
             });
             // A stop that was rejected, rather than lost, is retried after a delay, not as fast as
             // the worker rejects it.
@@ -326,8 +331,8 @@
         }
         if let Some(from) = assigned.stop_lost_at.take() {
             let (run, outcome) = (Some(run.clone()), Resolution::Answered);
-            let took = now.since(from);
-            out.log(LogEvent::Resolved { worker: worker_id, request, run, outcome, took });
+            let (took, front) = (now.since(from), assigned.claimed_front());
+            out.log(LogEvent::Resolved { worker: worker_id, request, run, outcome, took, front });
         }
         if let RunStage::Unconfirmed { stop_accepted: accepted, .. } = &mut assigned.stage {
             // From now on the worker rejects the run. A repeated stop request must not postpone
@@ -339,6 +344,7 @@
 
     /// Stops the runs of a front that is unreachable.
     pub fn front_unreachable(&mut self, front: &InstanceId, now: Time, out: &mut Output) {
+        let mut stopped = 0;
         for (_, worker) in self.workers.iter_mut() {
             if let Ownership::Claiming { pending_fronts, .. } = &mut worker.ownership {
                 pending_fronts.retain(|other| other != front);
@@ -347,6 +353,7 @@
             for assigned in worker.runs.iter_mut().filter(|assigned| assigned.front == *front) {
                 assigned.wanted = false;
                 if assigned.stop_requested.is_none() {
+                    stopped += 1;
                     assigned.stop_requested = Some(now);
                     if assigned.stage != RunStage::Starting {
                         stops.push(assigned.run.clone());
@@ -357,6 +364,10 @@
                 push_stop(worker, &run, &self.response_times, now, out);
             }
         }
+        if stopped > 0 {
+            let (front, cause) = (front.clone(), StopCause::Unreachable);
+            out.log(LogEvent::FrontRunsStopped { front, runs: stopped, cause });
+        }
     }
 
     /// Handles the response to a start request whose worker has been dropped since; returns whether
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use crate::Incarnation;
+use crate::{Incarnation, PreviousRun};
 
 /// Progress of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -56,6 +56,8 @@
     pub stalls: u32,
     /// Current phase.
     pub phase: Phase,
+    /// The last run, once it has ended without success and until the next one starts.
+    pub previous: Option<Box<PreviousRun>>,
 }
 
 impl TaskState {
