feat(cli): explain points out a job with several fronts

The story of a job did not say that it was submitted at two instances, and the new lines and counters were neither documented nor checked.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,7 +15,8 @@
 const CONTEXT: SignedDuration = SignedDuration::from_millis(1_500);
 
 /// Changes of state that explain what became of a job.
-const STATE: [&str; 14] = [
+const STATE: [&str; 15] = [
+    "front-runs-stopped",
     "peer-down",
     "peer-up",
     "scheduler-changed",
@@ -35,6 +36,20 @@
 /// Lines of a job in the order in which they can only have happened.
 const ORDER: [&str; 4] = ["admitted", "granted", "run-ended", "answered"];
 
+/// Lines of a job that only its front writes.
+const FRONT: [&str; 10] = [
+    "admitted",
+    "admitted-stopping",
+    "answered",
+    "caller-gone",
+    "expired",
+    "resubmitted",
+    "run-expired",
+    "run-lost",
+    "run-restarted",
+    "start-retried",
+];
+
 /// One log line.
 #[derive(Debug, Deserialize)]
 struct Line {
@@ -88,6 +103,10 @@
     for line in story {
         print(&mut out, line, job, output)?;
     }
+    let fronts = fronts(&lines, job);
+    if fronts.len() > 1 {
+        writeln!(out, "submitted at {} instances: {}", fronts.len(), fronts.join(", "))?;
+    }
     for skew in skews(&lines, job) {
         writeln!(out, "{skew}")?;
     }
@@ -131,6 +150,20 @@
     Ok(lines)
 }
 
+/// Returns the fronts of a job, sorted.
+fn fronts<'a>(lines: &'a [Line], job: &str) -> Vec<&'a str> {
+    let front_of = |line: &'a Line| {
+        let named = line.kvs.get("front").and_then(Value::as_str).filter(|front| *front != "none");
+        let is_own = FRONT.contains(&line.message.as_str());
+        if is_own { Some(line.instance.as_str()) } else { named }
+    };
+    let mut fronts: Vec<&str> =
+        lines.iter().filter(|line| line.is_about(job)).filter_map(front_of).collect();
+    fronts.sort_unstable();
+    fronts.dedup();
+    fronts
+}
+
 /// Clock differences that show: a line that can only come later has an earlier time.
 fn skews(lines: &[Line], job: &str) -> Vec<String> {
     let rank = |line: &Line| ORDER.iter().position(|name| *name == line.message);
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -80,3 +80,17 @@
     let story = explain("none", &[("e-1", vec![line("01.000", "admitted", r#""job":"b2""#)])]);
     assert!(story.starts_with("no line about a1"), "{story}");
 }
+
+#[test]
+fn a_job_with_two_fronts_is_pointed_out() {
+    let first = vec![line("01.000", "admitted", r#""job":"a1""#)];
+    let owner = vec![
+        line("02.500", "run-ended", r#""run":"a1.0.0#1","front":"e-2""#),
+        line("02.600", "run-ended", r#""run":"a1.0.1#1","front":"none""#),
+    ];
+    let story = explain("fronts", &[("e-1", first.clone()), ("e-3", owner)]);
+    assert!(story.contains("submitted at 2 instances: e-1, e-2\n"), "{story}");
+    let restarted = line("01.400", "run-restarted", r#""run":"a1.0.0#2","cause":"expired""#);
+    let alone = explain("front", &[("e-1", [first, vec![restarted]].concat())]);
+    assert!(alone.contains("run-restarted") && !alone.contains("submitted at"), "{alone}");
+}
