--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -258,6 +258,12 @@
                 let tasks = u64::try_from(*tasks).unwrap_or(u64::MAX);
                 self.metrics.withheld_tasks.inc_by(tasks);
             }
+            LogEvent::RunRestarted { previous, .. } => {
+                Metrics::count(&self.metrics.restarted_runs, &previous.end.cause);
+            }
+            LogEvent::Resubmitted { .. } => {
+                self.metrics.resubmitted_jobs.inc();
+            }
             LogEvent::Stalled { cause, .. } => Metrics::count(&self.metrics.run_restarts, cause),
             LogEvent::Unanswered { request, .. } => {
                 Metrics::count(&self.metrics.unanswered_requests, request);
