fix(core): match the answer to a claim by the number of the claim

Cause: an answer to a claim named only the key. The first submission was cancelled while its claim was being written; the answer settled the abandoned claim and had the row released. The same answer, delivered again, met a later submission of the key and was taken for the answer to that submission's claim.

Ruled out: the entry process delivers each answer once (entry/src/effects.rs), so only the model plays this. No message or stored row changes; the schema is not affected.

Change: a shard numbers its claims (`ClaimNo`). `Command::Claim`, `Event::Claimed` and the backlog of the entry process carry the number. A pending claim and an abandoned one keep it and accept only an answer with the same number; others are counted as `claim-answers-late`. The backlog gives up claims by number instead of by time.

Tests: the sequence is added to the model's regressions, and two cases to core/tests/claims.rs. Calls in existing tests pass the number; the two assertions on notices in entry/tests/claims.rs now check it as well.

--- a/crates/core/src/abandoned.rs
+++ b/crates/core/src/abandoned.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use cranberryhatch_types::JobKey;
+use cranberryhatch_types::{ClaimNo, JobKey};
 
 use crate::{ChunkMap, Code, key_hash::key_hash};
 
@@ -13,8 +13,8 @@
 /// State of the write of an abandoned claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Write {
-    /// The result of the write is pending.
-    Outstanding,
+    /// The result of the write of this claim is pending.
+    Outstanding(ClaimNo),
     /// The write ended without a response of the platform, and may still take effect.
     Lost,
 }
@@ -48,7 +48,7 @@
         let hashed_key = (key_hash(key), key.clone());
         let number = self.claims.get(&hashed_key).map_or(number, |claim| claim.number.max(number));
         let former = self.claims.insert(hashed_key, AbandonedClaim { number, ..claim });
-        if write == Write::Outstanding || former.is_some_and(|claim| claim.write == Write::Lost) {
+        if write != Write::Lost || former.is_some_and(|claim| claim.write == Write::Lost) {
             return;
         }
         self.lost.push_back(key.clone());
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -8,7 +8,7 @@
 use crate::{
     Answer, Code, Command, Counter, Dispatcher, JobSpec, JobSubmission, Outcome,
     abandoned::Write,
-    claim::Claim,
+    claim::{Claim, Pending},
     context::Context,
     job::{Job, Phase, Terms},
     retention::Remembered,
@@ -55,7 +55,7 @@
         }
         ctx.count(Counter::JobsAccepted);
         let running = claim.is_some();
-        let phase = claim.map_or_else(|| Phase::Claiming(Claim::pending()), Phase::Running);
+        let phase = claim.map_or_else(|| Phase::Claiming(self.next_claim()), Phase::Running);
         let mut job = Job::new(Arc::clone(spec), terms, phase);
         if let Some(claim) = self.abandoned.find(&spec.key) {
             job.number_after(claim.number);
@@ -63,8 +63,11 @@
         job.exclusive = self.is_exclusive(submission);
         let no = self.jobs.insert(job);
         self.timers.set(spec.deadline, Timer::Deadline(no));
-        let record = if running { Command::Admit } else { Command::Claim };
-        ctx.push(record(Arc::clone(spec)));
+        ctx.push(if running {
+            Command::Admit(Arc::clone(spec))
+        } else {
+            Command::Claim(self.last_claim, Arc::clone(spec))
+        });
         if running {
             self.abandoned.remove(&spec.key);
             self.queue_all(no);
@@ -73,6 +76,12 @@
         self.attach_early(ctx, no);
     }
 
+    /// Numbers a claim that is about to be written.
+    fn next_claim(&mut self) -> Claim<Pending> {
+        self.last_claim = self.last_claim.next();
+        Claim::pending(self.last_claim)
+    }
+
     fn refuse(ctx: &mut Context, target: Target, refusal: Answer) {
         ctx.count(Counter::JobsRefused);
         if refusal.code == Some(Code::ZoneDrained) {
@@ -105,7 +114,7 @@
             None => {}
         }
         let claim = self.abandoned.find(&spec.key)?;
-        (claim.write == Write::Outstanding).then(|| {
+        (claim.write != Write::Lost).then(|| {
             Answer::unstarted(spec.key.clone(), claim.code, claim.exclusive)
                 .retry_after(Self::RETRY_AFTER)
                 .detail("the claim of an earlier submission is not resolved yet")
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -1,29 +1,31 @@
 //! Results of claims on keys chosen by callers.
 
-use cranberryhatch_types::{Holder, JobKey};
+use cranberryhatch_types::{ClaimNo, Holder, JobKey};
 
 use crate::{
-    Answer, ClaimOutcome, Code, Command, Digest, Dispatcher, JobNo, Outcome,
+    Answer, ClaimOutcome, Code, Command, Counter, Digest, Dispatcher, JobNo, Outcome,
     abandoned::{AbandonedClaim, Write},
     context::Context,
-    job::Phase,
 };
 
 impl Dispatcher {
     /// Handles the platform's response to a claim.
+    ///
+    /// A response that is delivered twice, or after its job has ended, is ignored: a later
+    /// submission of the same key waits for the response to its own claim.
     pub(crate) fn handle_claim_outcome(
         &mut self,
         ctx: &mut Context,
         key: &JobKey,
+        number: ClaimNo,
         outcome: ClaimOutcome,
     ) {
         let Some(no) = self.jobs.find(key) else {
-            return self.handle_late_claim(ctx, key, &outcome);
+            return self.handle_late_claim(ctx, key, number, &outcome);
         };
         let Some(job) = self.jobs.get_mut(no) else { return };
-        if matches!(job.phase, Phase::Running(_)) {
-            // This claim was answered before.
-            return;
+        if !job.awaits(number) {
+            return ctx.count(Counter::ClaimAnswersLate);
         }
         match outcome {
             ClaimOutcome::Granted => {
@@ -88,12 +90,19 @@
     }
 
     /// Handles the response to a claim whose job has already ended.
-    fn handle_late_claim(&mut self, ctx: &mut Context, key: &JobKey, outcome: &ClaimOutcome) {
-        let Some(claim) = self.abandoned.find(key) else { return };
+    fn handle_late_claim(
+        &mut self,
+        ctx: &mut Context,
+        key: &JobKey,
+        number: ClaimNo,
+        outcome: &ClaimOutcome,
+    ) {
+        let outstanding = Write::Outstanding(number);
+        let Some(claim) = self.abandoned.find(key).filter(|claim| claim.write == outstanding)
+        else {
+            return ctx.count(Counter::ClaimAnswersLate);
+        };
         let (code, exclusive) = (claim.code, claim.exclusive);
-        if claim.write != Write::Outstanding {
-            return;
-        }
         match outcome {
             ClaimOutcome::Held { holder, .. } if *holder != self.me.holder => {
                 self.abandoned.remove(key);
--- a/crates/core/src/command.rs
+++ b/crates/core/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cranberryhatch_schema::peer::envelope::Body;
-use cranberryhatch_types::{Holder, JobKey, ShardId, Span, TaskName, Time, WorkerId};
+use cranberryhatch_types::{ClaimNo, Holder, JobKey, ShardId, Span, TaskName, Time, WorkerId};
 
 use crate::{Adoption, Answer, AttemptId, Counter, JobSpec, Payload, StateChange, Ticket};
 
@@ -35,8 +35,8 @@
         answer: Answer,
     },
     /// Claim a job's key in the platform's table; the result arrives as
-    /// [`Event::Claimed`](crate::Event::Claimed).
-    Claim(Arc<JobSpec>),
+    /// [`Event::Claimed`](crate::Event::Claimed) with the same number.
+    Claim(ClaimNo, Arc<JobSpec>),
     /// Record asynchronously that a job under an issued key was admitted, so that a successor knows
     /// of it.
     Admit(Arc<JobSpec>),
--- a/crates/core/src/counter.rs
+++ b/crates/core/src/counter.rs
@@ -30,6 +30,8 @@
     TasksSettled,
     /// Responses to starts that nobody waited for any more.
     AnswersLate,
+    /// Answers to claims that nobody waited for any more.
+    ClaimAnswersLate,
     /// Resubmissions of a known key.
     Resubmissions,
     /// Invariant violations.
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use cranberryhatch_schema::{Values, peer::envelope::Body};
 use cranberryhatch_settings::ActiveSettings;
-use cranberryhatch_types::{Holder, InstanceId, ShardId, Time, ZoneId};
+use cranberryhatch_types::{ClaimNo, Holder, InstanceId, ShardId, Time, ZoneId};
 
 use crate::{
     AttemptId, Cluster, Code, Command, Event, FairQueue, HolderLease, JobNo, JobSpec,
@@ -45,6 +45,8 @@
     pub(crate) queue: FairQueue,
     pub(crate) attempts: SlabMap<AttemptId, Attempt>,
     pub(crate) next_attempt: u64,
+    /// Number of the latest claim.
+    pub(crate) last_claim: ClaimNo,
     /// Whether the current event released a slot.
     pub(crate) released: bool,
     pub(crate) timers: Timers,
@@ -78,6 +80,7 @@
             queue: FairQueue::default(),
             attempts: SlabMap::default(),
             next_attempt: 0,
+            last_claim: ClaimNo::default(),
             released: false,
             timers: Timers::default(),
             waiters: Waiters::default(),
@@ -122,7 +125,9 @@
             Event::Cancel { ticket, key } => self.cancel(ctx, ticket, &key),
             Event::CancelLabel { team, label } => self.cancel_label(ctx, &team, &label),
             Event::CallerDisconnected { ticket } => self.drop_waiter(ticket),
-            Event::Claimed { key, outcome } => self.handle_claim_outcome(ctx, &key, outcome),
+            Event::Claimed { key, number, outcome } => {
+                self.handle_claim_outcome(ctx, &key, number, outcome);
+            }
             Event::StartResponse { attempt, response } => {
                 self.handle_start_response(ctx, attempt, response);
             }
--- a/crates/core/src/ending.rs
+++ b/crates/core/src/ending.rs
@@ -161,8 +161,8 @@
         let Some(job) = self.close(ctx, no, answer, stops) else { return };
         let key = &job.spec.key;
         let code = answer.code.unwrap_or(Code::Cancelled);
-        let write = match job.phase {
-            Phase::Claiming(_) => Write::Outstanding,
+        let write = match &job.phase {
+            Phase::Claiming(claim) => Write::Outstanding(claim.number()),
             Phase::Running(_) => Write::Lost,
         };
         if write == Write::Lost {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -4,7 +4,7 @@
 
 use cranberryhatch_schema::peer::envelope::Body;
 use cranberryhatch_settings::ActiveSettings;
-use cranberryhatch_types::{Holder, Incarnation, JobKey, ShardId, TeamId, Time, WorkerId};
+use cranberryhatch_types::{ClaimNo, Holder, Incarnation, JobKey, ShardId, TeamId, Time, WorkerId};
 
 use crate::{
     Adoption, Answer, AttemptId, AttemptStatus, Digest, Endpoint, FencedTask, HolderRow, JobSpec,
@@ -84,6 +84,8 @@
     Claimed {
         /// Key of the job.
         key: JobKey,
+        /// Number of the claim that is answered.
+        number: ClaimNo,
         /// The result.
         outcome: ClaimOutcome,
     },
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cranberryhatch_schema::Values;
+use cranberryhatch_types::ClaimNo;
 
 use crate::{
     AttemptId, JobSpec, LaneNo, Need, Payload,
@@ -102,9 +103,15 @@
         }
     }
 
+    /// Returns whether the job waits for the answer to a claim.
+    pub(crate) fn awaits(&self, number: ClaimNo) -> bool {
+        matches!(&self.phase, Phase::Claiming(claim) if claim.number() == number)
+    }
+
     /// Lets the tasks start after the claim was granted.
     pub(crate) fn grant(&mut self) {
-        let phase = std::mem::replace(&mut self.phase, Phase::Claiming(Claim::pending()));
+        let pending = Phase::Claiming(Claim::pending(ClaimNo::default()));
+        let phase = std::mem::replace(&mut self.phase, pending);
         self.phase = match phase {
             Phase::Claiming(claim) => Phase::Running(claim.granted()),
             Phase::Running(claim) => Phase::Running(claim),
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use cranberryhatch_core::{Answer, ClaimOutcome, Code, Command, Outcome};
+use cranberryhatch_core::{Answer, ClaimOutcome, Code, Command, Counter, Outcome};
 use cranberryhatch_types::Holder;
-use support::{HOLDER, Rig, issued, job, key, releases, sent, starts};
+use support::{HOLDER, Rig, counted, issued, job, key, releases, sent, starts};
 
 struct Case {
     guards: &'static str,
@@ -86,7 +86,7 @@
         let mut rig = Rig::new("");
         rig.worker("w1", 1);
         let ticket = rig.submit(&job(&key("a"), 1));
-        let claims = rig.out.iter().filter(|command| matches!(command, Command::Claim(_))).count();
+        let claims = rig.out.iter().filter(|command| matches!(command, Command::Claim(..))).count();
         assert_eq!((claims, starts(&rig.out).len()), (1, 0), "{}", case.guards);
         rig.claimed(&key("a"), (case.outcome)());
         assert_eq!(rig.verdict(ticket), case.expect, "{}", case.guards);
@@ -131,13 +131,73 @@
     assert_eq!((rig.verdict(first), rig.verdict(cancel)), (cancelled, cancelled));
     let second = rig.submit(&spec);
     assert_eq!(rig.verdict(second), cancelled);
-    assert!(!rig.out.iter().any(|command| matches!(command, Command::Claim(_))));
+    assert!(!rig.out.iter().any(|command| matches!(command, Command::Claim(..))));
     rig.claimed(&key("a"), ClaimOutcome::Granted);
     assert!(releases(&rig.out, &key("a")) && starts(&rig.out).is_empty());
     let (_, started) = rig.run(&spec);
     assert_eq!(started.len(), 1);
 }
 
+#[test]
+fn an_answer_starts_only_the_submission_that_made_the_claim() {
+    // Guards against an answer that is delivered again and taken for the answer to the claim of a
+    // later submission of the same key, which then starts without its row.
+    struct Case {
+        name: &'static str,
+        again: fn() -> ClaimOutcome,
+    }
+    let cases = [
+        Case { name: "granted", again: || ClaimOutcome::Granted },
+        Case { name: "unavailable", again: || ClaimOutcome::Unavailable },
+        Case { name: "held", again: || held("praha-a-2/3", 1, None) },
+        Case { name: "answered", again: || held("praha-a-2/3", 1, Some(Outcome::Failed)) },
+    ];
+    for Case { name, again } in cases {
+        let mut rig = Rig::new("");
+        rig.worker("w1", 1);
+        let spec = job(&key("a"), 1);
+        rig.submit(&spec);
+        let first = rig.claim(&key("a"));
+        rig.cancel(&key("a"));
+        rig.claimed_as(&key("a"), first, ClaimOutcome::Granted);
+        assert!(releases(&rig.out, &key("a")), "{name}");
+        let ticket = rig.submit(&spec);
+        let second = rig.claim(&key("a"));
+        assert_ne!(first, second, "{name}");
+        rig.claimed_as(&key("a"), first, again());
+        assert!(starts(&rig.out).is_empty() && !releases(&rig.out, &key("a")), "{name}");
+        assert_eq!(rig.verdict(ticket), None, "{name}");
+        assert!(sent(&rig.out).is_empty(), "{name}");
+        assert_eq!(counted(&rig.out, Counter::ClaimAnswersLate), 1, "{name}");
+        rig.claimed_as(&key("a"), second, ClaimOutcome::Granted);
+        assert_eq!(starts(&rig.out).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn an_answer_settles_only_its_own_abandoned_claim() {
+    // Guards against a late answer to an earlier claim that is taken for the answer to an abandoned
+    // one: the key would be claimed again while the abandoned write is under way.
+    let mut rig = Rig::new("");
+    rig.worker("w1", 1);
+    let spec = job(&key("a"), 1);
+    rig.submit(&spec);
+    let first = rig.claim(&key("a"));
+    rig.claimed_as(&key("a"), first, ClaimOutcome::Unavailable);
+    rig.submit(&spec);
+    let second = rig.claim(&key("a"));
+    rig.cancel(&key("a"));
+    rig.claimed_as(&key("a"), first, ClaimOutcome::Unavailable);
+    assert!(!releases(&rig.out, &key("a")));
+    assert_eq!(counted(&rig.out, Counter::ClaimAnswersLate), 1);
+    rig.submit(&spec);
+    assert!(!rig.out.iter().any(|command| matches!(command, Command::Claim(..))));
+    rig.claimed_as(&key("a"), second, ClaimOutcome::Granted);
+    assert!(releases(&rig.out, &key("a")));
+    let (_, started) = rig.run(&spec);
+    assert_eq!(started.len(), 1);
+}
+
 #[test]
 fn an_own_issued_key_starts_at_once_and_is_recorded_behind() {
     // Guards against a cut-off zone that serves nothing, and against a successor that knows nothing.
@@ -163,7 +223,7 @@
     let spec = job(&key("a"), 1);
     let before = rig.submit(&spec);
     let claiming = rig.submit(&spec);
-    assert!(!rig.out.iter().any(|command| matches!(command, Command::Claim(_))));
+    assert!(!rig.out.iter().any(|command| matches!(command, Command::Claim(..))));
     rig.claimed(&key("a"), ClaimOutcome::Granted);
     let started = starts(&rig.out);
     let during = rig.submit(&spec);
--- a/crates/core/tests/model/main.rs
+++ b/crates/core/tests/model/main.rs
@@ -82,6 +82,11 @@
         sequence: "1/1/cut-platform.122.0,calm.1.0,pause-instance.58.0,calm.91.0,submit-own.0.0,\
                    resubmit.0.20,calm.0.0,kill-instance.0.0",
     },
+    Regression {
+        name: "the answer to a claim, delivered again, starts a later submission without its row",
+        sequence: "4101833283/59/submit-issued.145.0,calm.0.0,submit-own.190.0,deliver.0.0,\
+                   cancel-label.1.113,duplicate.0.0,advance.124.0,resubmit.0.4",
+    },
     Regression {
         name: "an old list takes back that a silent endpoint leaves, and a task is sent there",
         sequence: "0/86/advance.24.0,leave.29.0,deliver-any.0.0,advance.64.0,deliver.0.0,\
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -10,8 +10,8 @@
 use cranberryhatch_schema::peer::{Heartbeat, envelope::Body};
 use cranberryhatch_settings::{ActiveSettings, Tree};
 use cranberryhatch_types::{
-    Accels, Bytes, Cores, Holder, Incarnation, InstanceId, JobKey, KeyName, ShardId, Slots, Span,
-    TaskName, Time, WorkerId, ZoneId,
+    Accels, Bytes, ClaimNo, Cores, Holder, Incarnation, InstanceId, JobKey, KeyName, ShardId,
+    Slots, Span, TaskName, Time, WorkerId, ZoneId,
 };
 
 use crate::{
@@ -95,6 +95,7 @@
     Claim {
         node: usize,
         life: u64,
+        number: ClaimNo,
         claim: Claim,
         late: bool,
     },
@@ -370,10 +371,10 @@
         let (life, holder) = (node.life, node.holder());
         match command {
             Command::Reply { ticket, answer } => self.oracle.replied(n, life, ticket, &answer),
-            Command::Claim(spec) => {
+            Command::Claim(number, spec) => {
                 self.writes += 1;
                 let claim = self.claim_of(n, spec, None);
-                self.push(Flight::Claim { node: n, life, claim, late: false });
+                self.push(Flight::Claim { node: n, life, number, claim, late: false });
             }
             Command::Admit(spec) => {
                 self.writes += 1;
@@ -583,8 +584,8 @@
                 }
                 self.feed(place, Event::Peer { from, incarnation: life, body });
             }
-            Flight::Claim { node, life, claim, late } => {
-                self.claim_at(node, life, claim, late, answered);
+            Flight::Claim { node, life, number, claim, late } => {
+                self.claim_at(node, life, (number, claim), late, answered);
             }
             Flight::Record { node, me, claim } => {
                 if self.platform(node) {
@@ -664,21 +665,32 @@
         }
     }
 
-    fn claim_at(&mut self, n: usize, life: u64, claim: Claim, late: bool, answered: bool) {
+    fn claim_at(
+        &mut self,
+        n: usize,
+        life: u64,
+        (number, claim): (ClaimNo, Claim),
+        late: bool,
+        answered: bool,
+    ) {
         let key = claim.spec.key.clone();
         if !self.platform(n) {
             if self.coin() {
-                self.flights.push_back(Flight::Claim { node: n, life, claim, late: true });
+                self.flights.push_back(Flight::Claim { node: n, life, number, claim, late: true });
             }
             if !late {
-                self.event(n, life, Event::Claimed { key, outcome: ClaimOutcome::Unavailable });
+                self.event(
+                    n,
+                    life,
+                    Event::Claimed { key, number, outcome: ClaimOutcome::Unavailable },
+                );
             }
             return;
         }
         let outcome = self.table.insert(claim);
         let outcome = if answered { outcome } else { ClaimOutcome::Unavailable };
         if !late {
-            self.event(n, life, Event::Claimed { key, outcome });
+            self.event(n, life, Event::Claimed { key, number, outcome });
         }
     }
 
@@ -1049,8 +1061,8 @@
                         Event::Fenced { holder, worker, tasks: None, since: Time::ZERO }
                     }
                     Event::EndpointSeen(endpoint) => Event::EndpointLost(endpoint.worker),
-                    Event::Claimed { key, .. } => {
-                        Event::Claimed { key, outcome: ClaimOutcome::Unavailable }
+                    Event::Claimed { key, number, .. } => {
+                        Event::Claimed { key, number, outcome: ClaimOutcome::Unavailable }
                     }
                     Event::TookOver { holder, .. } => Event::TookOver { holder, jobs: None },
                     Event::Superseded | Event::Platform { .. } => event,
@@ -1072,15 +1084,15 @@
                 (node, life, Event::Fenced { holder, worker, tasks: None, since: Time::ZERO })
             }
             Flight::Beat { node, life, worker } => (node, life, Event::EndpointLost(worker)),
-            Flight::Claim { node, life, claim, late: was } => {
+            Flight::Claim { node, life, number, claim, late: was } => {
                 let key = claim.spec.key.clone();
                 if late {
-                    self.flights.push_back(Flight::Claim { node, life, claim, late });
+                    self.flights.push_back(Flight::Claim { node, life, number, claim, late });
                 }
                 if was {
                     return;
                 }
-                (node, life, Event::Claimed { key, outcome: ClaimOutcome::Unavailable })
+                (node, life, Event::Claimed { key, number, outcome: ClaimOutcome::Unavailable })
             }
             Flight::TakeOver { node, life, me, holder, version, late: was } => {
                 let gone = holder.clone();
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use cranberryhatch_schema::peer::envelope::Body;
 use cranberryhatch_settings::{ActiveSettings, Tree};
 use cranberryhatch_types::{
-    Accels, Bytes, Cores, Holder, JobKey, ShardId, Slots, Span, TaskName, Time, WorkerId,
+    Accels, Bytes, ClaimNo, Cores, Holder, JobKey, ShardId, Slots, Span, TaskName, Time, WorkerId,
 };
 
 /// Unix time of the start of each test.
@@ -33,6 +33,7 @@
     ticket: u64,
     version: u64,
     beating: Vec<Endpoint>,
+    claims: Vec<(JobKey, ClaimNo)>,
 }
 
 impl Rig {
@@ -50,7 +51,7 @@
         let zone = "praha-a".parse().expect("a zone");
         let shard = Dispatcher::new(Identity { shard, holder, zone, shards: 1 });
         let (now, out, beating) = (Time::from_ms(1_000), Vec::new(), Vec::new());
-        Self { shard, now, out, ticket: 0, version: 0, beating }
+        Self { shard, now, out, ticket: 0, version: 0, beating, claims: Vec::new() }
     }
 
     /// Puts settings in force.
@@ -65,6 +66,10 @@
     pub fn event(&mut self, event: Event) -> &[Command] {
         self.out.clear();
         self.shard.handle(self.now, event, &mut self.out);
+        self.claims.extend(self.out.iter().filter_map(|command| match command {
+            Command::Claim(number, spec) => Some((spec.key.clone(), *number)),
+            _ => None,
+        }));
         &self.out
     }
 
@@ -170,9 +175,20 @@
         ticket
     }
 
-    /// The platform answers a claim.
+    /// The platform answers the latest claim of a key.
     pub fn claimed(&mut self, key: &JobKey, outcome: ClaimOutcome) {
-        self.event(Event::Claimed { key: key.clone(), outcome });
+        self.claimed_as(key, self.claim(key), outcome);
+    }
+
+    /// The platform answers a claim of a key.
+    pub fn claimed_as(&mut self, key: &JobKey, number: ClaimNo, outcome: ClaimOutcome) {
+        self.event(Event::Claimed { key: key.clone(), number, outcome });
+    }
+
+    /// Number of the latest claim of a key; that of no claim if it was never claimed.
+    pub fn claim(&self, key: &JobKey) -> ClaimNo {
+        let latest = self.claims.iter().rev().find(|(of, _)| of == key);
+        latest.map_or(ClaimNo::default(), |(_, number)| *number)
     }
 
     /// An endpoint answers a start.
--- a/crates/entry/src/claims/backlog.rs
+++ b/crates/entry/src/claims/backlog.rs
@@ -7,7 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use cranberryhatch_core::{Answer, ClaimOutcome, Code, JobSpec, Outcome};
-use cranberryhatch_types::{Holder, JobKey, Span, Time};
+use cranberryhatch_types::{ClaimNo, Holder, JobKey, Span, Time};
 
 use super::{EndRow, Entry, Want};
 
@@ -20,8 +20,8 @@
 /// Time after which a claim is given up on the caller's behalf.
 const CLAIM_LIMIT: Span = Span::from_secs(3);
 
-/// Result of a claim that a shard is to be told.
-pub type Notice = (JobKey, ClaimOutcome);
+/// Result of a claim that a shard is to be told: key, number of the claim, outcome.
+pub type Notice = (JobKey, ClaimNo, ClaimOutcome);
 
 /// Rows by key, and the keys of those to be written.
 pub struct Backlog {
@@ -35,7 +35,7 @@
     claims: VecDeque<JobKey>,
     records: VecDeque<JobKey>,
     /// Claims in the order in which shards asked for them.
-    asked: VecDeque<(Time, JobKey)>,
+    asked: VecDeque<(Time, ClaimNo, JobKey)>,
     dropped: u64,
     abandoned: bool,
 }
@@ -67,10 +67,10 @@
 
     /// Claims a key for a job; the result is given at once only when too many claims wait.
     #[must_use]
-    pub fn claim(&self, spec: &Arc<JobSpec>, now: Time) -> Option<Notice> {
-        let refused = self.state().claim(spec, now);
+    pub fn claim(&self, number: ClaimNo, spec: &Arc<JobSpec>, now: Time) -> Option<Notice> {
+        let refused = self.state().claim(number, spec, now);
         self.wake();
-        refused.then(|| (spec.key.clone(), ClaimOutcome::Unavailable))
+        refused.then(|| (spec.key.clone(), number, ClaimOutcome::Unavailable))
     }
 
     /// Records that a job under an issued key was admitted.
@@ -214,17 +214,17 @@
         Some(part.remove(place).1)
     }
 
-    fn claim(&mut self, spec: &Arc<JobSpec>, now: Time) -> bool {
+    fn claim(&mut self, number: ClaimNo, spec: &Arc<JobSpec>, now: Time) -> bool {
         if self.abandoned || self.claims.len() >= CLAIMS_LIMIT {
             return true;
         }
-        self.asked.push_back((now, spec.key.clone()));
+        self.asked.push_back((now, number, spec.key.clone()));
         if let Some(entry) = self.get(&spec.key) {
             // The row of an earlier claim that was given up has to go first.
-            entry.next = Some((Arc::clone(spec), now));
+            entry.next = Some((Arc::clone(spec), number));
             return false;
         }
-        self.insert(spec.key.clone(), Entry::new(Arc::clone(spec), Some(now)));
+        self.insert(spec.key.clone(), Entry::new(Arc::clone(spec), Some(number)));
         self.queue(&spec.key, true);
         false
     }
@@ -322,7 +322,8 @@
             Want::Open => {
                 entry.version = Some(version);
                 entry.spec = None;
-                let granted = entry.asked.take().map(|_| (key.clone(), ClaimOutcome::Granted));
+                let granted =
+                    entry.asked.take().map(|number| (key.clone(), number, ClaimOutcome::Granted));
                 self.queue(key, false);
                 granted
             }
@@ -342,27 +343,27 @@
 
     fn refused(&mut self, key: &JobKey, outcome: ClaimOutcome) -> Option<Notice> {
         let entry = self.get(key)?;
-        let notice = entry.asked.map(|_| (key.clone(), outcome));
+        let notice = entry.asked.map(|number| (key.clone(), number, outcome));
         self.finish(key);
         notice
     }
 
     fn give_up(&mut self, now: Time, all: bool) -> Vec<Notice> {
         let mut late = Vec::new();
-        while let Some((asked, key)) = self.asked.front() {
+        while let Some((asked, number, key)) = self.asked.front() {
             if !all && now.since(*asked) < CLAIM_LIMIT {
                 break;
             }
-            let (asked, key) = (*asked, key.clone());
+            let (number, key) = (*number, key.clone());
             self.asked.pop_front();
             let Some(entry) = self.get(&key) else { continue };
-            if entry.asked == Some(asked) {
+            if entry.asked == Some(number) {
                 entry.asked = None;
                 entry.want = Want::Gone;
-                late.push((key, ClaimOutcome::Unavailable));
-            } else if entry.next.as_ref().is_some_and(|(_, next)| *next == asked) {
+                late.push((key, number, ClaimOutcome::Unavailable));
+            } else if entry.next.as_ref().is_some_and(|(_, next)| *next == number) {
                 entry.next = None;
-                late.push((key, ClaimOutcome::Unavailable));
+                late.push((key, number, ClaimOutcome::Unavailable));
             }
         }
         late
--- a/crates/entry/src/claims/entry.rs
+++ b/crates/entry/src/claims/entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use cranberryhatch_core::{Digest, JobSpec};
-use cranberryhatch_types::{Holder, Time};
+use cranberryhatch_types::{ClaimNo, Holder, Time};
 
 use super::EndRow;
 
@@ -40,16 +40,16 @@
     pub flying: bool,
     /// Whether the row's key is in a queue.
     pub queued: bool,
-    /// Since when a shard waits for the claim.
-    pub asked: Option<Time>,
+    /// Number of the claim that a shard waits for.
+    pub asked: Option<ClaimNo>,
     /// Claim of the same key that came after this one was given up.
-    pub next: Option<(Arc<JobSpec>, Time)>,
+    pub next: Option<(Arc<JobSpec>, ClaimNo)>,
 }
 
 impl Entry {
     /// A row that is not stored yet.
     #[must_use]
-    pub fn new(spec: Arc<JobSpec>, asked: Option<Time>) -> Self {
+    pub fn new(spec: Arc<JobSpec>, asked: Option<ClaimNo>) -> Self {
         Self {
             holder: None,
             digest: spec.digest,
--- a/crates/entry/src/claims/writer.rs
+++ b/crates/entry/src/claims/writer.rs
@@ -254,8 +254,8 @@
     }
 
     fn tell(&self, notices: Vec<Notice>) {
-        for (key, outcome) in notices {
-            self.shards.send(self.shards.of(&key), Event::Claimed { key, outcome });
+        for (key, number, outcome) in notices {
+            self.shards.send(self.shards.of(&key), Event::Claimed { key, number, outcome });
         }
     }
 }
--- a/crates/entry/src/effects.rs
+++ b/crates/entry/src/effects.rs
@@ -55,8 +55,8 @@
     pub fn run(&self, shard: usize, decided: Time, command: Command) {
         match command {
             Command::Reply { ticket, answer } => self.replies.reply(ticket, answer),
-            Command::Claim(spec) => {
-                if let Some(notice) = self.backlog.claim(&spec, self.clock.now()) {
+            Command::Claim(number, spec) => {
+                if let Some(notice) = self.backlog.claim(number, &spec, self.clock.now()) {
                     self.notify(notice);
                 }
             }
@@ -164,10 +164,10 @@
         }
     }
 
-    fn notify(&self, (key, outcome): Notice) {
+    fn notify(&self, (key, number, outcome): Notice) {
         let shards = Arc::clone(&self.shards);
         self.tasks.spawn(async move {
-            shards.send(shards.of(&key), Event::Claimed { key, outcome });
+            shards.send(shards.of(&key), Event::Claimed { key, number, outcome });
         });
     }
 }
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -6,11 +6,14 @@
 
 use cranberryhatch_core::{Answer, ClaimOutcome, Code, JobSpec, Outcome, TaskSpec};
 use cranberryhatch_entry::claims::{Backlog, ClaimRow, EndRow, StoredJob, Want};
-use cranberryhatch_types::{JobKey, Span, Time};
+use cranberryhatch_types::{ClaimNo, JobKey, Span, Time};
 use serde_json::json;
 
 use common::{Site, own_key, post, submission, wait_until};
 
+const FIRST: ClaimNo = ClaimNo::new(1);
+const SECOND: ClaimNo = ClaimNo::new(2);
+
 fn spec(key: &str, payload: &str) -> Arc<JobSpec> {
     Arc::new(JobSpec {
         key: key.parse().expect("key"),
@@ -82,7 +85,7 @@
 fn an_end_waits_for_the_claim() {
     let backlog = Backlog::default();
     let job = spec("script/1-a", "{}");
-    assert!(backlog.claim(&job, now(0)).is_none());
+    assert!(backlog.claim(FIRST, &job, now(0)).is_none());
     let claim = backlog.take(10);
     backlog.record(&job, &complete(&job.key), 100);
     assert!(backlog.take(10).is_empty(), "one write of a row at a time");
@@ -98,13 +101,13 @@
 fn a_late_claim_is_released() {
     let backlog = Backlog::default();
     let (first, second) = (spec("script/1-a", "{}"), spec("script/1-a", "{}"));
-    assert!(backlog.claim(&first, now(0)).is_none());
+    assert!(backlog.claim(FIRST, &first, now(0)).is_none());
     let flying = backlog.take(10);
     assert_eq!(flying.len(), 1);
     assert!(backlog.give_up(now(1_000), false).is_empty(), "not yet");
     let given_up = backlog.give_up(now(60_000), false);
-    assert!(matches!(given_up[..], [(_, ClaimOutcome::Unavailable)]), "{given_up:?}");
-    assert!(backlog.claim(&second, now(60_001)).is_none());
+    assert!(matches!(given_up[..], [(_, FIRST, ClaimOutcome::Unavailable)]), "{given_up:?}");
+    assert!(backlog.claim(SECOND, &second, now(60_001)).is_none());
     assert!(backlog.written(&flying, 5).is_empty(), "nobody waits for the first claim");
     let release = backlog.take(10);
     assert!(matches!(release[0].1.want, Want::Gone));
@@ -114,14 +117,14 @@
     assert!(matches!(again[0].1.want, Want::Open));
     assert_eq!(again[0].1.version, None);
     let granted = backlog.written(&again, 7);
-    assert!(matches!(granted[..], [(_, ClaimOutcome::Granted)]), "{granted:?}");
+    assert!(matches!(granted[..], [(_, SECOND, ClaimOutcome::Granted)]), "{granted:?}");
 }
 
 /// A claim that was given up before it was sent needs no write at all.
 #[test]
 fn an_unsent_claim_is_dropped() {
     let backlog = Backlog::default();
-    assert!(backlog.claim(&spec("script/1-a", "{}"), now(0)).is_none());
+    assert!(backlog.claim(FIRST, &spec("script/1-a", "{}"), now(0)).is_none());
     assert_eq!(backlog.give_up(now(60_000), false).len(), 1);
     assert!(backlog.take(10).is_empty());
     assert_eq!(backlog.waiting(), (0, 0));
@@ -143,7 +146,7 @@
     for case in cases {
         let backlog = Backlog::default();
         let job = spec("script/1-a", "{}");
-        assert!(backlog.claim(&job, now(0)).is_none());
+        assert!(backlog.claim(FIRST, &job, now(0)).is_none());
         let claim = backlog.take(10);
         let _ = backlog.written(&claim, 5);
         backlog.record(&job, &Answer::not_run(job.key.clone(), case.code), 100);
@@ -162,7 +165,7 @@
     let mut refused = 0;
     for number in 0..30_000 {
         let job = spec(&format!("script/1-a{number}"), "{}");
-        refused += usize::from(backlog.claim(&job, now(0)).is_some());
+        refused += usize::from(backlog.claim(FIRST, &job, now(0)).is_some());
         backlog.admit(&spec(&format!("script/1~e1~1~{number}"), "{}"));
         backlog.admit(&spec(&format!("script/2~e1~1~{number}"), "{}"));
     }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod bytes;
+mod claim_no;
 mod count;
 mod id;
 mod job_key;
@@ -24,6 +25,7 @@
 mod time;
 
 pub use bytes::Bytes;
+pub use claim_no::ClaimNo;
 pub use count::{Accels, Cores, Count, Slots};
 pub use id::{InstanceId, Kind, RackId, TeamId, WorkerId, ZoneId};
 pub use job_key::{JobKey, KeyName};
--- a/crates/types/tests/text.rs
+++ b/crates/types/tests/text.rs
@@ -3,7 +3,7 @@
 use std::{fmt, str::FromStr};
 
 use cranberryhatch_types::{
-    Bytes, Holder, JobKey, KeyName, Rate, Ratio, ShardId, Span, TaskName, Time, WorkerId,
+    Bytes, ClaimNo, Holder, JobKey, KeyName, Rate, Ratio, ShardId, Span, TaskName, Time, WorkerId,
 };
 
 struct Case {
@@ -34,6 +34,12 @@
             valid: &["0B", "512B", "4KiB", "64MiB", "2GiB"],
             invalid: &["", "64", "64MB", "MiB", "-1B", "99999999999GiB"],
         },
+        Case {
+            name: "claim number",
+            round_trip: round_trip::<ClaimNo>,
+            valid: &["0", "7", "18446744073709551615"],
+            invalid: &["", "-1", "1.5", "a", "18446744073709551616"],
+        },
         Case {
             name: "rate",
             round_trip: round_trip::<Rate>,
