fix(fleet): withhold tasks whose other run was held by a lost owner

Changes: the scheduler remembers for RUN_EXPIRY which tasks workers of a lost owner held. The earlier front is told at once, also if no run of it is known. A front is told the losses that a withheld request does not name, which would otherwise drop it. A start that an owner refuses for another run of its task no longer releases that run's capacity at the scheduler. explain counts superseded as a line of a front.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -37,7 +37,7 @@
 const ORDER: [&str; 4] = ["admitted", "granted", "run-ended", "answered"];
 
 /// Lines of a job that only its front writes.
-const FRONT: [&str; 10] = [
+const FRONT: [&str; 11] = [
     "admitted",
     "admitted-stopping",
     "answered",
@@ -48,6 +48,7 @@
     "run-lost",
     "run-restarted",
     "start-retried",
+    "superseded",
 ];
 
 /// One log line.
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -89,7 +89,7 @@
             .insert(peer.clone(), BrokenLink { broken_at: now, up_since: link.up_since });
         self.front.owner_unreachable(peer, link.heard_at, out);
         self.owner.front_link_lost(peer);
-        self.scheduler.remove_instance(peer);
+        self.scheduler.remove_instance(peer, now);
     }
 
     /// Removes a peer from the members and lets the runs that it started here end.
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -100,7 +100,10 @@
         let front = assigned.front.clone();
         out.log(LogEvent::StartRefused { run, worker: id.clone(), cause, age, front });
         send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
-        self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        // The scheduler knows reservations by task, and the other run keeps its own.
+        if cause != StartRefusal::OtherRun {
+            self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        }
     }
 
     /// Records that a front has read a heartbeat that this owner sent at `at`.
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -93,6 +93,8 @@
     submissions: Submissions,
     // Tasks of which another run may be active.
     withheld: Vec<WithheldTasks>,
+    // Tasks that workers of lost owners held, and until when their runs may continue.
+    lost_runs: Vec<(TaskKey, Time)>,
 }
 
 impl Scheduler {
@@ -187,9 +189,10 @@
     }
 
     /// Removes the waiting tasks of an instance and the workers that it owned.
-    pub fn remove_instance(&mut self, instance: &InstanceId) {
+    pub fn remove_instance(&mut self, instance: &InstanceId, now: Time) {
         self.backlog.remove(|queued| queued.front == *instance);
         self.discard_withheld(instance, None);
+        self.record_lost_runs(instance, now);
         for worker in self.workers.iter().filter(|worker| worker.owner == *instance) {
             self.saved_stats.insert(worker.id().clone(), *worker.stats());
         }
@@ -211,6 +214,7 @@
         self.all_reported = false;
         self.submissions = Submissions::default();
         self.withheld = Vec::new();
+        self.lost_runs = Vec::new();
     }
 
     /// Expects reports of owners that became reachable again.
--- a/crates/fleet/src/scheduler/withheld.rs
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -5,12 +5,13 @@
 //! latest submission gets the job: the earlier front and the owners of its runs are told to end
 //! them.
 
-use cranberryhatch_schema::fleet::{Ask, Superseded};
+use cranberryhatch_schema::fleet::{Ask, Losses, Superseded};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{Scheduler, to_u32};
 use crate::{
-    Output, Submission, SubmissionOrder, TaskKey, WorkerView, log_event::LogEvent, output::Message,
+    Output, RUN_EXPIRY, Submission, SubmissionOrder, TaskKey, WorkerView, log_event::LogEvent,
+    output::Message,
 };
 
 /// Interval at which the earlier front and the owners are notified again; a message may be lost
@@ -59,10 +60,12 @@
         let arrived = now - Span::from_ms(ask.age_ms.into());
         let deadline = now + Span::from_ms(ask.left_ms.into());
         let submission = Submission { front: front.clone(), arrived, deadline };
+        let mut is_later = false;
         let earlier = match self.submissions.record(&ask.job, submission, now) {
             SubmissionOrder::Only if ask.begun => None,
             SubmissionOrder::Only => return self.enqueue(front, ask, now),
             SubmissionOrder::Latest { earlier } => {
+                is_later = !ask.begun;
                 self.discard_earlier(front, &ask.job);
                 Some(earlier)
             }
@@ -90,15 +93,18 @@
             since: now,
             notified_at: None,
         };
-        let is_free = |key: &TaskKey| self.holders(key, counts_grants).next().is_none();
+        let is_free = |key: &TaskKey| !self.may_run(key, counts_grants, now);
         if let Some(free) = withheld.take(is_free, now) {
             self.enqueue(front, free, now);
         }
+        // The earlier front must end the job even if none of its runs is known here.
+        if is_later || !withheld.ask.tasks.is_empty() {
+            self.notify_earlier(&mut withheld, now, out);
+        }
         if withheld.ask.tasks.is_empty() {
             return;
         }
         self.log_withheld(&withheld, out);
-        self.notify_earlier(&mut withheld, now, out);
         self.withheld.push(withheld);
     }
 
@@ -108,10 +114,14 @@
             if withheld.is_over(now) {
                 continue;
             }
-            let is_free = |key: &TaskKey| self.holders(key, true).next().is_none();
+            let is_free = |key: &TaskKey| !self.may_run(key, true, now);
             if let Some(free) = withheld.take(is_free, now) {
                 let front = withheld.front.clone();
+                let runs = self.unnamed_losses(&free, now);
                 self.enqueue(&front, free, now);
+                if !runs.is_empty() {
+                    out.send(&front, Message::Losses(Losses { runs }));
+                }
             }
             if !withheld.ask.tasks.is_empty() {
                 self.notify_earlier(&mut withheld, now, out);
@@ -133,6 +143,21 @@
         });
     }
 
+    /// Remembers the tasks that workers of a lost owner hold: their runs continue until their leases
+    /// expire.
+    pub(super) fn record_lost_runs(&mut self, owner: &InstanceId, now: Time) {
+        self.lost_runs.retain(|(_, until)| *until > now);
+        let lost = self.workers.iter().filter(|worker| worker.owner == *owner);
+        let tasks = lost.flat_map(WorkerView::tasks);
+        self.lost_runs.extend(tasks.map(|task| (task.clone(), now + RUN_EXPIRY)));
+    }
+
+    /// Returns whether a run of a task may be active; grants to its front count if `grants`.
+    fn may_run(&self, task: &TaskKey, grants: bool, now: Time) -> bool {
+        let is_lost = |(lost, until): &(TaskKey, Time)| lost == task && *until > now;
+        self.holders(task, grants).next().is_some() || grants && self.lost_runs.iter().any(is_lost)
+    }
+
     /// Returns the workers that hold a run of a task, or that were granted one if `grants`.
     fn holders(&self, task: &TaskKey, grants: bool) -> impl Iterator<Item = &WorkerView> {
         self.workers.iter().filter(move |worker| worker.holds(task, grants))
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -360,6 +360,11 @@
         self.reservations.iter().any(holds)
     }
 
+    /// Returns the tasks that hold capacity or were granted it.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
+        self.reservations.iter().map(|reservation| &reservation.task)
+    }
+
     /// Releases the capacity of a task.
     pub fn release(&mut self, task: &TaskKey) {
         self.reservations.retain(|reservation| reservation.task != *task);
