fix(fleet): let a new scheduler know the submissions of its predecessor

Callers saw: nothing; a task ran on two workers at once.

Cause: the scheduler alone compares the submissions of a job, and a new one knew none of them until owners and fronts reported. It granted a job that was sent again while the run of the first front went on: under its lease if front and owner were lost, or for its whole time if the first front did not know that its caller had left. The 1,300 ms after which callers send a job again do not help, since they count from the break of the connection and not from the loss of the front. Class: a right ends by inference instead of by agreement.

Ruled out: waiting for the reports of all owners after each election (delays all jobs, and a paused front or a lost owner reports nothing); sending each job to all instances (its cost grows with their number).

Change: the scheduler replicates the submissions that it has recorded (a hash, a front and two times a job) every 100 ms to the peers that may replace it: the first candidate of each zone, and the one that will schedule once it is admitted or responsive. A lag of 100 ms does no harm, since a caller sends a job again 1,300 ms after the first time. Tasks of a job that was sent again are withheld until the earlier front has answered that its runs have ended (Yielded), or was last heard RUN_EXPIRY ago. Before, only the runs that owners had reported were considered. A report of a run of another front than that of the latest submission ends that front's submission, too. Log line released.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -178,6 +178,12 @@
         LogEvent::Superseded { job, by, age, runs } => {
             log::warn!(job, by = by.as_str(), age_ms = age.as_ms(), runs; "{name}");
         }
+        LogEvent::Released { job, front, waited, cause } => {
+            log::warn!(
+                job, front = front.as_str(), waited_ms = waited.as_ms(), cause = cause.to_string();
+                "{name}"
+            );
+        }
         LogEvent::Withheld { task, tasks, front, earlier, worker } => {
             let (job, step, number) = (task.job.as_str(), task.step, task.task);
             let earlier = earlier.as_ref().map_or("none", |id| id.as_str());
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -11,7 +11,7 @@
 
 use active::ActiveJob;
 use cranberryhatch_schema::fleet::{
-    Ask, Ended, Grant, How, LostRun, Refusal, Start, Stop, Unused, Withdraw,
+    Ask, Ended, Grant, How, LostRun, Refusal, Start, Stop, Unused, Withdraw, Yielded,
 };
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -35,7 +35,7 @@
 /// Time after which a caller should retry a job that was not started before its deadline.
 const TIME_LIMIT_RETRY: Span = Span::from_ms(500);
 /// Longest time for which an answered job is kept, waiting for its runs to end.
-const CLOSING_LIMIT: Span = Span::from_secs(10);
+pub(crate) const CLOSING_LIMIT: Span = Span::from_secs(10);
 
 /// Jobs of this instance's callers.
 #[derive(Debug)]
@@ -73,7 +73,9 @@
                 if let Some((older, _)) = active.resubmitted.replace((ticket, job)) {
                     out.answer(older, Outcome::GivenUp);
                 }
-            } else if let Some(older) = active.ticket.replace(ticket) {
+                return;
+            }
+            if let Some(older) = active.ticket.replace(ticket) {
                 out.answer(older, Outcome::GivenUp);
             }
             return;
@@ -360,8 +362,11 @@
         if !active.is_idle() {
             return;
         }
-        let next = self.jobs.remove(name).and_then(|active| active.resubmitted);
-        if let Some((ticket, job)) = next {
+        let Some(ActiveJob { yields, resubmitted, .. }) = self.jobs.remove(name) else { return };
+        if let Some(scheduler) = self.scheduler.as_ref().filter(|_| yields) {
+            out.send(scheduler, Message::Yielded(Yielded { job: name.to_owned() }));
+        }
+        if let Some((ticket, job)) = resubmitted {
             self.submit(ticket, job, now, out);
         }
     }
@@ -414,20 +419,29 @@
         }
     }
 
-    /// Closes a job whose caller has submitted it again at another front, `age` ago.
+    /// Closes a job whose caller has submitted it again at another front, `age` ago. Answers the
+    /// scheduler once no run is left.
     pub fn superseded(
         &mut self,
+        from: &InstanceId,
         job: &str,
         by: &InstanceId,
         age: Span,
         now: Time,
         out: &mut Output,
     ) {
-        // The caller may have come back here since.
-        let is_earlier = |active: &&ActiveJob| {
-            active.closing_since.is_none() && now.since(active.job.arrived) > age
+        let Some(active) = self.jobs.get_mut(job) else {
+            let yielded = Yielded { job: job.to_owned() };
+            return out.send(from, Message::Yielded(yielded));
         };
-        let Some(active) = self.jobs.get(job).filter(is_earlier) else { return };
+        // The caller may have come back here since.
+        if active.closing_since.is_none() && now.since(active.job.arrived) <= age {
+            return;
+        }
+        active.yields = true;
+        if active.closing_since.is_some() {
+            return;
+        }
         out.log(LogEvent::Superseded {
             job: job.to_owned(),
             by: by.clone(),
--- a/crates/fleet/src/front/active.rs
+++ b/crates/fleet/src/front/active.rs
@@ -24,6 +24,8 @@
     // estimated.
     pub(super) requested_at: Option<Time>,
     pub(super) expected_wait: Option<Span>,
+    // Whether the scheduler awaits the end of its runs, since another front has the job now.
+    pub(super) yields: bool,
     // The same job, resubmitted while runs of the first submission are being stopped.
     pub(super) resubmitted: Option<(u64, Job)>,
 }
@@ -44,6 +46,7 @@
             closing_since: None,
             requested_at: None,
             expected_wait: None,
+            yields: false,
             resubmitted: None,
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -83,7 +83,8 @@
 pub use job::{Job, KindSettings, Step};
 pub use load_shedding::{ArrivalRates, RefusalCause, UnservableJob, find_unservable};
 pub use log_event::{
-    DropCause, LogEvent, RequestKind, Resolution, RestartCause, StartRefusal, StopCause,
+    DropCause, LogEvent, ReleaseCause, RequestKind, Resolution, RestartCause, StartRefusal,
+    StopCause,
 };
 pub use loss_ledger::{CRASH_LIMIT, LossLedger, SILENT_CRASH_LIMIT, Verdict};
 pub use members::{Member, Members, MembershipChange, Owners, text_hash};
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_schema::fleet::How;
 use cranberryhatch_types::{InstanceId, Span, WorkerId};
-use strum::IntoStaticStr;
+use strum::{Display, IntoStaticStr};
 
 use crate::{
     Incarnation, MembershipChange, NotRunCause, Outcome, PreviousRun, RefusalCause, RunKey,
@@ -104,6 +104,17 @@
         /// Runs that may be active and are stopped.
         runs: usize,
     },
+    /// The front of an earlier submission of a job has no run of it any more.
+    Released {
+        /// The job.
+        job: String,
+        /// The front.
+        front: InstanceId,
+        /// Time for which the tasks of the later submission were withheld for it.
+        waited: Span,
+        /// Why it has none.
+        cause: ReleaseCause,
+    },
     /// Requested tasks wait, because another run of them may be active.
     Withheld {
         /// First of the tasks.
@@ -422,7 +433,7 @@
 }
 
 /// Why a run was stopped, to be restarted elsewhere.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RestartCause {
     /// It has run much longer than expected and has much work left.
@@ -432,7 +443,7 @@
 }
 
 /// Why an owner stopped the runs of a front.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum StopCause {
     /// The front is unreachable.
@@ -442,7 +453,7 @@
 }
 
 /// Kind of a request to a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RequestKind {
     /// Start a run.
@@ -455,7 +466,7 @@
 }
 
 /// What became of a request without a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Resolution {
     /// The run is running.
@@ -471,7 +482,7 @@
 }
 
 /// Why an owner refused a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum StartRefusal {
     /// The worker is not owned by this instance, or is draining, unresponsive, or not open yet.
@@ -494,7 +505,7 @@
 }
 
 /// Why an owner dropped a worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DropCause {
     /// Another instance has a higher token.
@@ -505,3 +516,15 @@
     /// It is no longer listed and has no runs.
     Unlisted,
 }
+
+/// Why the front of an earlier submission has no run any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ReleaseCause {
+    /// It has answered that its runs have ended.
+    Answered,
+    /// It is unreachable, and the leases of its runs have expired.
+    Lost,
+    /// It has not answered for longer than any front keeps an answered job.
+    Unanswered,
+}
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -247,24 +247,39 @@
     /// The scheduler is one of the first owners of its zone, to which all instances are linked.
     #[must_use]
     pub fn scheduler(&self) -> Option<&InstanceId> {
-        let rank = |member: &&Member| {
-            let is_responsive = self.unresponsive.binary_search(&member.id).is_err();
-            (is_responsive, member.cores, weight("scheduler", &member.id))
-        };
-        let members = self.by_rank();
+        let members = by_rank(self.active_members());
         let zones = members.chunk_by(|a, b| a.zone == b.zone);
         let first = zones.flat_map(|zone| zone.iter().take(OWNERS_MIN).copied());
-        first.max_by_key(rank).map(|member| &member.id)
+        first.max_by_key(|member| self.scheduler_rank(member)).map(|member| &member.id)
+    }
+
+    fn scheduler_rank(&self, member: &Member) -> (bool, u32, u64) {
+        let is_responsive = self.unresponsive.binary_search(&member.id).is_err();
+        (is_responsive, member.cores, weight("scheduler", &member.id))
     }
 
-    /// Returns the active members by zone, and by owner rank within a zone.
-    fn by_rank(&self) -> Vec<&Member> {
-        let mut members: Vec<(&Member, _)> = self
-            .active_members()
-            .map(|member| (member, Reverse(owner_rank(member.cores, &member.id))))
-            .collect();
-        members.sort_by(|(a, first), (b, second)| (&a.zone, first).cmp(&(&b.zone, second)));
-        members.into_iter().map(|(member, _)| member).collect()
+    /// Returns the peers that may replace this instance as the scheduler, sorted: the first
+    /// candidate of each zone, as a zone may be lost or cut off, and the peer that schedules again
+    /// once it is admitted and responsive.
+    #[must_use]
+    pub fn standby_schedulers(&self) -> Vec<InstanceId> {
+        let members = by_rank(self.peers.iter().filter(|peer| peer.is_active()));
+        let mut standbys: Vec<&Member> = Vec::new();
+        let mut first: Vec<&Member> = Vec::new();
+        for zone in members.chunk_by(|a, b| a.zone == b.zone) {
+            let candidates = &zone[..zone.len().min(OWNERS_MIN)];
+            standbys.extend(
+                candidates.iter().copied().max_by_key(|member| self.scheduler_rank(member)),
+            );
+            first.extend(candidates);
+        }
+        let largest = |member: &&Member| (member.cores, weight("scheduler", &member.id));
+        standbys.extend(first.into_iter().max_by_key(largest));
+        let mut standbys: Vec<InstanceId> =
+            standbys.into_iter().map(|member| member.id.clone()).collect();
+        standbys.sort();
+        standbys.dedup();
+        standbys
     }
 
     /// Returns the zone reader, which reads the platform's lists for this zone: its largest
@@ -284,7 +299,7 @@
     /// Returns the owners: the largest members of each zone, as many as its workers need.
     #[must_use]
     pub fn owners(&self, workers: usize) -> Owners {
-        let members = self.by_rank();
+        let members = by_rank(self.active_members());
         let zones: Vec<&[&Member]> = members.chunk_by(|a, b| a.zone == b.zone).collect();
         let in_zone = workers.div_ceil(zones.len().max(1));
         let mut owners = Vec::new();
@@ -315,6 +330,14 @@
     }
 }
 
+/// Sorts members by zone, and by owner rank within a zone.
+fn by_rank<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let mut members: Vec<(&Member, _)> =
+        members.map(|member| (member, Reverse(owner_rank(member.cores, &member.id)))).collect();
+    members.sort_by(|(a, first), (b, second)| (&a.zone, first).cmp(&(&b.zone, second)));
+    members.into_iter().map(|(member, _)| member).collect()
+}
+
 /// Returns the rank by which instances of a zone become owners; the largest comes first.
 pub(crate) fn owner_rank(cores: u32, id: &InstanceId) -> (u32, u64) {
     (cores, weight("owner", id))
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     Command, DrainFreshness, Front, Incarnation, InstanceInfo, Job, ListedWorker, Member, Members,
-    NotRunCause, Outcome, Output, Owner, Owners, PollResult, RunKey, Scheduler, Shutdown,
-    ShutdownProgress, StartResponse, TaskKey, Topology, VecMap, WorkerList, ZoneDrains,
+    NotRunCause, Outcome, Output, Owner, Owners, PollResult, RUN_EXPIRY, RunKey, Scheduler,
+    Shutdown, ShutdownProgress, StartResponse, TaskKey, Topology, VecMap, WorkerList, ZoneDrains,
     log_event::LogEvent, version_history::VersionHistory,
 };
 
@@ -85,12 +85,14 @@
         let front = Front::new(me.id.clone(), me.zone.to_string());
         let owner = Owner::new(me.id.clone());
         let topology = Topology::new(InstanceInfo::from(&me));
+        let mut scheduler = Scheduler::default();
+        scheduler.add_reachable(&me.id);
         Self {
             members: Members::new(me),
             listing: WorkerList::default(),
             front,
             owner,
-            scheduler: Scheduler::default(),
+            scheduler,
             elected: None,
             links: VecMap::default(),
             broken_links: VecMap::default(),
@@ -196,7 +198,11 @@
                     out.send(from, Body::Losses(Losses { runs }));
                 }
             }
-            Body::Superseded(superseded) => self.handle_superseded(&superseded, now, out),
+            Body::Superseded(superseded) => self.handle_superseded(from, &superseded, now, out),
+            Body::Yielded(yielded) => self.scheduler.handle_yielded(from, &yielded.job),
+            Body::Submissions(submissions) => {
+                self.scheduler.merge_submissions(&submissions, now);
+            }
             Body::Losses(losses) => self.front.merge_losses(&losses, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
             Body::Unused(unused) => {
@@ -237,14 +243,23 @@
         }
     }
 
-    fn handle_superseded(&mut self, superseded: &Superseded, now: Time, out: &mut Output) {
+    fn handle_superseded(
+        &mut self,
+        from: &InstanceId,
+        superseded: &Superseded,
+        now: Time,
+        out: &mut Output,
+    ) {
         let Ok(front) = superseded.front.parse::<InstanceId>() else { return };
         let Ok(by) = superseded.by.parse::<InstanceId>() else { return };
-        if front == self.members.me().id {
-            let age = Span::from_ms(superseded.age_ms.into());
-            self.front.superseded(&superseded.job, &by, age, now, out);
-        }
         self.owner.stop_superseded(&superseded.job, &front, now, out);
+        // An earlier process of this front may have runs until their leases expire.
+        let is_known = self.front.contains(&superseded.job);
+        if front != self.members.me().id || !is_known && now.since(self.started) < RUN_EXPIRY {
+            return;
+        }
+        let age = Span::from_ms(superseded.age_ms.into());
+        self.front.superseded(from, &superseded.job, &by, age, now, out);
     }
 
     fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
@@ -396,6 +411,9 @@
             return;
         }
         out.log(LogEvent::SchedulerChanged { scheduler: elected.clone() });
+        if self.is_scheduler() {
+            self.scheduler.hand_over(elected.as_ref(), now, out);
+        }
         self.elected.clone_from(&elected);
         if !self.is_scheduler() {
             self.scheduler.step_down();
@@ -487,6 +505,10 @@
         self.front.tick(now, out);
         self.front.review_losses(&self.listing, now, out);
         self.scheduler.review_losses(&self.listing, now);
+        self.scheduler.tick(now);
+        if self.is_scheduler() {
+            self.scheduler.replicate(&self.members.standby_schedulers(), now, out);
+        }
         if self.shutdown.is_some_and(|shutdown| shutdown.is_over(now)) {
             self.front.end_all(now, out);
             self.stopped = true;
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -38,6 +38,7 @@
                 resting: false,
             },
         );
+        self.scheduler.add_reachable(&id);
         self.topology.insert(InstanceInfo::from(&peer));
         self.reviewed_at = Time::ZERO;
         if is_resumed {
@@ -90,6 +91,7 @@
         self.front.owner_unreachable(peer, link.heard_at, out);
         self.owner.front_link_lost(peer);
         self.scheduler.remove_instance(peer, now);
+        self.scheduler.remove_reachable(peer, link.heard_at, now);
     }
 
     /// Removes a peer from the members and lets the runs that it started here end.
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! Scheduler: grants capacity on workers to the waiting tasks of all instances.
 
+mod superseded;
 mod withheld;
 
 use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, LostRun, Place, Refusal, Rooms};
@@ -13,6 +14,7 @@
     placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
     worker_view::GrantedRun,
 };
+use superseded::SupersededJob;
 use withheld::WithheldTasks;
 
 /// Maximum number of jobs whose first failure is remembered.
@@ -91,6 +93,17 @@
     losses: LossLedger,
     suspects: Suspects,
     submissions: Submissions,
+    // Jobs whose earlier fronts may have runs.
+    superseded: VecMap<String, SupersededJob>,
+    // Whether they have changed since they were last reviewed.
+    superseded_changed: bool,
+    // Instances that are reachable, this one included; sorted.
+    reachable: Vec<InstanceId>,
+    // When instances that were lost lately were last heard.
+    lost_fronts: VecMap<InstanceId, Time>,
+    // Instances to which the submissions are replicated, and when they last were.
+    replicas: Vec<InstanceId>,
+    replicated_at: Time,
     // Tasks of which another run may be active.
     withheld: Vec<WithheldTasks>,
     // Tasks that workers of lost owners held, and until when their runs may continue.
@@ -212,11 +225,17 @@
         self.merged_owners = Vec::new();
         self.reports_since = None;
         self.all_reported = false;
-        self.submissions = Submissions::default();
+        self.superseded = VecMap::default();
+        self.replicas = Vec::new();
         self.withheld = Vec::new();
         self.lost_runs = Vec::new();
     }
 
+    /// Does the periodic work that does not depend on whether this instance schedules.
+    pub fn tick(&mut self, now: Time) {
+        self.submissions.remove_old(now);
+    }
+
     /// Expects reports of owners that became reachable again.
     pub fn await_reports(&mut self, now: Time) {
         if self.reports_since.is_some() {
@@ -247,6 +266,7 @@
         listing: &WorkerList,
         now: Time,
     ) {
+        let mut superseded = Vec::new();
         for room in rooms.rooms {
             let Ok(id) = room.worker.parse::<WorkerId>() else { continue };
             let Some(listed) = listing.get(&id) else { continue };
@@ -272,7 +292,9 @@
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
                 let front = held.front.parse::<InstanceId>().ok();
-                self.submissions.record_run(&key.task.job, front, now);
+                if self.submissions.record_run(&key.task.job, front, now) {
+                    superseded.push(key.task.job.clone());
+                }
                 if span > Span::ZERO {
                     left.push((key.task.clone(), span));
                 }
@@ -297,6 +319,9 @@
             });
             (self.dirty, self.freed) = (true, true);
         }
+        for job in superseded {
+            self.supersede(&job, now);
+        }
         self.losses.merge(&rooms.lost, now);
         self.listed = listing.all().len();
         if !rooms.kinds.is_empty() && !self.merged_owners.contains(owner) {
@@ -422,7 +447,9 @@
         self.reports_since.get_or_insert(now);
         if tick {
             self.probe_budget = PROBE_BUDGET;
-            self.submissions.remove_old(now);
+        }
+        if tick || self.superseded_changed {
+            self.review_superseded(now, out);
         }
         if tick || self.dirty {
             self.review_withheld(now, out);
@@ -500,6 +527,7 @@
         let mut placement_cache = std::mem::take(&mut self.placement_cache);
         for queued in self.backlog.iter_mut() {
             if queued.need.cores > largest_free
+                || !self.superseded.is_empty() && self.superseded.contains(&queued.job)
                 || queued.suspect && !may_start(&self.suspects, &self.workers, queued, now)
                 || placement_cache.is_full(queued)
                 || placement_cache.must_wait(queued, now)
--- a/crates/fleet/src/scheduler/withheld.rs
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -1,32 +1,24 @@
 //! Requested tasks of which another run may still be active, so that they are withheld from the
 //! backlog.
 //!
-//! The caller of a job that is submitted again has lost its first front, which may not know it. The
-//! latest submission gets the job: the earlier front and the owners of its runs are told to end
-//! them.
+//! Tasks of a job that was submitted again wait for the fronts of its earlier submissions, too; see
+//! [`super::superseded`].
 
-use cranberryhatch_schema::fleet::{Ask, Losses, Superseded};
+use cranberryhatch_schema::fleet::{Ask, Losses};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use super::{Scheduler, to_u32};
+use super::{Scheduler, superseded::superseded_message, to_u32};
 use crate::{
     Output, RUN_EXPIRY, Submission, SubmissionOrder, TaskKey, WorkerView, log_event::LogEvent,
     output::Message,
 };
 
-/// Interval at which the earlier front and the owners are notified again; a message may be lost
-/// with its link.
-const NOTICE_INTERVAL: Span = Span::from_ms(250);
-
 /// Tasks of a request that are withheld.
 #[derive(Clone, Debug)]
 pub(super) struct WithheldTasks {
     front: InstanceId,
-    // Front of the earlier submission; none if it is unknown, or if there is no other submission.
-    earlier: Option<InstanceId>,
     ask: Ask,
     since: Time,
-    notified_at: Option<Time>,
 }
 
 impl WithheldTasks {
@@ -60,23 +52,22 @@
         let arrived = now - Span::from_ms(ask.age_ms.into());
         let deadline = now + Span::from_ms(ask.left_ms.into());
         let submission = Submission { front: front.clone(), arrived, deadline };
-        let mut is_later = false;
-        let earlier = match self.submissions.record(&ask.job, submission, now) {
-            SubmissionOrder::Only if ask.begun => None,
+        let counts_grants = match self.submissions.record(&ask.job, submission, now) {
+            SubmissionOrder::Only if ask.begun => false,
             SubmissionOrder::Only => return self.enqueue(front, ask, now),
-            SubmissionOrder::Latest { earlier } => {
-                is_later = !ask.begun;
+            SubmissionOrder::Latest { .. } => {
                 self.discard_earlier(front, &ask.job);
-                Some(earlier)
+                self.supersede(&ask.job, now);
+                self.review_job(&ask.job, now, out);
+                true
             }
             SubmissionOrder::Superseded { by, arrived } => {
                 let age = now.since(arrived);
                 let superseded = superseded_message(&ask.job, front, &by, age);
-                return out.send(front, Message::Superseded(superseded));
+                out.send(front, Message::Superseded(superseded));
+                return self.supersede(&ask.job, now);
             }
         };
-        // A run that this front itself was granted may not have been started.
-        let counts_grants = earlier.is_some();
         let is_withheld = |task: &u32| {
             self.withheld.iter().any(|w| {
                 w.front == *front
@@ -86,21 +77,12 @@
         };
         let tasks: Vec<u32> = ask.tasks.iter().copied().filter(|task| !is_withheld(task)).collect();
         let ask = Ask { tasks, ..ask };
-        let mut withheld = WithheldTasks {
-            front: front.clone(),
-            earlier: earlier.flatten(),
-            ask,
-            since: now,
-            notified_at: None,
-        };
+        let mut withheld = WithheldTasks { front: front.clone(), ask, since: now };
+        // A run that this front itself was granted may not have been started.
         let is_free = |key: &TaskKey| !self.may_run(key, counts_grants, now);
         if let Some(free) = withheld.take(is_free, now) {
             self.enqueue(front, free, now);
         }
-        // The earlier front must end the job even if none of its runs is known here.
-        if is_later || !withheld.ask.tasks.is_empty() {
-            self.notify_earlier(&mut withheld, now, out);
-        }
         if withheld.ask.tasks.is_empty() {
             return;
         }
@@ -108,7 +90,7 @@
         self.withheld.push(withheld);
     }
 
-    /// Queues withheld tasks whose other runs have ended, and repeats the notices for the others.
+    /// Queues withheld tasks whose other runs have ended.
     pub(super) fn review_withheld(&mut self, now: Time, out: &mut Output) {
         for mut withheld in std::mem::take(&mut self.withheld) {
             if withheld.is_over(now) {
@@ -124,7 +106,6 @@
                 }
             }
             if !withheld.ask.tasks.is_empty() {
-                self.notify_earlier(&mut withheld, now, out);
                 self.withheld.push(withheld);
             }
         }
@@ -155,7 +136,9 @@
     /// Returns whether a run of a task may be active; grants to its front count if `grants`.
     fn may_run(&self, task: &TaskKey, grants: bool, now: Time) -> bool {
         let is_lost = |(lost, until): &(TaskKey, Time)| lost == task && *until > now;
-        self.holders(task, grants).next().is_some() || grants && self.lost_runs.iter().any(is_lost)
+        self.is_superseded(&task.job)
+            || self.holders(task, grants).next().is_some()
+            || grants && self.lost_runs.iter().any(is_lost)
     }
 
     /// Returns the workers that hold a run of a task, or that were granted one if `grants`.
@@ -163,31 +146,6 @@
         self.workers.iter().filter(move |worker| worker.holds(task, grants))
     }
 
-    fn notify_earlier(&self, withheld: &mut WithheldTasks, now: Time, out: &mut Output) {
-        let Some(earlier) = &withheld.earlier else { return };
-        if withheld.notified_at.is_some_and(|at| now.since(at) < NOTICE_INTERVAL) {
-            return;
-        }
-        withheld.notified_at = Some(now);
-        let ask = &withheld.ask;
-        let age = Span::from_ms(ask.age_ms.into()) + now.since(withheld.since);
-        let message = superseded_message(&ask.job, earlier, &withheld.front, age);
-        let keys = ask.tasks.iter().map(|task| TaskKey {
-            job: ask.job.clone(),
-            step: ask.step,
-            task: *task,
-        });
-        let mut targets = vec![earlier.clone()];
-        for key in keys {
-            targets.extend(self.holders(&key, true).map(|worker| worker.owner.clone()));
-        }
-        targets.sort();
-        targets.dedup();
-        for target in &targets {
-            out.send(target, Message::Superseded(message.clone()));
-        }
-    }
-
     fn log_withheld(&self, withheld: &WithheldTasks, out: &mut Output) {
         let ask = &withheld.ask;
         let Some(task) = ask.tasks.first() else { return };
@@ -198,17 +156,8 @@
             tasks: ask.tasks.len(),
             task,
             front: withheld.front.clone(),
-            earlier: withheld.earlier.clone(),
+            earlier: self.submissions.earlier(&ask.job).first().cloned(),
             worker,
         });
     }
 }
-
-fn superseded_message(job: &str, front: &InstanceId, by: &InstanceId, age: Span) -> Superseded {
-    Superseded {
-        job: job.to_owned(),
-        front: front.to_string(),
-        by: by.to_string(),
-        age_ms: to_u32(age.as_ms()),
-    }
-}
--- a/crates/fleet/src/submissions.rs
+++ b/crates/fleet/src/submissions.rs
@@ -1,8 +1,11 @@
 //! The latest submission of each job, as the scheduler knows it.
 //!
 //! A caller whose connection breaks submits its job again at another front. The earlier front may
-//! not notice that the caller has left, so the scheduler compares the submissions.
+//! not notice that the caller has left, so the scheduler compares the submissions. It replicates
+//! them to the instances that may replace it: an earlier submission is older than the caller's
+//! delay before the next one, so replicas that lag by less know it in time.
 
+use cranberryhatch_schema::fleet as wire;
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{VecMap, members::text_hash};
@@ -34,10 +37,10 @@
     Only,
     /// It is later than another one.
     Latest {
-        /// Front of the earlier submission; `None` if unknown or if it is the same instance.
-        earlier: Option<InstanceId>,
+        /// Other fronts with earlier submissions that may have runs, sorted.
+        earlier: Vec<InstanceId>,
     },
-    /// Another front has a later submission.
+    /// Another front has a later submission. The front of this one counts as an earlier front.
     Superseded {
         /// Front of the later submission.
         by: InstanceId,
@@ -53,21 +56,49 @@
     // None while only runs are known.
     arrived: Option<Time>,
     until: Time,
-    // Whether there was an earlier submission, and its front.
-    earlier: Option<Option<InstanceId>>,
+    // Whether there was an earlier submission.
+    again: bool,
+    // Other fronts with earlier submissions that may have runs, sorted.
+    earlier: Vec<InstanceId>,
 }
 
-/// Latest submissions by job.
+impl Entry {
+    /// Makes a submission of another front the latest one.
+    fn replace_front(&mut self, front: InstanceId) {
+        self.earlier.retain(|earlier| *earlier != front);
+        if let Some(earlier) = self.front.replace(front) {
+            self.add_earlier(earlier);
+        }
+        self.again = true;
+    }
+
+    /// Adds a front with an earlier submission; returns whether it was not known.
+    fn add_earlier(&mut self, front: InstanceId) -> bool {
+        self.again = true;
+        match self.earlier.binary_search(&front) {
+            Ok(_) => false,
+            Err(place) => {
+                self.earlier.insert(place, front);
+                true
+            }
+        }
+    }
+}
+
+/// Latest submissions by the hash of the job's name.
 #[derive(Debug)]
 pub struct Submissions {
-    parts: Vec<VecMap<String, Entry>>,
+    parts: Vec<VecMap<u64, Entry>>,
     // Part from which old entries are removed next.
     next_part: usize,
+    // Jobs whose entry has changed since the last replication, sorted.
+    changed: Vec<u64>,
 }
 
 impl Default for Submissions {
     fn default() -> Self {
-        Self { parts: (0..PARTS).map(|_| VecMap::default()).collect(), next_part: 0 }
+        let parts = (0..PARTS).map(|_| VecMap::default()).collect();
+        Self { parts, next_part: 0, changed: Vec::new() }
     }
 }
 
@@ -76,51 +107,95 @@
     pub fn record(&mut self, job: &str, submission: Submission, now: Time) -> SubmissionOrder {
         let Submission { front, arrived, deadline } = submission;
         let until = deadline.max(now) + RETENTION;
-        let part = self.part_mut(job);
-        let Some(entry) = part.get_mut(job).filter(|entry| entry.until > now) else {
-            let (front, arrived) = (Some(front), Some(arrived));
-            part.insert(job.to_owned(), Entry { front, arrived, until, earlier: None });
+        let hash = text_hash(job);
+        let part = self.part_mut(hash);
+        let Some(entry) = part.get_mut(&hash).filter(|entry| entry.until > now) else {
+            let (front, arrived, earlier) = (Some(front), Some(arrived), Vec::new());
+            part.insert(hash, Entry { front, arrived, until, again: false, earlier });
+            self.mark_changed(hash);
             return SubmissionOrder::Only;
         };
         let is_same = entry.front.as_ref() == Some(&front);
+        let mut is_changed = true;
         match entry.arrived {
             Some(known) if !is_same && known > arrived => {
-                let by = entry.front.clone().unwrap_or(front);
+                let by = entry.front.clone().unwrap_or_else(|| front.clone());
+                if entry.add_earlier(front) {
+                    self.mark_changed(hash);
+                }
                 return SubmissionOrder::Superseded { by, arrived: known };
             }
             Some(known) if is_same && arrived > known + ARRIVAL_TOLERANCE => {
-                entry.earlier = Some(None);
+                entry.again = true;
                 entry.arrived = Some(arrived);
             }
-            Some(_) if is_same => {}
+            Some(_) if is_same => is_changed = false,
             None if is_same => entry.arrived = Some(arrived),
             Some(_) | None => {
-                entry.earlier = Some(entry.front.replace(front));
+                entry.replace_front(front);
                 entry.arrived = Some(arrived);
             }
         }
         entry.until = entry.until.max(until);
-        match &entry.earlier {
-            Some(earlier) => SubmissionOrder::Latest { earlier: earlier.clone() },
-            None => SubmissionOrder::Only,
+        let order = if entry.again {
+            SubmissionOrder::Latest { earlier: entry.earlier.clone() }
+        } else {
+            SubmissionOrder::Only
+        };
+        if is_changed {
+            self.mark_changed(hash);
         }
+        order
     }
 
-    /// Records a run of a job that an owner has reported, and the front that wants it.
-    pub fn record_run(&mut self, job: &str, front: Option<InstanceId>, now: Time) {
+    /// Records a run of a job that an owner has reported, and the front that wants it. Returns whether
+    /// this shows an earlier submission that was not known.
+    pub fn record_run(&mut self, job: &str, front: Option<InstanceId>, now: Time) -> bool {
         let until = now + RETENTION;
-        let part = self.part_mut(job);
-        match part.get_mut(job).filter(|entry| entry.until > now) {
-            Some(entry) => {
-                entry.until = entry.until.max(until);
-                if entry.front.is_none() {
-                    entry.front = front;
-                }
-            }
-            None => {
-                let entry = Entry { front, arrived: None, until, earlier: None };
-                part.insert(job.to_owned(), entry);
-            }
+        let hash = text_hash(job);
+        let part = self.part_mut(hash);
+        let Some(entry) = part.get_mut(&hash).filter(|entry| entry.until > now) else {
+            let (arrived, earlier) = (None, Vec::new());
+            part.insert(hash, Entry { front, arrived, until, again: false, earlier });
+            return false;
+        };
+        entry.until = entry.until.max(until);
+        let Some(front) = front else { return false };
+        let Some(latest) = &entry.front else {
+            entry.front = Some(front);
+            return false;
+        };
+        // Without a request it is not known which submission is the later one.
+        if *latest == front || entry.arrived.is_none() || !entry.add_earlier(front) {
+            return false;
+        }
+        self.mark_changed(hash);
+        true
+    }
+
+    /// Returns the front of the latest submission of a job and when it arrived there.
+    #[must_use]
+    pub fn latest(&self, job: &str) -> Option<(&InstanceId, Time)> {
+        let hash = text_hash(job);
+        let entry = self.part(hash).get(&hash)?;
+        entry.front.as_ref().zip(entry.arrived)
+    }
+
+    /// Returns the other fronts with earlier submissions of a job that may have runs, sorted.
+    #[must_use]
+    pub fn earlier(&self, job: &str) -> &[InstanceId] {
+        let hash = text_hash(job);
+        self.part(hash).get(&hash).map_or(&[], |entry| entry.earlier.as_slice())
+    }
+
+    /// Records that a front has no run of an earlier submission of a job.
+    pub fn remove_earlier(&mut self, job: &str, front: &InstanceId) {
+        let hash = text_hash(job);
+        let Some(entry) = self.part_mut(hash).get_mut(&hash) else { return };
+        let before = entry.earlier.len();
+        entry.earlier.retain(|earlier| earlier != front);
+        if entry.earlier.len() < before {
+            self.mark_changed(hash);
         }
     }
 
@@ -130,6 +205,88 @@
         self.parts[self.next_part].retain(|_, entry| entry.until > now);
     }
 
+    /// Returns whether entries have changed since the last call of [`Self::take_changes`].
+    #[must_use]
+    pub const fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Returns the entries that have changed since the last call, for replicas that know the others.
+    pub fn take_changes(&mut self, now: Time) -> wire::Submissions {
+        let changed = std::mem::take(&mut self.changed);
+        self.message(changed.iter().copied(), now)
+    }
+
+    /// Returns all entries, for new replicas.
+    #[must_use]
+    pub fn to_message(&self, now: Time) -> wire::Submissions {
+        self.message(self.parts.iter().flat_map(|part| part.iter().map(|(hash, _)| *hash)), now)
+    }
+
+    fn message(&self, jobs: impl Iterator<Item = u64>, now: Time) -> wire::Submissions {
+        let mut names: VecMap<&InstanceId, u32> = VecMap::default();
+        let mut fronts = Vec::new();
+        let mut index_of = |front| {
+            *names.get_or_insert_with(front, || {
+                fronts.push(front.to_string());
+                to_u32(fronts.len() as u64 - 1)
+            })
+        };
+        let entries = jobs.filter_map(|job| {
+            let entry = self.part(job).get(&job).filter(|entry| entry.until > now)?;
+            Some(wire::Submission {
+                job,
+                front: index_of(entry.front.as_ref()?),
+                age_ms: to_u32(now.since(entry.arrived?).as_ms()),
+                left_ms: to_u32(entry.until.since(now).as_ms()),
+                again: entry.again,
+                earlier: entry.earlier.iter().map(&mut index_of).collect(),
+            })
+        });
+        let submissions = entries.collect();
+        wire::Submissions { fronts, submissions }
+    }
+
+    /// Merges the entries of the scheduler into a replica. Returns the hashes of the jobs of which
+    /// this instance knows a later submission, as it has become the scheduler.
+    pub fn merge(&mut self, message: &wire::Submissions, now: Time) -> Vec<u64> {
+        let mut superseded = Vec::new();
+        let fronts: Vec<Option<InstanceId>> =
+            message.fronts.iter().map(|front| front.parse().ok()).collect();
+        let named = |index: &u32| fronts.get(usize::try_from(*index).ok()?)?.clone();
+        for submission in &message.submissions {
+            let Some(front) = named(&submission.front) else { continue };
+            let arrived = now - Span::from_ms(submission.age_ms.into());
+            let until = now + Span::from_ms(submission.left_ms.into());
+            let mut earlier: Vec<InstanceId> =
+                submission.earlier.iter().filter_map(named).collect();
+            earlier.sort();
+            earlier.dedup();
+            let again = submission.again;
+            let part = self.part_mut(submission.job);
+            let known = part.get_mut(&submission.job).filter(|known| known.until > now);
+            let Some(known) = known else {
+                let (front, arrived) = (Some(front), Some(arrived));
+                part.insert(submission.job, Entry { front, arrived, until, again, earlier });
+                continue;
+            };
+            known.until = known.until.max(until);
+            known.again |= again;
+            if known.front.as_ref() == Some(&front) {
+                known.arrived = known.arrived.max(Some(arrived));
+                known.earlier = earlier;
+            } else if known.arrived.is_none_or(|known| known <= arrived) {
+                known.again |= known.front.is_some();
+                known.front = Some(front);
+                known.arrived = Some(arrived);
+                known.earlier = earlier;
+            } else if known.add_earlier(front) {
+                superseded.push(submission.job);
+            }
+        }
+        superseded
+    }
+
     /// Returns the number of jobs.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -142,8 +299,25 @@
         self.len() == 0
     }
 
-    fn part_mut(&mut self, job: &str) -> &mut VecMap<String, Entry> {
-        let part = usize::try_from(text_hash(job) % PARTS as u64).unwrap_or_default();
-        &mut self.parts[part]
+    fn mark_changed(&mut self, job: u64) {
+        if let Err(place) = self.changed.binary_search(&job) {
+            self.changed.insert(place, job);
+        }
+    }
+
+    fn part(&self, job: u64) -> &VecMap<u64, Entry> {
+        &self.parts[part_index(job)]
     }
+
+    fn part_mut(&mut self, job: u64) -> &mut VecMap<u64, Entry> {
+        &mut self.parts[part_index(job)]
+    }
+}
+
+fn part_index(job: u64) -> usize {
+    usize::try_from(job % PARTS as u64).unwrap_or_default()
+}
+
+fn to_u32(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/fleet/tests/second_start.rs
+++ b/crates/fleet/tests/second_start.rs
@@ -42,6 +42,81 @@
     }
 }
 
+/// Submits a job, breaks its caller's connection on the caller's side, lets a fault happen between
+/// the two submissions, and returns the violations.
+fn resubmit_across(seed: u64, delay: u64, fault: impl Fn(&mut World, usize)) -> Vec<String> {
+    let mut world = World::new(seed, 3, 6, 12);
+    let request = world.request(1, 1, 14_000, LONG_RUN, false);
+    world.run_until(world.now + 100);
+    world.break_caller(request);
+    world.run_until(world.now + delay);
+    fault(&mut world, request);
+    world.run_until(world.now + 12_000);
+    assert!(world.requests[request].attempts.len() > 1, "seed {seed}: not submitted again");
+    world.violations
+}
+
+fn scheduler_of(world: &World) -> usize {
+    (0..world.instances.len()).find(|node| world.schedules(*node)).expect("a scheduler")
+}
+
+#[test]
+fn job_resubmitted_to_a_new_scheduler_does_not_run_twice_at_once() {
+    // Guards against a scheduler that does not know the submissions that its predecessor compared.
+    struct Case {
+        name: &'static str,
+        fault: fn(&mut World, usize),
+    }
+    let cases = [
+        Case {
+            name: "the scheduler is killed",
+            fault: |world, _| world.kill(scheduler_of(world), false, 5_000),
+        },
+        Case {
+            name: "the scheduler loses power",
+            fault: |world, _| world.kill(scheduler_of(world), true, 5_000),
+        },
+        Case {
+            name: "the scheduler is paused",
+            fault: |world, _| world.pause(scheduler_of(world), 2_000),
+        },
+        Case {
+            name: "the scheduler drains",
+            fault: |world, _| world.drain(scheduler_of(world), 6_000),
+        },
+        Case {
+            name: "the scheduler and the front are killed",
+            fault: |world, request| {
+                let front = world.requests[request].attempts[0].node;
+                world.kill(scheduler_of(world), false, 5_000);
+                world.kill(front, false, 5_000);
+            },
+        },
+        Case {
+            name: "the front loses power",
+            fault: |world, request| {
+                world.kill(world.requests[request].attempts[0].node, true, 5_000);
+            },
+        },
+        Case {
+            name: "the front is paused",
+            fault: |world, request| world.pause(world.requests[request].attempts[0].node, 2_000),
+        },
+    ];
+    let mut failed = Vec::new();
+    for Case { name, fault } in cases {
+        for seed in 1..=12 {
+            for delay in [200, 600, 900, 1_200, 1_290] {
+                let violations = resubmit_across(seed, delay, fault);
+                if !violations.is_empty() {
+                    failed.push(format!("{name}, seed {seed}, {delay} ms: {violations:?}"));
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{} failed:\n{}", failed.len(), failed.join("\n"));
+}
+
 #[test]
 fn job_resubmitted_at_its_front_joins_its_runs() {
     for seed in 1..=20 {
@@ -91,6 +166,34 @@
     out.commands.iter().filter(is_ask).count()
 }
 
+fn yields(out: &Output) -> usize {
+    let is_yield =
+        |command: &&Command| matches!(command, Command::Send { message: Message::Yielded(_), .. });
+    out.commands.iter().filter(is_yield).count()
+}
+
+#[test]
+fn superseded_front_answers_once_its_runs_have_ended() {
+    let age = Span::from_ms(500);
+    let later = NOW + Span::from_ms(2_000);
+    let superseded = |front: &mut Front, job: &str| {
+        let mut out = Output::default();
+        front.superseded(&id("s"), job, &id("e-2"), age, later, &mut out);
+        out
+    };
+    let mut front = placed();
+    assert_eq!(yields(&superseded(&mut front, "other")), 1, "a job that it does not have");
+    for _ in 0..2 {
+        assert_eq!(yields(&superseded(&mut front, "j")), 0, "its run may be active");
+    }
+    let (worker, how) = ("w".to_owned(), How::Stopped.into());
+    let ended = Ended { run: Some(run("j")), worker, how, took_ms: 9 };
+    let mut out = Output::default();
+    front.ended(&id("o"), &ended, later, &mut out);
+    assert_eq!((yields(&out), asks(&out)), (1, 0));
+    assert_eq!(yields(&superseded(&mut front, "j")), 1, "the first answer may be lost");
+}
+
 #[test]
 fn end_of_an_equal_run_on_another_worker_starts_no_second_run() {
     // Guards against ends of runs that an earlier process of the same front had started.
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -271,6 +271,9 @@
 pub struct World {
     pub now: u64,
     pub rng: fastrand::Rng,
+    // Delays of replicated submissions, so that the other delays of a seed do not depend on their
+    // number.
+    replication_rng: fastrand::Rng,
     pub instances: Vec<Instance>,
     pub workers: Vec<FakeWorker>,
     pub cut_workers: Vec<usize>,
@@ -374,6 +377,7 @@
         });
         let mut world = Self {
             now: 1_000,
+            replication_rng: fastrand::Rng::with_seed(rng.clone().u64(..)),
             rng,
             instances: members.collect(),
             workers,
@@ -659,8 +663,13 @@
                 let link = self.links[node][to];
                 if link > 0 {
                     // Messages on one link stay in order, those on different links do not.
-                    let slow = if self.chance(50) { 40 } else { 4 };
-                    let at = (self.now + self.rng.u64(1..slow)).max(self.arrivals[node][to]);
+                    let rng = if matches!(message, Message::Submissions(_)) {
+                        &mut self.replication_rng
+                    } else {
+                        &mut self.rng
+                    };
+                    let slow = if rng.u32(0..1_000) < 50 { 40 } else { 4 };
+                    let at = (self.now + rng.u64(1..slow)).max(self.arrivals[node][to]);
                     self.arrivals[node][to] = at;
                     let message = Box::new(message);
                     self.schedule(at, EventKind::Deliver { from: node, to, link, message });
