fix(fleet): keep a job at the front to which its caller returns

Symptom: a caller that sends a job to a second front and then again to the first, which still has it, gets 504 from the first one and has to send it once more.

Cause: the first front keeps the arrival of its first submission, so the scheduler takes the submission in between for the latest one.

Change: the front takes the arrival of the latest submission and tells the scheduler at once, by a request for no task. It does so again when it is told that an older submission supersedes its own.

Test: front_to_which_a_caller_returns_keeps_its_job failed before (no message to the scheduler, job closed) and passes.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -78,6 +78,8 @@
             if let Some(older) = active.ticket.replace(ticket) {
                 out.answer(older, Outcome::GivenUp);
             }
+            active.job.arrived = job.arrived;
+            self.claim_job(&job.name, now, out);
             return;
         }
         let tasks = job.steps.iter().map(|step| step.tasks).sum();
@@ -93,6 +95,18 @@
         self.finish(&name, now, out);
     }
 
+    /// Tells the scheduler that this front has the latest submission of a job, with a request for no
+    /// task.
+    fn claim_job(&mut self, name: &str, now: Time, out: &mut Output) {
+        let Some((active, scheduler)) = self.jobs.get(name).zip(self.scheduler.as_ref()) else {
+            return;
+        };
+        let ask = ask_message(active, &self.zone, 0, Vec::new(), Vec::new(), now);
+        if let Some(ask) = ask {
+            out.send(scheduler, Message::Ask(ask));
+        }
+    }
+
     /// Requests capacity from the scheduler for all ready tasks of a job.
     fn request_capacity(&mut self, name: &str, now: Time, out: &mut Output) {
         let Some(scheduler) = &self.scheduler else { return };
@@ -436,7 +450,7 @@
         };
         // The caller may have come back here since.
         if active.closing_since.is_none() && now.since(active.job.arrived) <= age {
-            return;
+            return self.claim_job(job, now, out);
         }
         active.yields = true;
         if active.closing_since.is_some() {
--- a/crates/fleet/tests/second_start.rs
+++ b/crates/fleet/tests/second_start.rs
@@ -194,6 +194,29 @@
     assert_eq!(yields(&superseded(&mut front, "j")), 1, "the first answer may be lost");
 }
 
+#[test]
+fn front_to_which_a_caller_returns_keeps_its_job() {
+    // Guards against a submission in between, at another front, that ends the latest one.
+    let mut front = placed();
+    let at = NOW + Span::from_ms(2_600);
+    let job = Job {
+        name: "j".to_owned(),
+        settings: Arc::new(kind_settings()),
+        payload: "x".into(),
+        steps: vec![Step { tasks: 1, need: need(14_000), ..Step::default() }],
+        arrived: at,
+        deadline: at + Span::from_ms(60_000),
+    };
+    let mut out = Output::default();
+    front.submit(2, job, at, &mut out);
+    assert_eq!(asks(&out), 1, "the scheduler is not told");
+    let mut out = Output::default();
+    let now = at + Span::from_ms(10);
+    front.superseded(&id("s"), "j", &id("e-2"), Span::from_ms(1_310), now, &mut out);
+    assert_eq!((yields(&out), asks(&out)), (0, 1), "it does not claim the job");
+    assert!(front.has_started("j").is_some(), "it has closed the job");
+}
+
 #[test]
 fn end_of_an_equal_run_on_another_worker_starts_no_second_run() {
     // Guards against ends of runs that an earlier process of the same front had started.
