fix(fleet): withhold queued tasks of which a new owner has found a run

Cause: a new owner reports the runs that it finds on a worker only once their claims are resolved, 300 ms later, and the report of a run that nobody has claimed did not concern tasks that were queued already.

Change: such runs are reported when they are found, and their tasks are not granted until they have ended or a front has claimed them.

Test: queued_task_waits_for_a_run_of_an_earlier_submission_that_is_reported_later failed for a run without a front before.

--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -83,6 +83,8 @@
             Ownership::Claiming { until: now + CLAIM_TIMEOUT, pending_fronts, found };
         // The runs may still have a lease from the previous owner.
         worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
+        // The scheduler withholds further runs of these tasks.
+        self.unreported.push(id.clone());
         // A run that no front claims counts as orphaned and is stopped in the end.
         for running in &status.running {
             if worker.runs.iter().all(|assigned| assigned.run != running.run) {
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -106,6 +106,8 @@
     replicated_at: Time,
     // Tasks of which another run may be active.
     withheld: Vec<WithheldTasks>,
+    // Tasks whose runs were reported without a front, with their worker: a new owner has found them.
+    orphans: Vec<(WorkerId, TaskKey)>,
     // Tasks that workers of lost owners held, and until when their runs may continue.
     lost_runs: Vec<(TaskKey, Time)>,
 }
@@ -210,6 +212,8 @@
             self.saved_stats.insert(worker.id().clone(), *worker.stats());
         }
         self.workers.retain(|worker| worker.owner != *instance);
+        let workers = &self.workers;
+        self.orphans.retain(|(worker, _)| workers.get(worker).is_some());
     }
 
     /// Clears all grants and waiting tasks because another instance schedules now; learned
@@ -228,6 +232,7 @@
         self.superseded = VecMap::default();
         self.replicas = Vec::new();
         self.withheld = Vec::new();
+        self.orphans = Vec::new();
         self.lost_runs = Vec::new();
     }
 
@@ -287,11 +292,15 @@
                 self.workers.insert(worker);
             }
             let mut left = Vec::new();
+            self.orphans.retain(|(worker, _)| *worker != id);
             let standing = room.standing.map(|s| WorkerStats::from_report(&s, room.born_ms, now));
             let held = room.held.into_iter().filter_map(|held| {
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
                 let front = held.front.parse::<InstanceId>().ok();
+                if front.is_none() {
+                    self.orphans.push((id.clone(), key.task.clone()));
+                }
                 if self.submissions.record_run(&key.task.job, front, now) {
                     superseded.push(key.task.job.clone());
                 }
@@ -345,6 +354,7 @@
     pub fn update_listing(&mut self, listing: &WorkerList) {
         self.listed = listing.all().len();
         self.saved_stats.retain(|id, _| listing.get(id).is_some());
+        self.orphans.retain(|(id, _)| listing.get(id).is_some());
         self.workers.retain(|worker| match listing.get(worker.id()) {
             Some(listed) => {
                 worker.set_listed(listed.clone());
@@ -358,6 +368,7 @@
     pub fn run_ended(&mut self, freed: &Freed, now: Time) {
         let Some(run) = freed.run.as_ref().map(RunKey::from) else { return };
         let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
+        self.orphans.retain(|(on, task)| *on != worker || *task != run.task);
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
         let is_timed = !freed.kind.is_empty();
@@ -535,9 +546,21 @@
                 continue;
             }
             let mut places = Vec::new();
+            let tasks = std::mem::take(&mut queued.tasks);
+            let is_orphan = |task: &u32| {
+                let orphans = self.orphans.iter().map(|(_, key)| key);
+                let mut of_step =
+                    orphans.filter(|key| (&key.job, key.step) == (&queued.job, queued.step));
+                of_step.any(|key| key.task == *task)
+            };
+            let (held, tasks): (Vec<u32>, Vec<u32>) = if self.orphans.is_empty() {
+                (Vec::new(), tasks)
+            } else {
+                tasks.into_iter().partition(is_orphan)
+            };
             let mut left = Vec::new();
             let known = self.run_times.is_known(&queued.kind);
-            for task in std::mem::take(&mut queued.tasks) {
+            for task in tasks {
                 if !left.is_empty() {
                     // All tasks of a step are alike.
                     left.push(task);
@@ -596,6 +619,7 @@
                     worker.expect_end(&key, START_DELAY + mean + RELEASE_DELAY, mean, now);
                 });
             }
+            left.extend(held);
             queued.tasks = left;
             if places.is_empty() {
                 continue;
--- a/crates/fleet/tests/submissions.rs
+++ b/crates/fleet/tests/submissions.rs
@@ -94,8 +94,7 @@
 #[test]
 fn queued_task_waits_for_a_run_of_an_earlier_submission_that_is_reported_later() {
     // Guards against a new scheduler that gets requests before the reports of the owners.
-    {
-        let front = "e-1";
+    for front in ["", "e-1"] {
         let mut scheduler = Scheduler::default();
         scheduler.add_reachable(&id("e-1"));
         scheduler.handle_ask(&id("e-2"), ask(0), NOW, &mut Output::default());
