fix(fleet): keep the grant of a run when an equal task's start is refused

Symptom: none was reported; found in review. A front whose start was refused because another run of its task is on the worker returned the grant (`Unused`), and the scheduler, which knows reservations by task, released the capacity of the run that is there. The task could then be granted again while it ran. The owner did the same (`Freed`) if the worker was draining, in a drained zone or not open, since these refusals are checked first.

Cause: `How::NoRoom` stands for a grant that is not used. Ruled out: releasing unreported reservations only, since a run is reported up to 1 s after its start.

Change: a start that is refused while another run of its task is on the worker ends with `How::NotStarted`, whatever the cause, and frees nothing.

Test: two_fronts, failed before: "other run" ended with NoRoom instead of NotStarted. Two more tests (Confirm, Relinked) pin down that these match the front; they passed before.

--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -99,11 +99,13 @@
         let (run, age) = (assigned.run.clone(), now.since(oldest));
         let front = assigned.front.clone();
         out.log(LogEvent::StartRefused { run, worker: id.clone(), cause, age, front });
-        send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
-        // The scheduler knows reservations by task, and the other run keeps its own.
-        if cause != StartRefusal::OtherRun {
-            self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        // The scheduler knows reservations by task, and another run keeps its own. A front returns
+        // the grant of a start without room.
+        if runs.iter().any(|known| known.run.task == assigned.run.task) {
+            return send_end(assigned, id.as_str(), How::NotStarted, Span::ZERO, out);
         }
+        send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
     }
 
     /// Records that a front has read a heartbeat that this owner sent at `at`.
