fix(fleet): refuse a start whose run number another front has in use

Run numbers start at 1 with each submission. An owner took the start of a second front for a repetition of the first front's and ignored it. The second front waited for the end of a run that it did not have.

Change: a start is repeated only if the same front has the run; another one is refused because of the other run. An unclaimed run is nobody's.

Test: two_fronts, failed before: no end was sent to the other front.

--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -145,6 +145,12 @@
         !self.kind.is_empty()
     }
 
+    /// Returns whether this front has started or claimed the run at this owner.
+    #[must_use]
+    pub fn is_of(&self, front: &InstanceId) -> bool {
+        self.is_claimed() && self.front == *front
+    }
+
     /// Returns the front that has started or claimed the run at this owner, if one has.
     #[must_use]
     pub fn claimed_front(&self) -> Option<InstanceId> {
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -24,7 +24,9 @@
             return send_end(&assigned, &start.worker, How::NotStarted, Span::ZERO, out);
         };
         let known = self.workers.get(&id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
-        if known.iter().any(|known| known.run == assigned.run) {
+        // Run numbers start anew with each submission, so another front may have an equal run.
+        let is_repeated = |known: &AssignedRun| known.run == assigned.run && known.is_of(front);
+        if known.iter().any(is_repeated) {
             return;
         }
         let response_times = self.response_times;
--- a/crates/fleet/tests/two_fronts.rs
+++ b/crates/fleet/tests/two_fronts.rs
@@ -8,7 +8,7 @@
     Command, Incarnation, Member, Members, Message, Output, Owner, PollResponse, PollResult,
     RunKey, Running, StartResponse, WorkerList, WorkerStatus,
 };
-use cranberryhatch_schema::fleet::{Confirm, How, Run, Start};
+use cranberryhatch_schema::fleet::{Confirm, How, Run, Start, Stop};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 const NOW: Time = Time::from_ms(20_000);
@@ -131,6 +131,13 @@
         self.owner.update_listed(&self.listing);
     }
 
+    fn stop(&mut self, front: &str) -> Output {
+        let mut out = Output::default();
+        let stop = Stop { run: Some(run()), worker: "w".to_owned() };
+        self.owner.stop(&id(front), &stop, self.now, &mut out);
+        out
+    }
+
     /// Lets `ms` milliseconds pass without a response of the worker, and ticks.
     fn tick_after(&mut self, ms: u64) -> Output {
         let mut out = Output::default();
@@ -207,6 +214,59 @@
     }
 }
 
+#[test]
+fn equal_start_of_another_front_is_refused() {
+    // Guards against a front that waits for the end of a run that it does not have.
+    struct Case {
+        name: &'static str,
+        front: &'static str,
+        found: bool,
+        stopped: bool,
+        ends: Vec<(InstanceId, How)>,
+    }
+    let refused = |name| vec![(id(name), How::NotStarted)];
+    let cases = [
+        Case {
+            name: "repeated by the same front",
+            front: EARLIER,
+            found: false,
+            stopped: false,
+            ends: Vec::new(),
+        },
+        Case {
+            name: "other front",
+            front: LATER,
+            found: false,
+            stopped: false,
+            ends: refused(LATER),
+        },
+        Case {
+            name: "other front, the run is being stopped",
+            front: LATER,
+            found: false,
+            stopped: true,
+            ends: refused(LATER),
+        },
+        Case {
+            name: "front of the owner's instance, the run is unclaimed",
+            front: ME,
+            found: true,
+            stopped: true,
+            ends: refused(ME),
+        },
+    ];
+    for Case { name, front, found, stopped, ends } in cases {
+        let mut fixture = if found { Fixture::new(&[run()]) } else { Fixture::with_run() };
+        // Unclaimed runs are stopped after a time-out.
+        let out = if found { fixture.tick_after(300) } else { Output::default() };
+        let stop = if stopped && !found { fixture.stop(EARLIER) } else { out };
+        assert_eq!(Seen::of(&stop).stops, usize::from(stopped), "{name}: stops");
+        let out = fixture.start(front);
+        assert_eq!(Seen::of(&out), Seen { ends, ..Seen::default() }, "{name}");
+        assert_eq!(fixture.owner.run_count(), 1, "{name}: runs");
+    }
+}
+
 #[test]
 fn run_is_confirmed_by_its_own_front_only() {
     for (front, stops) in [(EARLIER, 0), (LATER, 1)] {
