fix(fleet): stop a run for its own front only

Symptom: none was reported; found in review. A stop of a front ended the run of another front that had the same number.

Change: a stop matches the front as well, unless no front has claimed the run yet. The other front learns that its run has ended, as for an unknown run.

Test: two_fronts, failed before: one stop request to the worker, no end.

--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -275,8 +275,13 @@
         let Some(run) = stop.run.as_ref().map(RunKey::from) else { return };
         let id = stop.worker.parse::<WorkerId>().ok();
         let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { return };
-        let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == run) else {
-            if worker.ownership == Ownership::Open {
+        // An equal run may be one of another front.
+        let is_run = |assigned: &&mut AssignedRun| {
+            assigned.run == run && (assigned.is_of(front) || !assigned.is_claimed())
+        };
+        let Some(assigned) = worker.runs.iter_mut().find(is_run) else {
+            let is_of_another = worker.runs.iter().any(|assigned| assigned.run == run);
+            if worker.ownership == Ownership::Open || is_of_another {
                 // Start requests arrive in order on a link, so either this run's start request or
                 // the report of its end was lost with an earlier link.
                 let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
--- a/crates/fleet/tests/two_fronts.rs
+++ b/crates/fleet/tests/two_fronts.rs
@@ -8,7 +8,7 @@
     Command, Incarnation, Member, Members, Message, Output, Owner, PollResponse, PollResult,
     RunKey, Running, StartResponse, WorkerList, WorkerStatus,
 };
-use cranberryhatch_schema::fleet::{Confirm, How, Run, Start, Stop};
+use cranberryhatch_schema::fleet::{Claim, Confirm, How, Run, Start, Stop};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 const NOW: Time = Time::from_ms(20_000);
@@ -138,6 +138,13 @@
         out
     }
 
+    fn claim(&mut self, front: &str, runs: Vec<Start>) -> Output {
+        let mut out = Output::default();
+        let claim = Claim { worker: "w".to_owned(), runs };
+        self.owner.handle_claim(&id(front), &claim, self.now, &mut out);
+        out
+    }
+
     /// Lets `ms` milliseconds pass without a response of the worker, and ticks.
     fn tick_after(&mut self, ms: u64) -> Output {
         let mut out = Output::default();
@@ -267,6 +274,45 @@
     }
 }
 
+#[test]
+fn stop_of_another_front_does_not_end_the_run() {
+    struct Case {
+        name: &'static str,
+        front: &'static str,
+        found: bool,
+        claimed: bool,
+        seen: Seen,
+    }
+    let stopped = || Seen { stops: 1, ..Seen::default() };
+    let unknown = || Seen { ends: vec![(id(LATER), How::Stopped)], ..Seen::default() };
+    let cases = [
+        Case { name: "its front", front: EARLIER, found: false, claimed: false, seen: stopped() },
+        Case { name: "other front", front: LATER, found: false, claimed: false, seen: unknown() },
+        Case {
+            name: "the run is unclaimed",
+            front: LATER,
+            found: true,
+            claimed: false,
+            seen: stopped(),
+        },
+        Case {
+            name: "other front, further claims are awaited",
+            front: LATER,
+            found: true,
+            claimed: true,
+            seen: unknown(),
+        },
+    ];
+    for Case { name, front, found, claimed, seen } in cases {
+        let mut fixture = if found { Fixture::new(&[run()]) } else { Fixture::with_run() };
+        if claimed {
+            let request = fixture.request();
+            fixture.claim(EARLIER, vec![request]);
+        }
+        assert_eq!(Seen::of(&fixture.stop(front)), seen, "{name}");
+    }
+}
+
 #[test]
 fn run_is_confirmed_by_its_own_front_only() {
     for (front, stops) in [(EARLIER, 0), (LATER, 1)] {
