fix(fleet): keep unclaimed runs when the owner's own submission is superseded

Symptom: none was reported; found while matching stops by front. The runs that a new owner finds name the owner's instance as their front until they are claimed. If that instance had an earlier submission of the job, the notice that it is superseded also stopped the run of the later submission.

Change: only runs that the front has started or claimed are stopped.

Test: two_fronts, failed before: one stop request to the worker.

--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -301,9 +301,9 @@
     /// Stops the runs of a job that a front has, since a later submission has superseded its own.
     pub fn stop_superseded(&mut self, job: &str, front: &InstanceId, now: Time, out: &mut Output) {
         for (_, worker) in self.workers.iter_mut() {
-            let of_job = |assigned: &&mut AssignedRun| {
-                assigned.run.task.job == job && assigned.front == *front
-            };
+            // An unclaimed run may be one of the later submission.
+            let of_job =
+                |assigned: &&mut AssignedRun| assigned.run.task.job == job && assigned.is_of(front);
             let mut stops = Vec::new();
             for assigned in worker.runs.iter_mut().filter(of_job) {
                 assigned.wanted = false;
--- a/crates/fleet/tests/two_fronts.rs
+++ b/crates/fleet/tests/two_fronts.rs
@@ -313,6 +313,22 @@
     }
 }
 
+#[test]
+fn superseded_submission_of_the_owners_instance_keeps_unclaimed_runs_of_other_fronts() {
+    let mut fixture = Fixture::new(&[run()]);
+    let mut out = Output::default();
+    fixture.owner.stop_superseded("j", &id(ME), NOW, &mut out);
+    assert_eq!(Seen::of(&out), Seen::default(), "the run may be one of the later submission");
+    let request = fixture.request();
+    fixture.claim(LATER, vec![request]);
+    fixture.claim(ME, Vec::new());
+    fixture.claim(EARLIER, Vec::new());
+    fixture.owner.stop_superseded("j", &id(ME), NOW, &mut out);
+    assert_eq!(Seen::of(&out), Seen::default(), "it is one of the later submission");
+    fixture.owner.stop_superseded("j", &id(LATER), NOW, &mut out);
+    assert_eq!(Seen::of(&out).stops, 1, "it is superseded too");
+}
+
 #[test]
 fn run_is_confirmed_by_its_own_front_only() {
     for (front, stops) in [(EARLIER, 0), (LATER, 1)] {
