fix(fleet): give a found run to the first front that claims it

Symptom: none was reported; found in review. If two fronts claim an equal run from a new owner, because the refusal of the second one's start was lost with the previous owner, the last claim won without a message to the first front, which waited for the end of a run that it did not have.

Change: a claim of a run that another front has claimed is answered with its end (`Stopped`). The run itself goes on.

Test: two_fronts, failed before: no end was sent.

--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -1,6 +1,6 @@
 //! How an instance takes over a worker, and how it gives a worker up.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, Room, Run, Takeover, Takeovers};
+use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover, Takeovers};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
@@ -117,6 +117,13 @@
             if let Some(assigned) =
                 worker.runs.iter_mut().find(|assigned| assigned.run == claimed.run)
             {
+                if assigned.is_claimed() && assigned.front != *front {
+                    // The start of an equal run was refused, and the refusal was lost.
+                    let ended =
+                        ended_message(&claimed.run, &claim.worker, How::Stopped, Span::ZERO);
+                    out.send(front, Message::Ended(ended));
+                    continue;
+                }
                 claimed.stage = assigned.stage;
                 claimed.percent = assigned.percent;
                 claimed.incarnation = assigned.incarnation;
--- a/crates/fleet/tests/two_fronts.rs
+++ b/crates/fleet/tests/two_fronts.rs
@@ -329,6 +329,22 @@
     assert_eq!(Seen::of(&out).stops, 1, "it is superseded too");
 }
 
+#[test]
+fn run_is_given_to_the_first_front_that_claims_it() {
+    // Guards against a front that waits for the end of a run that another front has claimed since.
+    let mut fixture = Fixture::new(&[run()]);
+    let request = fixture.request();
+    let first = fixture.claim(EARLIER, vec![request.clone()]);
+    assert_eq!(Seen::of(&first), Seen::default());
+    let repeated = fixture.claim(EARLIER, vec![request.clone()]);
+    assert_eq!(Seen::of(&repeated), Seen::default());
+    let second = fixture.claim(LATER, vec![request]);
+    let ends = vec![(id(LATER), How::Stopped)];
+    assert_eq!(Seen::of(&second), Seen { ends, ..Seen::default() });
+    fixture.claim(ME, Vec::new());
+    assert_eq!(fixture.owner.fronts(), [id(EARLIER)]);
+}
+
 #[test]
 fn run_is_confirmed_by_its_own_front_only() {
     for (front, stops) in [(EARLIER, 0), (LATER, 1)] {
