fix(fleet): withhold a task whose start may still be on its way

A grant counts as unused 700 ms later if its owner has not reported the run. Owners accept a start up to 910 ms after the heartbeat that its front has read, a grant may itself take up to PEER_TIMEOUT to reach the front, and the run is reported up to 1 s later. A later submission of the job was granted the task in that time, so it ran twice when the earlier start arrived.

Ruled out: an overbooked worker, since the owner refuses the later of the two starts (new test, passed before). Keeping the reservation for longer, which would idle the capacity of each lost grant for two seconds more.

Change: the capacity is released as before, and the worker's view remembers the task of the unused grant for START_EXPIRY (2.9 s), unless it is reported or returned.

Test: late_starts, failed before: the later submission was granted the task after 700 ms while the start was accepted after 0 ms and not yet reported.

--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{Cores, InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Incarnation, ListedWorker, Need, TaskKey,
+    Incarnation, ListedWorker, Need, PEER_TIMEOUT, RUN_LIFETIME, TaskKey,
     members::text_hash,
     run_stats::WorkerStats,
     speed::{ClassSpeeds, SlownessLevel, SpeedEstimate},
@@ -14,6 +14,12 @@
 ///
 /// A run starts within a few milliseconds of the grant, and owners report all runs once a second.
 const UNUSED_AFTER: Span = Span::from_ms(700);
+/// Time after a grant in which its run may start, or may have started without being reported.
+///
+/// A grant that takes longer than [`PEER_TIMEOUT`] to reach its front is lost with the link, owners
+/// refuse a start [`RUN_LIFETIME`] after the heartbeat that its front has read, and they report all
+/// runs once a second.
+const START_EXPIRY: Span = Span::from_ms(PEER_TIMEOUT.as_ms() + RUN_LIFETIME.as_ms() + 1_000);
 /// First pause of a worker after a fault, doubled with each further one. A single bad run of 60 to
 /// 900 ms does not justify a longer pause.
 const PAUSE: Span = Span::from_ms(100);
@@ -91,7 +97,9 @@
     /// Whether the worker was last logged as slow.
     pub logged_slow: bool,
     reservations: Vec<Reservation>,
-    // Whether one of them is exclusive.
+    // Tasks of unused grants that may still start here, and when they were granted.
+    unused: Vec<(TaskKey, Time)>,
+    // Whether one of the reservations is exclusive.
     exclusive: bool,
     free: Need,
     pause_count: u32,
@@ -127,6 +135,7 @@
             last_probe: Time::ZERO,
             logged_slow: false,
             reservations: Vec::new(),
+            unused: Vec::new(),
             exclusive: false,
             free,
             pause_count: 0,
@@ -358,16 +367,20 @@
             (grants || reservation.reported) && reservation.task == *task
         };
         self.reservations.iter().any(holds)
+            || grants && self.unused.iter().any(|(unused, _)| unused == task)
     }
 
-    /// Returns the tasks that hold capacity or were granted it.
+    /// Returns the tasks that hold capacity or were granted it, also those whose grant counts as
+    /// unused but may still be used.
     pub fn tasks(&self) -> impl Iterator<Item = &TaskKey> {
-        self.reservations.iter().map(|reservation| &reservation.task)
+        let unused = self.unused.iter().map(|(task, _)| task);
+        self.reservations.iter().map(|reservation| &reservation.task).chain(unused)
     }
 
     /// Releases the capacity of a task.
     pub fn release(&mut self, task: &TaskKey) {
         self.reservations.retain(|reservation| reservation.task != *task);
+        self.unused.retain(|(unused, _)| unused != task);
         self.update_free();
     }
 
@@ -383,6 +396,12 @@
                 && !held.iter().any(|(task, _)| *task == reservation.task)
         };
         self.reservations = before.iter().filter(on_way).cloned().collect();
+        let unused =
+            before.iter().filter(|reservation| !reservation.reported && !on_way(reservation));
+        self.unused.extend(unused.map(|reservation| (reservation.task.clone(), reservation.at)));
+        self.unused.retain(|(task, granted_at)| {
+            now.since(*granted_at) < START_EXPIRY && !held.iter().any(|(held, _)| held == task)
+        });
         self.reservations.extend(held.into_iter().map(|(task, need)| {
             let known = before.iter().find(|reservation| reservation.task == task);
             let (end, run) =
