fix(http): notice callers whose disconnect was lost

Symptom: a request stays in progress, and an instance keeps its job, for as long as the connection of its caller seems open. When the caller's host loses power, or a reset is dropped on the way, nothing ends the connection, as the server has nothing to write before the response. Cause: TCP keepalive was not enabled on accepted connections. Ruled out: TCP_USER_TIMEOUT acts on unacknowledged data only, of which there is none before the response, and would discard responses that are retransmitted until their caller is reachable again. Change: probes after 1 s without data, every 1 s, four times. They cost nothing while data flows, and a packet each way each second while a caller waits. Tests: packet filters on the sockets lose the disconnect. The server's filter drops the reset of the closing caller, but not the reset that answers a probe; the caller's filter drops all that it receives. Not covered: a proxy between caller and server that keeps its own connection open answers the probes itself.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,6 +24,7 @@
 mod budget;
 mod client;
 mod client_error;
+mod peer_liveness;
 mod problem;
 mod runtime;
 mod server;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,6 +17,7 @@
 use crate::{
     Problem,
     budget::{Budget, Reservation},
+    peer_liveness::enable_keepalive,
     write_timeout_stream::WriteTimeoutStream,
 };
 
@@ -122,6 +123,8 @@
         let start = |stream: TcpStream| {
             // Responses are small; Nagle's algorithm would only add latency.
             let _ = stream.set_nodelay(true);
+            // Linux rejects none of these options on a TCP socket.
+            let _ = enable_keepalive(&stream);
             let stream = WriteTimeoutStream::new(stream, self.limits.write_timeout);
             let (handler, budget) = (Arc::clone(&self.handler), Arc::clone(&budget));
             executor.spawn(run_connection(handler, self.limits, budget, stream, stop.clone()))
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -2,12 +2,12 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_channel::Sender;
@@ -15,11 +15,14 @@
 use cranberryhatch_http::{Client, Runtime, Server, reply_json};
 use http::{Request, Response, StatusCode};
 use smol::{Task, net::TcpListener};
+use socket2::{SockFilter, SockRef};
 
 /// Timeout of the server in tests that wait for it to expire.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Upper bound for operations that are expected to complete.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time within which the server has to notice that a client is gone whose disconnect was lost.
+const LOST_CLIENT_TIMEOUT: Duration = Duration::from_secs(10);
 
 struct Fixture {
     addr: SocketAddr,
@@ -31,12 +34,25 @@
 
 impl Fixture {
     fn new<F, R>(configure: impl FnOnce(Server<F>) -> Server<F>, handler: F) -> Self
+    where
+        F: Fn(Request<Bytes>) -> R + Send + Sync + 'static,
+        R: Future<Output = Response<Bytes>> + Send + 'static,
+    {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+        Self::on(listener, configure, handler)
+    }
+
+    fn on<F, R>(
+        listener: std::net::TcpListener,
+        configure: impl FnOnce(Server<F>) -> Server<F>,
+        handler: F,
+    ) -> Self
     where
         F: Fn(Request<Bytes>) -> R + Send + Sync + 'static,
         R: Future<Output = Response<Bytes>> + Send + 'static,
     {
         let runtime = Runtime::new(2);
-        let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("listener");
+        let listener = TcpListener::try_from(listener).expect("listener");
         let addr = listener.local_addr().expect("address");
         let (stop, stopped) = async_channel::bounded(1);
         let server = configure(Server::new(handler)).serve(runtime.executor(), listener, stopped);
@@ -175,37 +191,130 @@
     drop(stream);
 }
 
+/// Request handler that counts the requests in progress and never responds.
+#[derive(Clone, Default)]
+struct Holder {
+    live: Arc<AtomicUsize>,
+}
+
+/// Counts a request in progress until it is dropped.
+struct Held(Arc<AtomicUsize>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Holder {
+    async fn hold(self) -> Response<Bytes> {
+        self.live.fetch_add(1, Ordering::AcqRel);
+        let _held = Held(self.live);
+        std::future::pending().await
+    }
+
+    fn wait_for_live(&self, count: usize, timeout: Duration, what: &str) {
+        let deadline = Instant::now() + timeout;
+        while self.live.load(Ordering::Acquire) != count {
+            assert!(Instant::now() < deadline, "{what}: not {count} requests in progress");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// Closes a connection with a reset.
+fn reset(stream: TcpStream) -> Option<TcpStream> {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("option");
+    drop(stream);
+    None
+}
+
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+const POST: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\na";
+
 /// Guards against a request that keeps its resources after its client has disconnected.
 #[test]
 fn disconnect_drops_the_request() {
-    struct Live(Arc<AtomicUsize>);
-    impl Drop for Live {
-        fn drop(&mut self) {
-            self.0.fetch_sub(1, Ordering::AcqRel);
-        }
+    struct Case {
+        name: &'static str,
+        sent: &'static [u8],
+        leave: fn(TcpStream) -> Option<TcpStream>,
     }
-    let live = Arc::new(AtomicUsize::new(0));
-    let (entered, inside) = async_channel::bounded(1);
-    let counter = Arc::clone(&live);
-    let handler = move |_request| {
-        counter.fetch_add(1, Ordering::AcqRel);
-        let (live, entered) = (Live(Arc::clone(&counter)), entered.clone());
-        async move {
-            let _live = live;
-            entered.send(()).await.expect("test");
-            std::future::pending::<Response<Bytes>>().await
-        }
+    let half_close = |stream: TcpStream| {
+        stream.shutdown(Shutdown::Write).expect("shutdown");
+        Some(stream)
     };
-    let server = Fixture::new(|s| s, handler);
-    let stream = server.send_raw(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n");
-    server.runtime.block_on(inside.recv()).expect("request");
-    assert_eq!(live.load(Ordering::Acquire), 1);
-    drop(stream);
-    let deadline = std::time::Instant::now() + TEST_TIMEOUT;
-    while live.load(Ordering::Acquire) > 0 {
-        assert!(std::time::Instant::now() < deadline, "the request is still held");
-        std::thread::sleep(Duration::from_millis(5));
+    let cases = [
+        Case { name: "close", sent: GET, leave: |_| None },
+        Case { name: "reset", sent: GET, leave: reset },
+        Case { name: "half-close", sent: GET, leave: half_close },
+        Case { name: "body, close", sent: POST, leave: |_| None },
+    ];
+    for Case { name, sent, leave } in cases {
+        let holder = Holder::default();
+        let handler = holder.clone();
+        let server = Fixture::new(|s| s, move |_| handler.clone().hold());
+        let stream = server.send_raw(sent);
+        holder.wait_for_live(1, TEST_TIMEOUT, name);
+        let _half_open = leave(stream);
+        holder.wait_for_live(0, TEST_TIMEOUT, name);
+    }
+}
+
+/// Guards against a client whose disconnect is lost on the way, so that its request keeps its
+/// resources for as long as the response takes.
+#[test]
+fn lost_disconnect_drops_the_request() {
+    struct Case {
+        name: &'static str,
+        // Filter of the packets that arrive at the server.
+        server: &'static [SockFilter],
+        leave: fn(TcpStream) -> Option<TcpStream>,
     }
+    // Programs of the classic packet filter, whose data starts with the TCP header.
+    const LOAD_FLAGS: SockFilter = SockFilter::new(0x30, 0, 0, 13);
+    const SKIP_UNLESS_RESET_WITH_ACK: SockFilter = SockFilter::new(0x15, 0, 1, 0x14);
+    const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+    const PASS: SockFilter = SockFilter::new(0x06, 0, 0, u32::MAX);
+    // A reset that answers a probe has no acknowledgement and passes.
+    const DROP_FIRST_RESET: &[SockFilter] = &[LOAD_FLAGS, SKIP_UNLESS_RESET_WITH_ACK, DROP, PASS];
+    let cases = [
+        Case { name: "the reset is lost", server: DROP_FIRST_RESET, leave: reset },
+        Case {
+            name: "the host of the client receives nothing more",
+            server: &[PASS],
+            leave: |stream| {
+                SockRef::from(&stream).attach_filter(&[DROP]).expect("filter");
+                Some(stream)
+            },
+        },
+    ];
+    for Case { name, server, leave } in cases {
+        let holder = Holder::default();
+        let handler = holder.clone();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+        // Accepted sockets inherit the filter.
+        SockRef::from(&listener).attach_filter(server).expect("filter");
+        let server = Fixture::on(listener, |s| s, move |_| handler.clone().hold());
+        let stream = server.send_raw(POST);
+        holder.wait_for_live(1, TEST_TIMEOUT, name);
+        let _silent = leave(stream);
+        holder.wait_for_live(0, LOST_CLIENT_TIMEOUT, name);
+    }
+}
+
+/// Guards against connections that are given up because a request takes longer than all probes of
+/// its client.
+#[test]
+fn client_that_waits_longer_than_the_probes_gets_its_response() {
+    /// Longer than the time until a client that answers no probe is given up.
+    const WAIT: Duration = Duration::from_secs(7);
+    let handler = |_request| async {
+        smol::Timer::after(WAIT).await;
+        reply_json(StatusCode::OK, "done")
+    };
+    let server = Fixture::new(|s| s, handler);
+    assert_eq!(server.post(vec![b'a']).body().as_ref(), b"\"done\"");
 }
 
 /// Guards against connections above the limit that are never served after others have ended.
