fix(http): notice callers that leave after a pipelined request

Symptom: a caller that sends more than one request at once and then closes or resets its connection is not noticed: its first request stays in progress. If the process was paused meanwhile, the request of a caller that has left is even handled afterwards, so that a job starts for which nobody waits. Cause: hyper looks for the end of a connection only while its read buffer is empty, and the buffer holds the begin of the next request. Ruled out: requests without data behind them; they are dropped on a close, a reset and a half-close, and not handled if that came before they were read. Half-closes are not told apart from closes, as both look the same to a server. Change: the server polls the socket for POLLRDHUP before it calls the handler and every 500 ms while it runs. Costs a system call and a timer for each.

--- a/crates/http/src/peer_liveness.rs
+++ b/crates/http/src/peer_liveness.rs
@@ -1,9 +1,12 @@
-//! Detection of peers that have left a connection without a notice.
+//! Detection of peers that have left a connection, beyond what reads and writes report.
 
 use std::{io, time::Duration};
 
-use rustix::net::sockopt;
-use smol::net::TcpStream;
+use rustix::{
+    event::{PollFd, PollFlags, Timespec, poll},
+    net::sockopt,
+};
+use smol::{Timer, net::TcpStream};
 
 /// Time without data after which the kernel probes the peer, and the smallest that Linux supports.
 ///
@@ -14,6 +17,13 @@
 /// Number of unanswered probes after which the connection ends, so that a peer that is unreachable
 /// for less than 5 s keeps it.
 const KEEPALIVE_PROBES: u32 = 4;
+/// Interval between checks whether the peer of a request in progress has left.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The peer left before it got its response.
+#[derive(Debug, thiserror::Error)]
+#[error("the peer closed the connection before the response")]
+pub(crate) struct PeerLeft;
 
 /// Makes the kernel probe the peer while a connection is idle.
 ///
@@ -27,3 +37,20 @@
     sockopt::set_socket_keepalive(stream, true)?;
     Ok(())
 }
+
+/// Waits until the peer has closed, half-closed or reset the connection, also if it left unread data.
+///
+/// `hyper` notices this only if it has no data beyond the request in progress.
+pub(crate) async fn wait_until_left(stream: &TcpStream) -> PeerLeft {
+    while !has_left(stream) {
+        Timer::after(CHECK_INTERVAL).await;
+    }
+    PeerLeft
+}
+
+fn has_left(stream: &TcpStream) -> bool {
+    let end = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut fds = [PollFd::new(stream, PollFlags::RDHUP)];
+    // An interrupted call tells nothing about the peer; the next check does.
+    poll(&mut fds, Some(&Timespec::default())).is_ok() && fds[0].revents().intersects(end)
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server that reads each request completely before it calls the handler.
 
-use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
+use std::{future::Future, pin::pin, sync::Arc, time::Duration};
 
 use async_channel::Receiver;
 use bytes::{Bytes, BytesMut};
@@ -17,7 +17,7 @@
 use crate::{
     Problem,
     budget::{Budget, Reservation},
-    peer_liveness::enable_keepalive,
+    peer_liveness::{PeerLeft, enable_keepalive, wait_until_left},
     write_timeout_stream::WriteTimeoutStream,
 };
 
@@ -125,7 +125,6 @@
             let _ = stream.set_nodelay(true);
             // Linux rejects none of these options on a TCP socket.
             let _ = enable_keepalive(&stream);
-            let stream = WriteTimeoutStream::new(stream, self.limits.write_timeout);
             let (handler, budget) = (Arc::clone(&self.handler), Arc::clone(&budget));
             executor.spawn(run_connection(handler, self.limits, budget, stream, stop.clone()))
         };
@@ -172,26 +171,32 @@
     handler: Arc<H>,
     limits: Limits,
     budget: Arc<Budget>,
-    stream: WriteTimeoutStream,
+    stream: TcpStream,
     stop: Receiver<()>,
 ) {
     let service = service_fn(|request: Request<Incoming>| {
-        let handler = Arc::clone(&handler);
+        let (handler, peer) = (Arc::clone(&handler), stream.clone());
         let reservation = Budget::reservation(Arc::clone(&budget));
         async move {
             let response = match read_request(request, limits, reservation).await {
-                Ok((request, _reservation)) => handler.handle(request).await,
+                Ok((request, _reservation)) => {
+                    // The first check comes before the handler starts.
+                    let left = async { Err(wait_until_left(&peer).await) };
+                    let handled = async { Ok(handler.handle(request).await) };
+                    left.or(handled).await?
+                }
                 Err(problem) => problem.response(),
             };
-            Ok::<_, Infallible>(response.map(Full::new))
+            Ok::<_, PeerLeft>(response.map(Full::new))
         }
     });
+    let io = WriteTimeoutStream::new(stream.clone(), limits.write_timeout);
     let mut builder = http1::Builder::new();
     builder
         .timer(SmolTimer::new())
         .header_read_timeout(limits.read_timeout)
         .max_buf_size(limits.head_size);
-    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(io), service));
     let stopped = async {
         let _ = stop.recv().await;
         false
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -195,6 +195,7 @@
 #[derive(Clone, Default)]
 struct Holder {
     live: Arc<AtomicUsize>,
+    handled: Arc<AtomicUsize>,
 }
 
 /// Counts a request in progress until it is dropped.
@@ -208,6 +209,7 @@
 
 impl Holder {
     async fn hold(self) -> Response<Bytes> {
+        self.handled.fetch_add(1, Ordering::AcqRel);
         self.live.fetch_add(1, Ordering::AcqRel);
         let _held = Held(self.live);
         std::future::pending().await
@@ -231,6 +233,8 @@
 
 const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
 const POST: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\na";
+/// A request and the begin of another one.
+const PIPELINED: &[u8] = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\naPOST / HTTP";
 
 /// Guards against a request that keeps its resources after its client has disconnected.
 #[test]
@@ -249,6 +253,9 @@
         Case { name: "reset", sent: GET, leave: reset },
         Case { name: "half-close", sent: GET, leave: half_close },
         Case { name: "body, close", sent: POST, leave: |_| None },
+        Case { name: "pipelined, close", sent: PIPELINED, leave: |_| None },
+        Case { name: "pipelined, reset", sent: PIPELINED, leave: reset },
+        Case { name: "pipelined, half-close", sent: PIPELINED, leave: half_close },
     ];
     for Case { name, sent, leave } in cases {
         let holder = Holder::default();
@@ -261,6 +268,45 @@
     }
 }
 
+/// Guards against requests that are handled after a pause of the process although their clients
+/// have left meanwhile.
+#[test]
+fn request_whose_client_left_before_it_was_read_is_not_handled() {
+    struct Case {
+        name: &'static str,
+        sent: &'static [u8],
+        leave: fn(TcpStream) -> Option<TcpStream>,
+    }
+    let cases = [
+        Case { name: "close", sent: POST, leave: |_| None },
+        Case { name: "reset", sent: POST, leave: reset },
+        Case { name: "pipelined, close", sent: PIPELINED, leave: |_| None },
+        Case { name: "pipelined, reset", sent: PIPELINED, leave: reset },
+    ];
+    for Case { name, sent, leave } in cases {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("listener");
+        let mut stream = TcpStream::connect(listener.local_addr().expect("address")).expect("sent");
+        stream.write_all(sent).expect("sent");
+        leave(stream);
+        let holder = Holder::default();
+        let handler = holder.clone();
+        let mut server = Fixture::on(listener, |s| s, move |_| handler.clone().hold());
+        server.stop.take();
+        // The server ends only when the connection has ended.
+        let serving = server.serving.take().expect("server");
+        let ended = async {
+            serving.await;
+            true
+        };
+        let expiry = async {
+            smol::Timer::after(TEST_TIMEOUT).await;
+            false
+        };
+        assert!(server.runtime.block_on(smol::future::or(ended, expiry)), "{name}: in progress");
+        assert_eq!(holder.handled.load(Ordering::Acquire), 0, "{name}");
+    }
+}
+
 /// Guards against a client whose disconnect is lost on the way, so that its request keeps its
 /// resources for as long as the response takes.
 #[test]
