test(http): the client sends a request at most once, whatever its peer does

The postmortem's way "the client library repeats a start" had no test that looks at what a peer reads. 21 kinds of peer on sockets record the requests that they read: ends, half-closes and resets of idle connections while the next request is sent, before, within and after the request and its response, 408 and 503 with and without a close, early responses, redirects. The test fails if the client repeats a lost request ("/0 was read 2 times"), and if it reports a connection that ends before the response as unsent.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -2,8 +2,12 @@
 //! connection stays in use after its request.
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::{BufRead, BufReader, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::JoinHandle,
     time::Duration,
 };
@@ -11,6 +15,7 @@
 use bytes::Bytes;
 use cranberryhatch_http::{Client, ClientError, Runtime};
 use http::Request;
+use socket2::SockRef;
 
 /// Upper bound for operations that are expected to complete.
 const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -144,3 +149,314 @@
         runtime.block_on(client.send_within(addr, get(), TEST_TIMEOUT)).expect_err("no peer");
     assert!(error.is_unsent(), "{error}");
 }
+
+/// Connection of a peer that records the requests that it reads.
+struct RecordedConnection {
+    reader: BufReader<TcpStream>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl RecordedConnection {
+    /// Reads and records the head of a request, and returns the size of its body.
+    fn read_head(&mut self) -> Option<usize> {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).ok()?;
+        let path = line.split(' ').nth(1)?.to_owned();
+        self.requests.lock().expect("requests").push(path);
+        let mut size = 0;
+        while !matches!(line.as_str(), "" | "\r\n") {
+            line.clear();
+            self.reader.read_line(&mut line).ok()?;
+            if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length: ") {
+                size = value.trim().parse().ok()?;
+            }
+        }
+        Some(size)
+    }
+
+    /// Reads and records a request, and returns whether it was complete.
+    fn read_request(&mut self) -> bool {
+        let Some(size) = self.read_head() else { return false };
+        self.reader.read_exact(&mut vec![0; size]).is_ok()
+    }
+
+    /// Reads and records requests until the client closes the connection.
+    fn read_on(&mut self) {
+        while self.read_request() {}
+    }
+
+    fn write(&mut self, text: &str) {
+        // The client may have closed the connection already.
+        let _ = self.reader.get_mut().write_all(text.as_bytes());
+    }
+
+    fn respond(&mut self) {
+        self.write(&response("done"));
+    }
+
+    fn close_writes(&self) {
+        let _ = self.reader.get_ref().shutdown(Shutdown::Write);
+    }
+
+    /// Makes the connection end with a reset when it is dropped.
+    fn reset_on_drop(&self) {
+        SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).expect("option");
+    }
+}
+
+/// Peer that serves each connection in a thread until it is stopped.
+struct RecordingPeer {
+    addr: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl RecordingPeer {
+    fn start(serve: fn(RecordedConnection)) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+        let addr = listener.local_addr().expect("address");
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (log, stop) = (Arc::clone(&requests), Arc::clone(&stopped));
+        let thread = std::thread::spawn(move || {
+            let mut threads = Vec::new();
+            while let Ok((stream, _)) = listener.accept()
+                && !stop.load(Ordering::Acquire)
+            {
+                let requests = Arc::clone(&log);
+                let connection = RecordedConnection { reader: BufReader::new(stream), requests };
+                threads.push(std::thread::spawn(move || serve(connection)));
+            }
+            for thread in threads {
+                thread.join().expect("connection");
+            }
+        });
+        Self { addr, requests, stopped, thread }
+    }
+
+    /// Waits until all connections have ended, and returns the requests that were read.
+    fn stop(self) -> Vec<String> {
+        self.stopped.store(true, Ordering::Release);
+        drop(TcpStream::connect(self.addr));
+        self.thread.join().expect("peer");
+        std::mem::take(&mut self.requests.lock().expect("requests"))
+    }
+}
+
+/// Guards against a request that a peer gets twice, which would start a run twice, and against a
+/// request that is reported as unsent although the peer got it.
+#[test]
+fn request_is_sent_at_most_once_whatever_the_peer_does() {
+    /// Requests in turn; some of them meet the end of the connection that the one before used.
+    const REQUESTS: usize = 40;
+    /// Larger than the socket buffers, so that writes are interrupted.
+    const LARGE_BODY: usize = 8 << 20;
+    struct Case {
+        name: &'static str,
+        body: usize,
+        serve: fn(RecordedConnection),
+    }
+    let cases = [
+        Case {
+            name: "serves all requests",
+            body: 1,
+            serve: |mut peer| {
+                while peer.read_request() {
+                    peer.respond();
+                }
+            },
+        },
+        Case {
+            name: "closes an idle connection",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.respond();
+            },
+        },
+        Case {
+            name: "resets an idle connection",
+            body: 1,
+            serve: |mut peer| {
+                peer.reset_on_drop();
+                peer.read_request();
+                peer.respond();
+            },
+        },
+        Case {
+            name: "closes an idle connection for writes",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.respond();
+                peer.close_writes();
+                peer.read_on();
+            },
+        },
+        Case {
+            name: "announces the close of the connection and reads on",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+                peer.read_on();
+            },
+        },
+        Case {
+            name: "times an idle connection out",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.respond();
+                peer.write("HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\n\r\n");
+                peer.read_on();
+            },
+        },
+        Case { name: "closes before it reads", body: 1, serve: drop },
+        Case { name: "resets before it reads", body: 1, serve: |peer| peer.reset_on_drop() },
+        Case {
+            name: "closes for writes before it reads",
+            body: 1,
+            serve: |mut peer| {
+                peer.close_writes();
+                peer.read_on();
+            },
+        },
+        Case {
+            name: "closes after the head",
+            body: LARGE_BODY,
+            serve: |mut peer| {
+                peer.read_head();
+            },
+        },
+        Case {
+            name: "closes for writes after the head",
+            body: LARGE_BODY,
+            serve: |mut peer| {
+                let size = peer.read_head().unwrap_or_default();
+                peer.close_writes();
+                let _ = peer.reader.read_exact(&mut vec![0; size]);
+                peer.read_on();
+            },
+        },
+        Case {
+            name: "responds after the head and closes",
+            body: LARGE_BODY,
+            serve: |mut peer| {
+                peer.read_head();
+                peer.write("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n");
+            },
+        },
+        Case {
+            name: "closes after the request",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+            },
+        },
+        Case {
+            name: "resets after the request",
+            body: 1,
+            serve: |mut peer| {
+                peer.reset_on_drop();
+                peer.read_request();
+            },
+        },
+        Case {
+            name: "closes for writes after the request",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.close_writes();
+                peer.read_on();
+            },
+        },
+        Case {
+            name: "closes within the head of the response",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write("HTTP/1.1 200");
+            },
+        },
+        Case {
+            name: "closes within the body of the response",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc");
+            },
+        },
+        Case {
+            name: "responds with 408 and closes",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write("HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n");
+            },
+        },
+        Case {
+            name: "responds with 503 and closes",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write(
+                    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 0\r\n\
+                     connection: close\r\n\r\n",
+                );
+            },
+        },
+        Case {
+            name: "responds with 100 and closes",
+            body: 1,
+            serve: |mut peer| {
+                peer.read_request();
+                peer.write("HTTP/1.1 100 Continue\r\n\r\n");
+            },
+        },
+        Case {
+            name: "redirects",
+            body: 1,
+            serve: |mut peer| {
+                while peer.read_request() {
+                    peer.write(
+                        "HTTP/1.1 307 Temporary Redirect\r\nlocation: /other\r\n\
+                         content-length: 0\r\n\r\n",
+                    );
+                }
+            },
+        },
+    ];
+    for Case { name, body, serve } in cases {
+        let peer = RecordingPeer::start(serve);
+        // Several threads, so that requests meet ends of connections that are not read yet.
+        let runtime = Runtime::new(2);
+        let client = Client::new(runtime.executor());
+        let requests = if body == LARGE_BODY { REQUESTS / 10 } else { REQUESTS };
+        let mut results = Vec::new();
+        for number in 0..requests {
+            let path = format!("/{number}");
+            let body = Bytes::from(vec![b'a'; body]);
+            let request = Request::post(&path).body(body).expect("request");
+            let sent = client.send_within(peer.addr, request, TEST_TIMEOUT);
+            results.push((path, runtime.block_on(sent)));
+            // From no pause, in which the end of the connection is not read yet, to a long one.
+            std::thread::sleep(Duration::from_micros(100) * u32::try_from(number).expect("small"));
+        }
+        drop((client, runtime));
+        let read = peer.stop();
+        for (path, result) in results {
+            let count = read.iter().filter(|known| **known == path).count();
+            assert!(count <= 1, "{name}: {path} was read {count} times");
+            match result {
+                Ok(_) => assert_eq!(count, 1, "{name}: {path} was answered"),
+                Err(error) if error.is_unsent() => {
+                    assert_eq!(count, 0, "{name}: {path} is reported as unsent: {error}");
+                }
+                Err(_) => {}
+            }
+        }
+        assert!(read.iter().all(|path| path != "/other"), "{name}: a redirect was followed");
+    }
+}
