fix(fleet): defer starts beside a lease that outlasts their runs

Symptom: an owner accepted a start with a heartbeat of 270 to 910 ms ago although the lease that the worker already had ended later than RUN_LIFETIME after it, by up to 641 ms. If the start had waited on a slow link and its front was lost meanwhile, the run could outlast the 1,300 ms after which the caller sends its job again.

Cause: the lease of a start was limited, but leases on a worker never shorten. The new run also gets the lease of the runs beside it, or on a worker that was opened without runs that of the former owner, which was not counted at all.

Ruled out: refusing such starts (a grant more, and a pause of the worker at the scheduler, for the first start of each idle front); a refusal with a fresh heartbeat and the same start again (needs a new `How`, the payload twice, and the capacity is free in between).

Change: the owner keeps such a start with its capacity, and sends the front a heartbeat that asks for one at once (`Beat.echo`). The echo proves that the front was alive then, and the run starts. Fronts of earlier versions ignore the field and echo within their heartbeat interval. Until then polls give no lease past the lifetime of the deferred run, so one echo is sufficient however long it takes. A deferred start ends when its front stops it, its link breaks, its job is superseded, its worker is dropped, or its heartbeat becomes too old for any lease; the front gets NOT_STARTED or NO_ROOM, as after a refusal. On opening a worker the former owner's lease counts as long as it can last. On a worker without runs it also replaces the longer time that is reserved after a restart for requests in flight, which are void under the new token.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -226,6 +226,9 @@
             LogEvent::StartRefused { cause, .. } => {
                 Metrics::count(&self.metrics.refused_starts, cause);
             }
+            LogEvent::StartDeferred { .. } => {
+                self.metrics.deferred_starts.inc();
+            }
             LogEvent::IncarnationEnded { .. } => {
                 self.metrics.worker_restarts.inc();
             }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -228,6 +228,13 @@
                 "{name}"
             );
         }
+        LogEvent::StartDeferred { run, worker, age, excess, front } => {
+            log::info!(
+                run = run_text(run), worker = worker.as_str(), age_ms = age.as_ms(),
+                excess_ms = excess.as_ms(), front = front.as_str();
+                "{name}"
+            );
+        }
         LogEvent::RunRestarted { run, worker, owner, previous, since }
         | LogEvent::StartRetried { run, worker, owner, previous, since } => {
             let end = &previous.end;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -44,6 +44,8 @@
     pub runs: Family<CauseLabel, Counter>,
     /// Start requests that this instance rejected as the owner, by cause.
     pub refused_starts: Family<CauseLabel, Counter>,
+    /// Start requests that this instance deferred as the owner until the front echoed a heartbeat.
+    pub deferred_starts: Counter,
     /// Jobs that this instance rejected as the scheduler, by cause.
     pub refusals: Family<CauseLabel, Counter>,
     /// Absolute error of the forecast queueing time of the last task of a job.
@@ -126,6 +128,7 @@
             answers: Family::default(),
             runs: Family::default(),
             refused_starts: Family::default(),
+            deferred_starts: Counter::default(),
             refusals: Family::default(),
             forecast_error: Family::new_with_constructor(new_histogram),
             dropped_workers: Family::default(),
@@ -172,6 +175,7 @@
         let r = &mut self.registry;
         r.register("answers", "Answers to callers", self.answers.clone());
         r.register("refused_starts", "Starts refused by an owner", self.refused_starts.clone());
+        r.register("deferred_starts", "Starts deferred by an owner", self.deferred_starts.clone());
         r.register("refusals", "Jobs refused by the scheduler", self.refusals.clone());
         r.register(
             "forecast_error_seconds",
--- a/crates/edge/tests/metrics.rs
+++ b/crates/edge/tests/metrics.rs
@@ -17,10 +17,12 @@
     Metrics::observe_kind(&metrics.unanswered_time, "start", Span::from_ms(70));
     Metrics::count(&metrics.restarted_runs, &RunEndCause::TakeoverMissing);
     metrics.resubmitted_jobs.inc();
+    metrics.deferred_starts.inc();
     let text = metrics.text();
     let lines = [
         "cranberryhatch_restarted_runs_total{cause=\"takeover-missing\"} 1",
         "cranberryhatch_resubmitted_jobs_total 1",
+        "cranberryhatch_deferred_starts_total 1",
         "cranberryhatch_unanswered_orders_total{cause=\"start\"} 1",
         "cranberryhatch_resolved_orders_total{cause=\"never-ran\"} 1",
         "cranberryhatch_unanswered_seconds_bucket{le=\"0.1\",kind=\"start\"} 1",
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -235,6 +235,19 @@
         /// Front that requested the start.
         front: InstanceId,
     },
+    /// This owner deferred a start until the front has echoed a later heartbeat.
+    StartDeferred {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Age of this instance's latest heartbeat that the front has echoed.
+        age: Span,
+        /// Time by which the lease on the worker may outlast the lifetime of the run.
+        excess: Span,
+        /// Front that requested the start.
+        front: InstanceId,
+    },
     /// The owner of a run became unreachable, so the run may end without a report.
     RunLost {
         /// The run.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -224,6 +224,7 @@
             Body::Start(start) => {
                 self.owner.allow_starts(self.can_start(now));
                 self.owner.start(from, start, now, out);
+                self.request_echo(from, now, out);
             }
             Body::Stop(stop) => self.owner.stop(from, &stop, now, out),
             Body::Claim(claim) => self.owner.handle_claim(from, &claim, now, out),
@@ -296,6 +297,10 @@
             link.resting = beat.rests;
         }
         self.owner.heartbeat_seen(from, Time::from_ms(beat.seen_ms), now);
+        self.retry_deferred_starts(now, out);
+        if beat.echo {
+            self.send_heartbeat(from, now, out);
+        }
         self.compare_drains(from, beat.drains, Time::from_ms(beat.seen_ms), now, out);
         self.members.set_view(from, beat.view);
         let Some(peer) = self.members.peer_mut(from) else { return };
@@ -494,6 +499,7 @@
         // A heartbeat extends the leases of this instance's runs, so jobs past their deadline end
         // first.
         self.send_heartbeats(now, out);
+        self.retry_deferred_starts(now, out);
         self.owner.tick(&self.listing, &self.owners, wall_ms, now, out);
         self.process_pending(now, true, out);
     }
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -62,6 +62,8 @@
     pub(super) heartbeat: Time,
     // The heartbeat of the peer that this instance last echoed to it.
     pub(super) echoed: Time,
+    // When this instance last requested a heartbeat.
+    pub(super) echo_asked: Time,
     // Whether the peer announced that it was paused recently and does not schedule.
     pub(super) resting: bool,
 }
@@ -85,6 +87,12 @@
         }
     }
 
+    /// Returns whether a heartbeat may be requested of the peer; two instances must not answer each
+    /// other's requests in a loop.
+    fn may_request_echo(&self, now: Time) -> bool {
+        now.since(self.echo_asked) >= HEARTBEAT_INTERVAL
+    }
+
     /// Returns whether a heartbeat with this interval is due.
     fn is_due(&self, interval: Span, now: Time) -> bool {
         // The leases of an owner extend only as far as its heartbeats that the front has echoed.
@@ -178,6 +186,31 @@
         self.update_roles(now, out);
     }
 
+    /// Requests a heartbeat from a front of which a start is deferred.
+    pub(super) fn request_echo(&mut self, front: &InstanceId, now: Time, out: &mut Output) {
+        // Starts on several workers of this owner arrive together.
+        let is_due = self.links.get(front).is_some_and(|link| link.may_request_echo(now));
+        if is_due && self.owner.awaits_heartbeat(front) {
+            self.send_heartbeat(front, now, out);
+        }
+    }
+
+    /// Carries out the deferred starts whose fronts have echoed a later heartbeat.
+    pub(super) fn retry_deferred_starts(&mut self, now: Time, out: &mut Output) {
+        if self.owner.has_deferred_starts() {
+            self.owner.allow_starts(self.can_start(now));
+            self.owner.retry_deferred_starts(now, out);
+        }
+    }
+
+    /// Sends a heartbeat to a peer at once.
+    pub(super) fn send_heartbeat(&mut self, peer: &InstanceId, now: Time, out: &mut Output) {
+        if let Some(link) = self.links.get_mut(peer) {
+            link.sent_at = Time::ZERO;
+            self.send_heartbeats(now, out);
+        }
+    }
+
     /// Sends the heartbeats that are due, and one to every peer when the announced state changed.
     pub(super) fn send_heartbeats(&mut self, now: Time, out: &mut Output) {
         let me = self.members.me();
@@ -203,6 +236,10 @@
             link.sent_at = now;
             link.interval = interval;
             link.echoed = link.heartbeat;
+            let echo = link.may_request_echo(now) && self.owner.awaits_heartbeat(id);
+            if echo {
+                link.echo_asked = now;
+            }
             let next_ms = u32::try_from(interval.as_ms()).unwrap_or(u32::MAX);
             let (sent_ms, seen_ms) = (now.as_ms(), link.heartbeat.as_ms());
             let view = self.announced_view;
@@ -217,6 +254,7 @@
                 rests: resting,
                 core,
                 drains: self.drains.version(),
+                echo,
             };
             out.send(id, Body::Beat(beat));
         }
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -35,6 +35,7 @@
                 interval: Span::ZERO,
                 heartbeat: Time::ZERO,
                 echoed: Time::ZERO,
+                echo_asked: Time::ZERO,
                 resting: false,
             },
         );
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -1,5 +1,6 @@
 //! Workers that this instance owns; only the owner of a worker sends requests to it.
 
+mod deferred;
 mod polls;
 mod reconnect;
 mod requests;
@@ -329,20 +330,20 @@
         (open, self.workers.len())
     }
 
-    /// Returns the fronts of the runs on all workers, sorted.
+    /// Returns the fronts of the runs on all workers, also of deferred starts, sorted.
     #[must_use]
     pub fn fronts(&self) -> Vec<InstanceId> {
-        let assigned = self.workers.iter().flat_map(|(_, worker)| &worker.runs);
+        let assigned = self.workers.iter().flat_map(|(_, worker)| worker.all_runs());
         let mut fronts: Vec<InstanceId> = assigned.map(|assigned| assigned.front.clone()).collect();
         fronts.sort();
         fronts.dedup();
         fronts
     }
 
-    /// Returns the number of runs on all workers.
+    /// Returns the number of runs on all workers, including deferred starts.
     #[must_use]
     pub fn run_count(&self) -> usize {
-        self.workers.iter().map(|(_, worker)| worker.runs.len()).sum()
+        self.workers.iter().map(|(_, worker)| worker.all_runs().count()).sum()
     }
 }
 
--- a/crates/fleet/src/owner/reconnect.rs
+++ b/crates/fleet/src/owner/reconnect.rs
@@ -43,6 +43,7 @@
     /// Handles the loss of the link to a front: heartbeats no longer prove that it wants its runs,
     /// until it confirms them.
     pub fn front_link_lost(&mut self, front: &InstanceId) {
+        self.disown_deferred_starts(front);
         let assigned = self.workers.iter_mut().flat_map(|(_, worker)| &mut worker.runs);
         assigned
             .filter(|assigned| assigned.front == *front)
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -8,29 +8,62 @@
     restart::IncarnationOrder, send_end,
 };
 use crate::{
-    AssignedRun, Command, Incarnation, Output, ResponseTimes, RunKey, StartResponse, WorkerStatus,
+    AssignedRun, Command, DeferredStart, Incarnation, Output, ResponseTimes, RunKey, StartResponse,
+    WorkerStatus,
     assigned_run::RunStage,
     log_event::{DropCause, LogEvent, RequestKind, Resolution, StartRefusal, StopCause},
     output::{Lease, Message},
     worker::{Ownership, Worker},
 };
 
+/// Why a run is not started now.
+enum Obstacle {
+    /// The start is refused.
+    Refused(StartRefusal),
+    /// The lease on the worker may outlast the lifetime of the run.
+    Outlasted,
+}
+
+impl From<StartRefusal> for Obstacle {
+    fn from(cause: StartRefusal) -> Self {
+        Self::Refused(cause)
+    }
+}
+
 impl Owner {
     /// Starts a run for a front.
     pub fn start(&mut self, front: &InstanceId, start: Start, now: Time, out: &mut Output) {
-        let Some(mut assigned) = AssignedRun::new(front.clone(), &start, now) else { return };
+        let Some(assigned) = AssignedRun::new(front.clone(), &start, now) else { return };
         self.heartbeat_seen(front, assigned.seen_heartbeat, now);
         let Ok(id) = start.worker.parse::<WorkerId>() else {
             return send_end(&assigned, &start.worker, How::NotStarted, Span::ZERO, out);
         };
-        let known = self.workers.get(&id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
-        if known.iter().any(|known| known.run == assigned.run) {
+        let is_known = |worker: &Worker| worker.all_runs().any(|known| known.run == assigned.run);
+        if self.workers.get(&id).is_some_and(is_known) {
             return;
         }
+        if let Some(deferred) = self.try_start(&id, DeferredStart { assigned, start }, now, out) {
+            self.defer_start(&id, deferred, now, out);
+        }
+    }
+
+    /// Starts or refuses a run, or returns it if it has to be deferred.
+    pub(super) fn try_start(
+        &mut self,
+        id: &WorkerId,
+        deferred: DeferredStart,
+        now: Time,
+        out: &mut Output,
+    ) -> Option<DeferredStart> {
         let response_times = self.response_times;
-        let (lease, worker) = match self.reserve(&id, &assigned, &start, now) {
+        let DeferredStart { mut assigned, start } = deferred;
+        let (lease, worker) = match self.reserve(id, &assigned, &start, now) {
             Ok(placed) => placed,
-            Err(cause) => return self.refuse_start(&id, &assigned, cause, now, out),
+            Err(Obstacle::Outlasted) => return Some(DeferredStart { assigned, start }),
+            Err(Obstacle::Refused(cause)) => {
+                self.refuse_start(id, &assigned, cause, now, out);
+                return None;
+            }
         };
         out.commands.push(Command::StartRun {
             worker: Box::new(worker.listed.clone()),
@@ -41,8 +74,10 @@
             lease,
         });
         assigned.incarnation = worker.incarnation;
+        assigned.sent_at = now;
         worker.runs.push(assigned);
         self.restarts.earn();
+        None
     }
 
     /// Checks that a run can start on a worker and returns its lease.
@@ -52,36 +87,40 @@
         assigned: &AssignedRun,
         start: &Start,
         now: Time,
-    ) -> Result<(Lease, &mut Worker), StartRefusal> {
+    ) -> Result<(Lease, &mut Worker), Obstacle> {
         let worker = self.workers.get_mut(id).ok_or(StartRefusal::Closed)?;
-        let free =
-            worker.runs.iter().fold(worker.listed.capacity, |free, h| free.saturating_sub(&h.need));
         if worker.listed.drained {
-            return Err(StartRefusal::ZoneDrained);
+            return Err(StartRefusal::ZoneDrained.into());
         }
         if !self.starts_allowed {
-            return Err(StartRefusal::DrainsUnknown);
+            return Err(StartRefusal::DrainsUnknown.into());
         }
         if !worker.is_open() {
-            return Err(StartRefusal::Closed);
+            return Err(StartRefusal::Closed.into());
         }
         if worker.token != start.token {
-            return Err(StartRefusal::Token);
+            return Err(StartRefusal::Token.into());
         }
         if worker.listed.service != start.service {
-            return Err(StartRefusal::Service);
+            return Err(StartRefusal::Service.into());
+        }
+        if worker.all_runs().any(|known| known.run.task == assigned.run.task) {
+            return Err(StartRefusal::OtherRun.into());
+        }
+        if !assigned.need.fits(&worker.free()) {
+            return Err(StartRefusal::NoRoom.into());
         }
-        if worker.runs.iter().any(|known| known.run.task == assigned.run.task) {
-            return Err(StartRefusal::OtherRun);
+        if worker.is_outdated(assigned, now) {
+            return Err(StartRefusal::Outdated.into());
         }
-        if !assigned.need.fits(&free) {
-            return Err(StartRefusal::NoRoom);
+        if worker.outlasts(assigned) {
+            return Err(Obstacle::Outlasted);
         }
         let lease = worker.lease_for_start(assigned, now).ok_or(StartRefusal::Outdated)?;
         Ok((lease, worker))
     }
 
-    fn refuse_start(
+    pub(super) fn refuse_start(
         &mut self,
         id: &WorkerId,
         assigned: &AssignedRun,
@@ -109,9 +148,11 @@
     /// Records that a front has read a heartbeat that this owner sent at `at`.
     pub fn heartbeat_seen(&mut self, front: &InstanceId, at: Time, now: Time) {
         for (_, worker) in self.workers.iter_mut() {
+            let deferred = worker.deferred.iter_mut().map(|deferred| &mut deferred.assigned);
             for assigned in worker
                 .runs
                 .iter_mut()
+                .chain(deferred)
                 .filter(|assigned| assigned.wanted && assigned.front == *front)
             {
                 assigned.seen_heartbeat = assigned.seen_heartbeat.max(at.min(now));
@@ -269,6 +310,12 @@
     /// Stops a run for its front.
     pub fn stop(&mut self, front: &InstanceId, stop: &Stop, now: Time, out: &mut Output) {
         let Some(run) = stop.run.as_ref().map(RunKey::from) else { return };
+        let is_stopped = |id: &WorkerId, assigned: &AssignedRun| {
+            assigned.run == run && assigned.front == *front && id.as_str() == stop.worker
+        };
+        if self.cancel_deferred_starts(is_stopped, out) {
+            return;
+        }
         let id = stop.worker.parse::<WorkerId>().ok();
         let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { return };
         let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == run) else {
@@ -291,6 +338,10 @@
 
     /// Stops the runs of a job that a front has, since a later submission has superseded its own.
     pub fn stop_superseded(&mut self, job: &str, front: &InstanceId, now: Time, out: &mut Output) {
+        let is_superseded = |_: &WorkerId, assigned: &AssignedRun| {
+            assigned.run.task.job == job && assigned.front == *front
+        };
+        self.cancel_deferred_starts(is_superseded, out);
         for (_, worker) in self.workers.iter_mut() {
             let of_job = |assigned: &&mut AssignedRun| {
                 assigned.run.task.job == job && assigned.front == *front
@@ -369,6 +420,7 @@
 
     /// Stops the runs of a front that is unreachable.
     pub fn front_unreachable(&mut self, front: &InstanceId, now: Time, out: &mut Output) {
+        self.disown_deferred_starts(front);
         let mut stopped = 0;
         for (_, worker) in self.workers.iter_mut() {
             if let Ownership::Claiming { pending_fronts, .. } = &mut worker.ownership {
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -64,7 +64,11 @@
             token: worker.token,
             born_ms: status.incarnation.born_ms(),
         };
+        // The worker may still have a lease from the previous owner, which also applies to new runs.
+        let former_lease_end = now + LEASE + LEASE_SLACK;
         if status.running.is_empty() {
+            // Requests under earlier tokens can no longer extend it.
+            worker.lease_end = former_lease_end;
             self.opened_idle.push(message);
             worker.ownership = Ownership::Open;
             let token = worker.token;
@@ -78,11 +82,10 @@
         for peer in &pending_fronts {
             out.send(peer, Message::Takeover(message.clone()));
         }
+        worker.lease_end = worker.lease_end.max(former_lease_end);
         let found = status.running.len();
         worker.ownership =
             Ownership::Claiming { until: now + CLAIM_TIMEOUT, pending_fronts, found };
-        // The runs may still have a lease from the previous owner.
-        worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
         // A run that no front claims counts as orphaned and is stopped in the end.
         for running in &status.running {
             if worker.runs.iter().all(|assigned| assigned.run != running.run) {
@@ -182,6 +185,7 @@
     ) {
         let Some(worker) = self.workers.remove(id) else { return };
         out.log(LogEvent::WorkerDropped { worker: id.clone(), cause });
+        self.refuse_deferred_starts(id, &worker.deferred, now, out);
         if cause == DropCause::OtherIncarnation {
             // Its runs ended with that incarnation.
             self.run_stats.forget(id);
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -123,7 +123,7 @@
             .map(|(id, worker)| Room {
                 worker: id.to_string(),
                 token: worker.token,
-                held: worker.runs.iter().map(|assigned| assigned.report(now)).collect(),
+                held: worker.all_runs().map(|assigned| assigned.report(now)).collect(),
                 open: worker.is_open(),
                 standing: self.run_stats.report(id, now),
                 born_ms: worker.incarnation.born_ms(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -4,10 +4,11 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{
-    AssignedRun, Incarnation, ListedWorker, PendingPoll, ResponseTimes, RunKey,
+    AssignedRun, DeferredStart, Incarnation, ListedWorker, Need, PendingPoll, ResponseTimes,
+    RunKey,
     assigned_run::RunStage,
     output::Lease,
-    run_lease::{LEASE_SLACK, lease_length},
+    run_lease::{LEASE_SLACK, RUN_LIFETIME, lease_length},
 };
 
 /// Time for which a worker may hold a poll open until a run ends.
@@ -81,6 +82,8 @@
     pub acked: u64,
     /// Runs on the worker.
     pub runs: Vec<AssignedRun>,
+    /// Starts that wait for a later heartbeat of their fronts.
+    pub deferred: Vec<DeferredStart>,
     /// The pending poll.
     pub poll: Option<PendingPoll>,
     /// A second poll, sent while the worker may be holding `poll` open.
@@ -103,7 +106,7 @@
     pub refuses: bool,
     /// Time of the last request that got no response.
     pub timed_out_at: Option<Time>,
-    /// Latest end of all leases that this instance has given.
+    /// Latest end of all leases that this instance or an earlier owner may have given.
     pub lease_end: Time,
     /// Incarnation that sent the last response.
     pub incarnation: Incarnation,
@@ -127,6 +130,7 @@
             ownership: Ownership::Opening { at: now },
             acked: 0,
             runs: Vec::new(),
+            deferred: Vec::new(),
             poll: None,
             extra_poll: None,
             needs_status: false,
@@ -290,20 +294,55 @@
         self.timed_out_at.is_some_and(|at| now.since(at) < LOSSY_PERIOD)
     }
 
+    /// Returns all runs, also those whose start is deferred.
+    pub fn all_runs(&self) -> impl Iterator<Item = &AssignedRun> {
+        self.runs.iter().chain(self.deferred.iter().map(|deferred| &deferred.assigned))
+    }
+
+    /// Returns the capacity that no run holds.
+    #[must_use]
+    pub fn free(&self) -> Need {
+        self.all_runs().fold(self.listed.capacity, |free, run| free.saturating_sub(&run.need))
+    }
+
+    /// Returns the oldest heartbeat among those that the fronts of the runs have read last.
+    ///
+    /// Those of deferred starts are included, since leases never shorten: otherwise each poll would
+    /// extend the lease past the lifetime of the runs that wait to be started.
+    fn oldest_heartbeat(&self) -> Option<Time> {
+        self.all_runs().map(|assigned| assigned.seen_heartbeat).min()
+    }
+
     /// Returns a lease from now on for all runs and records its latest end, or `None` if a front
     /// may give up its run before.
     pub fn renew_lease(&mut self, now: Time) -> Option<Lease> {
-        let length =
-            lease_length(self.runs.iter().map(|assigned| assigned.seen_heartbeat).min(), now);
+        let length = lease_length(self.oldest_heartbeat(), now);
         if length > Span::ZERO { self.record_lease(length, now) } else { None }
     }
 
-    /// Returns a lease for all runs and a new one, or `None` if it would expire before the next
-    /// poll extends it.
+    /// Returns whether a lease for all runs and a new one would expire before the next poll extends
+    /// it.
+    #[must_use]
+    pub fn is_outdated(&self, further: &AssignedRun, now: Time) -> bool {
+        self.start_lease_length(further, now) < MIN_START_LEASE
+    }
+
+    /// Returns whether the lease that the worker already has may outlast the lifetime of a new run;
+    /// leases never shorten.
+    #[must_use]
+    pub fn outlasts(&self, further: &AssignedRun) -> bool {
+        self.lease_end > further.seen_heartbeat + RUN_LIFETIME
+    }
+
+    /// Returns a lease for all runs and a new one and records its latest end, or `None` if the
+    /// worker's clock is unknown.
     pub fn lease_for_start(&mut self, further: &AssignedRun, now: Time) -> Option<Lease> {
-        let runs = self.runs.iter().chain([further]);
-        let length = lease_length(runs.map(|assigned| assigned.seen_heartbeat).min(), now);
-        if length >= MIN_START_LEASE { self.record_lease(length, now) } else { None }
+        self.record_lease(self.start_lease_length(further, now), now)
+    }
+
+    fn start_lease_length(&self, further: &AssignedRun, now: Time) -> Span {
+        let seen = further.seen_heartbeat;
+        lease_length(Some(self.oldest_heartbeat().map_or(seen, |oldest| oldest.min(seen))), now)
     }
 
     fn record_lease(&mut self, length: Span, now: Time) -> Option<Lease> {
