fix(fleet): do not blame a run for a crash after its lease

Symptom: model, zones with more instances than their core: a job is answered as failed, though its task crashed no worker twice.

Cause: an owner that was paused for 3 s found its worker refusing connections and reported the run, whose lease had ended 1.7 s before, as the cause of a crash. With a second crash under the task, the job was given up.

Change: a refusal counts only while a lease may hold. Otherwise the run is lost, which the ledger counts as a crash only if three workers restart.

Test: a case of only_the_run_that_started_last_is_reported_as_the_cause_of_a_crash failed before (CRASHED instead of LOST).

--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -86,7 +86,8 @@
             }
             PollResponse::NoResponse => self.handle_missing_response(id, poll, now, out),
             PollResponse::Refused => {
-                worker.refuses = true;
+                // After its lease, a run has ended whatever became of the worker.
+                worker.refuses |= now < worker.lease_end;
                 self.handle_missing_response(id, poll, now, out);
             }
         }
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -768,6 +768,8 @@
     struct Case {
         name: &'static str,
         response: PollResponse,
+        // Time of the first of these responses, in milliseconds after the start.
+        from: u64,
         draining: bool,
         ends: [How; 2],
     }
@@ -776,18 +778,33 @@
         Case {
             name: "crash",
             response: refused.clone(),
+            from: 70,
             draining: false,
             ends: [How::Lost, How::Crashed],
         },
+        Case {
+            name: "crash after the lease, as an owner that was paused sees it",
+            response: refused.clone(),
+            from: 1_400,
+            draining: false,
+            ends: [How::Lost; 2],
+        },
         Case {
             name: "cut",
             response: PollResponse::NoResponse,
+            from: 70,
             draining: false,
             ends: [How::Lost; 2],
         },
-        Case { name: "drained", response: refused, draining: true, ends: [How::Stopped; 2] },
+        Case {
+            name: "drained",
+            response: refused,
+            from: 70,
+            draining: true,
+            ends: [How::Stopped; 2],
+        },
     ];
-    for Case { name, response, draining, ends } in cases {
+    for Case { name, response, from, draining, ends } in cases {
         let mut out = Output::default();
         let (mut fixture, first) = Fixture::with_run(StartResponse::Started, &mut out);
         let at = |ms: u64| START + Span::from_ms(ms);
@@ -804,7 +821,7 @@
         fixture.listing.replace(vec![listed], at(60));
         fixture.owner.update_listed(&fixture.listing);
         for after in 0..4 {
-            fixture.poll_with(&response, at(70 + 10 * after), &mut out);
+            fixture.poll_with(&response, at(from + 10 * after), &mut out);
         }
         out.commands.clear();
         fixture.tick(at(1_500), &mut out);
