feat(fleet): log how many submissions a new scheduler knows

The traces of the soak could not tell from the logs whether a new scheduler knew the earlier submission of a job. scheduler-changed carries the number of jobs whose latest submission the instance knows.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -274,9 +274,9 @@
         LogEvent::PeerDown { peer, silence, peers } => {
             log::warn!(peer = peer.as_str(), silence_ms = silence.as_ms(), peers; "{name}");
         }
-        LogEvent::SchedulerChanged { scheduler } => {
+        LogEvent::SchedulerChanged { scheduler, submissions } => {
             let scheduler = scheduler.as_ref().map_or("none", |id| id.as_str());
-            log::info!(scheduler; "{name}");
+            log::info!(scheduler, submissions; "{name}");
         }
         LogEvent::WorkerOpened { worker, token, found, kept } => {
             log::info!(worker = worker.as_str(), token, found, kept; "{name}");
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -347,6 +347,8 @@
     SchedulerChanged {
         /// The new scheduler; none if there is no active instance.
         scheduler: Option<InstanceId>,
+        /// Number of jobs whose latest submission this instance knows.
+        submissions: usize,
     },
     /// This instance became the owner of a worker.
     WorkerOpened {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -415,7 +415,8 @@
         if elected == self.elected {
             return;
         }
-        out.log(LogEvent::SchedulerChanged { scheduler: elected.clone() });
+        let submissions = self.scheduler.known_submissions();
+        out.log(LogEvent::SchedulerChanged { scheduler: elected.clone(), submissions });
         if self.is_scheduler() {
             self.scheduler.hand_over(elected.as_ref(), now, out);
         }
--- a/crates/fleet/src/scheduler/superseded.rs
+++ b/crates/fleet/src/scheduler/superseded.rs
@@ -148,6 +148,12 @@
         self.lost_fronts.insert(instance.clone(), heard);
     }
 
+    /// Returns the number of jobs whose latest submission is known.
+    #[must_use]
+    pub fn known_submissions(&self) -> usize {
+        self.submissions.len()
+    }
+
     /// Replicates the submissions to the instances that may replace this scheduler.
     pub fn replicate(&mut self, replicas: &[InstanceId], now: Time, out: &mut Output) {
         let new: Vec<&InstanceId> =
