fix(fleet): order submissions that only a run tells by their age

Cause: reports of runs name the front, but not when it accepted the job.

Change: starts and reports of runs carry the age of the submission. A reported run of a later submission than the known one supersedes it.

Test: request_of_an_earlier_submission_than_that_of_a_reported_run_is_superseded; the field did not exist before.

--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -77,6 +77,8 @@
     pub sent_at: Time,
     /// Time of this owner's latest heartbeat that the front has read while it wanted the run.
     pub seen_heartbeat: Time,
+    /// When the front accepted the job, by the local clock; `None` if unknown.
+    pub submitted: Option<Time>,
     /// Whether the front still wants the run, as far as is known.
     pub wanted: bool,
     /// Lifecycle stage.
@@ -117,6 +119,7 @@
             sent_at: now,
             // The front cannot have read a heartbeat from the future.
             seen_heartbeat: Time::from_ms(start.seen_ms).min(now),
+            submitted: start.age_ms.map(|age| now - Span::from_ms(age.into())),
             wanted: true,
             stage: RunStage::Starting,
             stop_requested: None,
@@ -167,6 +170,9 @@
             need: Some((&self.need).into()),
             left_ms,
             front,
+            age_ms: self
+                .submitted
+                .map(|at| u32::try_from(now.since(at).as_ms()).unwrap_or(u32::MAX)),
         }
     }
 
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -254,7 +254,7 @@
         }
         state.place(placed);
         let state = state.clone();
-        let start = start_message(&active.job, key, &state, seen);
+        let start = start_message(&active.job, key, &state, seen, now);
         active.started.get_or_insert(now);
         active.runs += 1;
         active.possible_runs += 1;
@@ -666,7 +666,13 @@
     })
 }
 
-fn start_message(job: &Job, key: &TaskKey, state: &TaskState, seen: Time) -> Option<Start> {
+fn start_message(
+    job: &Job,
+    key: &TaskKey,
+    state: &TaskState,
+    seen: Time,
+    now: Time,
+) -> Option<Start> {
     let Phase::Placed(place) = &state.phase else { return None };
     let step = job.steps.get(usize::try_from(key.step).ok()?)?;
     let settings: &Arc<KindSettings> = &job.settings;
@@ -684,6 +690,7 @@
         token: place.token,
         seen_ms: seen.as_ms(),
         due_ms: place.due.map_or(0, |due| to_u32(due.since(place.requested_at).as_ms())),
+        age_ms: Some(to_u32(now.since(job.arrived).as_ms())),
     })
 }
 
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -120,7 +120,7 @@
                     place.lost_since = None;
                     place.claimed = true;
                     if wanted {
-                        claims.extend(start_message(&job, &key, state, seen));
+                        claims.extend(start_message(&job, &key, state, seen, now));
                     }
                     continue;
                 }
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -233,6 +233,7 @@
         stalls: 0,
         sent_at: now,
         seen_heartbeat: Time::ZERO,
+        submitted: None,
         wanted: false,
         stage: RunStage::Running { since: now },
         stop_requested: None,
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -298,10 +298,11 @@
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
                 let front = held.front.parse::<InstanceId>().ok();
+                let arrived = held.age_ms.map(|age| now - Span::from_ms(age.into()));
                 if front.is_none() {
                     self.orphans.push((id.clone(), key.task.clone()));
                 }
-                if self.submissions.record_run(&key.task.job, front, now) {
+                if self.submissions.record_run(&key.task.job, front, arrived, now) {
                     superseded.push(key.task.job.clone());
                 }
                 if span > Span::ZERO {
--- a/crates/fleet/src/submissions.rs
+++ b/crates/fleet/src/submissions.rs
@@ -148,29 +148,44 @@
         order
     }
 
-    /// Records a run of a job that an owner has reported, and the front that wants it. Returns whether
-    /// this shows an earlier submission that was not known.
-    pub fn record_run(&mut self, job: &str, front: Option<InstanceId>, now: Time) -> bool {
+    /// Records a run of a job that an owner has reported, the front that wants it and when that front
+    /// accepted the job. Returns whether this shows a submission that was not known.
+    pub fn record_run(
+        &mut self,
+        job: &str,
+        front: Option<InstanceId>,
+        arrived: Option<Time>,
+        now: Time,
+    ) -> bool {
         let until = now + RETENTION;
         let hash = text_hash(job);
         let part = self.part_mut(hash);
         let Some(entry) = part.get_mut(&hash).filter(|entry| entry.until > now) else {
-            let (arrived, earlier) = (None, Vec::new());
+            let earlier = Vec::new();
             part.insert(hash, Entry { front, arrived, until, again: false, earlier });
             return false;
         };
         entry.until = entry.until.max(until);
         let Some(front) = front else { return false };
-        let Some(latest) = &entry.front else {
+        if entry.front.as_ref().is_none_or(|latest| *latest == front) {
             entry.front = Some(front);
+            entry.arrived = entry.arrived.max(arrived);
             return false;
+        }
+        // Without an arrival it is not known which submission is the later one.
+        let Some(known) = entry.arrived else { return false };
+        let is_new = match arrived {
+            Some(arrived) if arrived > known => {
+                entry.replace_front(front);
+                entry.arrived = Some(arrived);
+                true
+            }
+            _ => entry.add_earlier(front),
         };
-        // Without a request it is not known which submission is the later one.
-        if *latest == front || entry.arrived.is_none() || !entry.add_earlier(front) {
-            return false;
+        if is_new {
+            self.mark_changed(hash);
         }
-        self.mark_changed(hash);
-        true
+        is_new
     }
 
     /// Returns the front of the latest submission of a job and when it arrived there.
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -35,6 +35,7 @@
             need: Some((&need(14_000)).into()),
             left_ms: 10_000,
             front: String::new(),
+            age_ms: None,
         };
         let held = (0..self.running).map(held).collect();
         let room = Room { worker: "w".to_owned(), token: 1, held, open: true, ..Room::default() };
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use common::{kind_settings, listed, need};
-use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step};
+use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step, text_hash};
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant, Held, KindTime, Listed,
     Losses, LostRun, Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings,
-    Standing, Start, Stop, Superseded, Takeover, Takeovers, Unused, Withdraw, Workers,
+    Standing, Start, Stop, Submission, Submissions, Superseded, Takeover, Takeovers, Unused,
+    Withdraw, Workers, Yielded,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
@@ -75,6 +76,7 @@
         seen_ms: large(9_990),
         due_ms: small(160),
         pace_permille: small(1_600),
+        age_ms: Some(small(40)),
     };
     let takeover = Takeover {
         worker: worker(),
@@ -126,16 +128,31 @@
         lost_permille: small(50),
         age_ms: small(900),
     };
+    let held = Held {
+        run: run(),
+        need: need(),
+        left_ms: small(50),
+        front: "e-1".to_owned(),
+        age_ms: Some(small(40)),
+    };
     let room = Room {
         worker: worker(),
         token: large(8),
-        held: vec![Held { run: run(), need: need(), left_ms: small(50), front: "e-1".to_owned() }],
+        held: vec![held],
         open: true,
         standing: Some(standing),
         born_ms: large(1_700_000_000_000),
     };
     let superseded =
         Superseded { job: job(), front: "e-1".to_owned(), by: "e-2".to_owned(), age_ms: small(20) };
+    let submission = Submission {
+        job: large(text_hash("j")),
+        front: small(1),
+        age_ms: small(20),
+        left_ms: small(5_000),
+        again: true,
+        earlier: vec![small(0)],
+    };
     let kind = KindTime { kind: "k".to_owned(), log_milli: 4_600, samples: small(20) };
     let entry = Entry { id: worker(), listed: Some(Listed::default()) };
     vec![
@@ -172,6 +189,11 @@
         Message::Rooms(Rooms { rooms: vec![room], kinds: vec![kind], lost: vec![lost.clone()] }),
         Message::Losses(Losses { runs: vec![lost] }),
         Message::Superseded(superseded),
+        Message::Yielded(Yielded { job: job() }),
+        Message::Submissions(Submissions {
+            fronts: vec!["e-1".to_owned(), "e-2".to_owned()],
+            submissions: vec![submission],
+        }),
         Message::Drains(Drains { version: large(5), zones: vec!["a".to_owned()] }),
         Message::Freed(Freed { run: run(), worker: worker(), how: 1, ..Freed::default() }),
         Message::Workers(Workers { version: large(2), digest: large(3), changes: vec![entry] }),
--- a/crates/fleet/tests/simulation/mod.rs
+++ b/crates/fleet/tests/simulation/mod.rs
@@ -443,6 +443,7 @@
                 need: Some((&need(self.jobs[*job].cores)).into()),
                 left_ms: u32::try_from(left).expect("a short time"),
                 front: String::new(),
+                age_ms: None,
             }
         });
         let (name, held) = (worker.id.clone(), held.collect());
--- a/crates/fleet/tests/submissions.rs
+++ b/crates/fleet/tests/submissions.rs
@@ -50,7 +50,7 @@
     let mut list = WorkerList::default();
     list.replace(vec![listed("free", "a", 32_000), listed("busy", "a", 32_000)], NOW);
     let (run, need) = (Some(run()), Some((&need(14_000)).into()));
-    let held = Held { run, need, left_ms: 3_000, front: front.to_owned() };
+    let held = Held { run, need, left_ms: 3_000, front: front.to_owned(), age_ms: None };
     for (owner, worker, held) in [("o", "free", vec![]), ("p", "busy", vec![held])] {
         let room =
             Room { worker: worker.to_owned(), token: 1, held, open: true, ..Room::default() };
@@ -166,6 +166,33 @@
     }
 }
 
+#[test]
+fn request_of_an_earlier_submission_than_that_of_a_reported_run_is_superseded() {
+    // Guards against a new scheduler that knows the latest submission from a run only, and takes the
+    // request of an earlier one for the latest.
+    for (age, told) in [(3_000, true), (0, false)] {
+        let mut scheduler = Scheduler::default();
+        let mut list = WorkerList::default();
+        list.replace(vec![listed("busy", "a", 32_000)], NOW);
+        let (run, need) = (Some(run()), Some((&need(14_000)).into()));
+        let (front, age_ms) = ("e-1".to_owned(), Some(1_300));
+        let held = vec![Held { run, need, left_ms: 3_000, front, age_ms }];
+        let room =
+            Room { worker: "busy".to_owned(), token: 1, held, open: true, ..Room::default() };
+        let rooms = Rooms { rooms: vec![room], ..Rooms::default() };
+        scheduler.update_workers(&id("p"), rooms, &list, NOW);
+        let mut out = Output::default();
+        scheduler.handle_ask(&id("e-2"), ask(age), NOW, &mut out);
+        let is_told = out.commands.iter().any(|command| {
+            let Command::Send { to, message: Message::Superseded(_) } = command else {
+                return false;
+            };
+            *to == id("e-2")
+        });
+        assert_eq!(is_told, told, "submitted {age} ms ago");
+    }
+}
+
 #[test]
 fn submissions_reach_replicas_that_join_later() {
     let mut scheduler = Scheduler::default();
--- a/crates/fleet/tests/withheld.rs
+++ b/crates/fleet/tests/withheld.rs
@@ -117,6 +117,7 @@
             need: Some((&need).into()),
             left_ms: 3_000,
             front: "e-1".to_owned(),
+            age_ms: None,
         };
         report(&mut scheduler, vec![held.clone()], Vec::new(), NOW);
         // The front takes its run for ended, and its owner does not.
