test(edge): messages of an earlier connection while a later one is up

In the new test, messages arrive on the first connection while the link comes up on the second one.

Seen without the comparison of the numbers in the work tree: the test fails, the link does not stay up.

--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -2,6 +2,7 @@
 //! earlier connection that are handled on a later one.
 
 use std::{
+    io::Write,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -12,8 +13,9 @@
 
 use cranberryhatch_edge::{Hello, LinkEvents, Links};
 use cranberryhatch_fleet::Member;
-use cranberryhatch_schema::fleet::{Withdraw, frame::Body};
+use cranberryhatch_schema::fleet::{Frame, Withdraw, frame::Body};
 use cranberryhatch_types::InstanceId;
+use prost::Message as _;
 use smol::{
     Executor, Timer,
     io::{AsyncReadExt, AsyncWriteExt},
@@ -186,6 +188,85 @@
     });
 }
 
+/// Link event handler that lets messages arrive on the first connection of a peer when the link is
+/// up on the second one.
+#[derive(Default)]
+struct LateMessages {
+    first: Mutex<Option<std::net::TcpStream>>,
+    up: AtomicU64,
+    received: Mutex<Vec<u64>>,
+}
+
+impl LinkEvents for LateMessages {
+    fn link_up(self: &Arc<Self>, _: Member) {
+        self.up.fetch_add(1, Ordering::SeqCst);
+        if let Some(mut first) = self.first.lock().expect("first").take() {
+            first.write_all(&frame(withdraw(1))).expect("a late message");
+            // The message arrives before any other task runs.
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn link_down(self: &Arc<Self>, _: &InstanceId) {}
+
+    fn peer_gone(self: &Arc<Self>, _: &InstanceId) {}
+
+    fn messages(self: &Arc<Self>, _: &InstanceId, messages: Vec<Body>) {
+        for message in messages {
+            if let Body::Withdraw(Withdraw { job }) = message {
+                self.received.lock().expect("received").push(job.parse().expect("a number"));
+            }
+        }
+    }
+}
+
+fn withdraw(number: u64) -> Body {
+    Body::Withdraw(Withdraw { job: number.to_string() })
+}
+
+fn frame(body: Body) -> Vec<u8> {
+    let message = Frame { body: Some(body) }.encode_to_vec();
+    let length = u32::try_from(message.len()).expect("a short message");
+    [length.to_be_bytes().to_vec(), message].concat()
+}
+
+#[test]
+fn messages_of_an_earlier_connection_are_not_handled_on_a_later_one() {
+    run_test(async |executor| {
+        let hello = |instance: &str, addr: String| Hello {
+            instance: instance.to_owned(),
+            incarnation: 1,
+            zone: "a".to_owned(),
+            addr,
+            cores: 250,
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let links = Arc::new(Links::new(hello("e-0", addr.to_string()), Arc::clone(&executor)));
+        let log = Arc::new(LateMessages::default());
+        executor.spawn(Arc::clone(&links).accept(Arc::clone(&log), listener)).detach();
+        // The peer accepts no announcements, and opens the connections itself.
+        let peer = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let peer = hello("e-9", peer.local_addr().expect("an address").to_string());
+        let connect = || {
+            let mut stream = std::net::TcpStream::connect(addr).expect("a connection");
+            stream.write_all(&frame(Body::Hello(peer.clone()))).expect("a first message");
+            stream
+        };
+        let received = || log.received.lock().expect("received").clone();
+        let mut first = connect();
+        wait_until("the link up", || log.up.load(Ordering::SeqCst) == 1).await;
+        first.write_all(&frame(withdraw(0))).expect("a message");
+        wait_until("a message", || received() == [0]).await;
+        *log.first.lock().expect("first") = Some(first);
+        let mut second = connect();
+        wait_until("the link up again", || log.up.load(Ordering::SeqCst) == 2).await;
+        second.write_all(&frame(withdraw(2))).expect("a message");
+        wait_until("a message of the later connection", || received().contains(&2)).await;
+        assert_eq!(received(), [0, 2]);
+    });
+}
+
 /// Returns the resident memory of this process in bytes.
 fn resident_bytes() -> usize {
     const PAGE: usize = 4_096;
