test(http): a request whose response is lost is not sent again

Ways to a second start, "the client library repeats a start": the client's page says that it never does, and no test looked at a connection that ends after the request has arrived.

Seen with a repetition on a new connection in the work tree: the test fails, since the second request gets the response of the third.

--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -105,6 +105,33 @@
     thread.join().expect("peer");
 }
 
+/// Guards against a request that is sent again after its response was lost: the peer may have
+/// processed it.
+#[test]
+fn request_without_a_response_is_not_sent_again() {
+    let (addr, thread) = spawn_peer(2, |number, mut stream| {
+        if number == 0 {
+            assert!(read_head(&mut stream), "first request");
+            write_response(&mut stream, "one");
+            // Ends the connection once the second request has arrived.
+            assert!(read_head(&mut stream), "second request");
+        } else if read_head(&mut stream) {
+            write_response(&mut stream, "three");
+        }
+    });
+    let runtime = Runtime::new(1);
+    let client = Client::new(runtime.executor());
+    let first = runtime.block_on(client.send_within(addr, get(), TEST_TIMEOUT)).expect("response");
+    assert_eq!(first.body().as_ref(), b"one");
+    let second = runtime.block_on(client.send_within(addr, get(), TEST_TIMEOUT));
+    let error = second.expect_err("the response is lost");
+    assert!(!error.is_unsent(), "the peer has received the request: {error}");
+    let third = runtime.block_on(client.send_within(addr, get(), TEST_TIMEOUT)).expect("response");
+    assert_eq!(third.body().as_ref(), b"three");
+    drop((client, runtime));
+    thread.join().expect("peer");
+}
+
 /// Guards against requests above the connection limit that are reported as possibly processed.
 #[test]
 fn requests_above_the_connection_limit_are_unsent() {
