fix(fleet): forget an unused grant once no start on it can be accepted

Ruled out: the platform's 1.3 s alone; a grant may take up to PEER_TIMEOUT.

Change: START_EXPIRY is PEER_TIMEOUT + RUN_LIFETIME (1.9 s). The test no longer lets the owner send reports without a run that it has accepted; instead it also sends the job again before the start is accepted, which the earlier version of the test did not check. A second test bounds how long a grant is remembered.

Test: late_starts fails with RUN_LIFETIME alone (grant delayed by 600 ms, start accepted after 1300 ms, job sent again after 1300 ms) and without the memory of unused grants.

--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -14,12 +14,11 @@
 ///
 /// A run starts within a few milliseconds of the grant, and owners report all runs once a second.
 const UNUSED_AFTER: Span = Span::from_ms(700);
-/// Time after a grant in which its run may start, or may have started without being reported.
+/// Time after a grant from which a report without its run shows that it never starts.
 ///
-/// A grant that takes longer than [`PEER_TIMEOUT`] to reach its front is lost with the link, owners
-/// refuse a start [`RUN_LIFETIME`] after the heartbeat that its front has read, and they report all
-/// runs once a second.
-const START_EXPIRY: Span = Span::from_ms(PEER_TIMEOUT.as_ms() + RUN_LIFETIME.as_ms() + 1_000);
+/// A grant that takes longer than [`PEER_TIMEOUT`] to reach its front is lost with the link, and
+/// owners refuse a start [`RUN_LIFETIME`] after the heartbeat that its front has read.
+const START_EXPIRY: Span = Span::from_ms(PEER_TIMEOUT.as_ms() + RUN_LIFETIME.as_ms());
 /// First pause of a worker after a fault, doubled with each further one. A single bad run of 60 to
 /// 900 ms does not justify a longer pause.
 const PAUSE: Span = Span::from_ms(100);
--- a/crates/fleet/tests/late_starts.rs
+++ b/crates/fleet/tests/late_starts.rs
@@ -3,10 +3,10 @@
 
 mod common;
 
-use common::{listed, need};
+use common::{listed, need, worker_view};
 use cranberryhatch_fleet::{
     Command, Incarnation, Member, Members, Message, Output, Owner, PEER_TIMEOUT, PollResponse,
-    PollResult, RUN_EXPIRY, Scheduler, WorkerList, WorkerStatus,
+    PollResult, RUN_EXPIRY, RUN_LIFETIME, Scheduler, TaskKey, WorkerList, WorkerStatus,
 };
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms, Run, Start};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -123,33 +123,54 @@
 fn task_of_a_later_submission_waits_while_the_earlier_start_may_be_accepted() {
     // Guards against a second run beside that of a start that was on its way for so long that its
     // grant counted as unused. The grant itself may be delayed as well.
+    const STEP: usize = 50;
     let list = listing(&["v", "w"]);
-    let longest = RUN_EXPIRY.as_ms() + PEER_TIMEOUT.as_ms() + REPORT_INTERVAL;
     for delay in [0, 300, PEER_TIMEOUT.as_ms()] {
         let accepted: Vec<u64> = (delay..=delay + RUN_EXPIRY.as_ms())
             .step_by(10)
             .filter(|at| Fixture::opened().accepts("j", after(delay), after(*at)))
             .collect();
-        assert!(accepted.contains(&delay), "a start without delay is refused");
-        for at in (0..=longest).step_by(10) {
-            let mut scheduler = Scheduler::default();
-            report(&mut scheduler, &list, NOW);
-            assert_eq!(grants(&mut scheduler, "e-1", "j", NOW), 1, "first submission");
-            // The owner reports before the start arrives, and not again until all is reported.
-            for reported in (100..=at).step_by(100) {
-                report(&mut scheduler, &list, after(reported));
+        let last = *accepted.last().expect("a start without delay is accepted");
+        for started in (delay..=last).step_by(STEP).chain([last]) {
+            for at in (0..=started + REPORT_INTERVAL).step_by(STEP) {
+                let mut scheduler = Scheduler::default();
+                report(&mut scheduler, &list, NOW);
+                assert_eq!(grants(&mut scheduler, "e-1", "j", NOW), 1, "first submission");
+                // The owner reports until the start arrives, and once a second afterwards.
+                for reported in (0..=at.min(started)).step_by(STEP) {
+                    report(&mut scheduler, &list, after(reported));
+                }
+                let granted = grants(&mut scheduler, "e-2", "j", after(at));
+                assert_eq!(
+                    granted, 0,
+                    "grant delayed by {delay} ms, start accepted after {started} ms, job sent \
+                     again after {at} ms"
+                );
             }
-            let unreported = at.saturating_sub(REPORT_INTERVAL)..=at;
-            let runs = accepted.iter().find(|start| unreported.contains(start));
-            let granted = grants(&mut scheduler, "e-2", "j", after(at));
-            assert!(
-                runs.is_none() || granted == 0,
-                "grant delayed by {delay} ms, start accepted after {runs:?} ms, again after {at} ms"
-            );
         }
     }
 }
 
+#[test]
+fn unused_grant_is_forgotten_when_its_start_cannot_be_accepted_any_more() {
+    // Guards against a later submission that waits for a start that was lost.
+    let expiry = PEER_TIMEOUT.as_ms() + RUN_LIFETIME.as_ms();
+    let task = TaskKey { job: "j".to_owned(), step: 0, task: 0 };
+    for (reports, holds) in
+        [(vec![700], true), (vec![700, expiry - 1], true), (vec![expiry], false)]
+    {
+        let mut worker = worker_view("w", "a", 20_000);
+        worker.grant(task.clone(), need(14_000), NOW);
+        for at in &reports {
+            worker.apply_report(Vec::new(), after(*at));
+        }
+        assert_eq!(worker.holds(&task, true), holds, "reports without it after {reports:?} ms");
+        assert!(!worker.holds(&task, false), "no run of it was reported");
+        worker.release(&task);
+        assert!(!worker.holds(&task, true), "returned");
+    }
+}
+
 #[test]
 fn unused_grant_does_not_keep_its_capacity() {
     let list = listing(&["w"]);
