fix(edge): do not send queued messages after a link was reset

Symptom: messages that are queued when an instance resets a link are still sent, up to 1 s later each time the peer reads. The instance counts them as lost: a start that is repeated elsewhere may still reach the first owner. Cause: a reset closes the queue, but a closed channel yields what it holds before it ends, so the writing task goes on until it is empty. Ruled out: messages in the buffers of the sockets. They can't be recalled; the receiver drops them once a later connection is the link, and reads them before that as in the case of a slow network. Change: the task of a connection ends with the reset, before it reads or writes more. The check of the connection's number still matters for a reset within the handler of messages: message_after_a_reset_is_not_handled fails without it.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -61,6 +61,8 @@
     // Distinguishes the connection from earlier ones to the same peer.
     number: u64,
     queue: Sender<Vec<u8>>,
+    // Dropping it ends the task that reads and writes.
+    _open: Sender<()>,
 }
 
 /// Connection whose remote side has sent its `Hello`.
@@ -363,12 +365,13 @@
         let number = self.next_connection.fetch_add(1, Ordering::Relaxed) + 1;
         // A bounded channel would allocate memory for its full capacity, for each link.
         let (queue, messages) = async_channel::unbounded();
+        let (open, closed) = async_channel::bounded::<()>(1);
         // A new connection means that the peer has given up the earlier one.
         self.reset(events, id);
         match self.peers().get_mut(id) {
             Some(peer) => {
                 peer.hello = hello;
-                peer.connection = Some(Connection { number, queue });
+                peer.connection = Some(Connection { number, queue, _open: open });
             }
             None => return,
         }
@@ -376,8 +379,10 @@
         self.any_link_up.notify(usize::MAX);
         let read = self.read(events, id, number, reader, early_messages);
         let write = write(writer, &messages);
+        // After a reset, queued messages count as lost and must not be sent.
+        let closed = async { closed.recv().await.map_err(io::Error::other) };
         // The error only tells that the connection has ended.
-        let _ = read.or(write).await;
+        let _ = closed.or(read).or(write).await;
         self.close_if_current(events, id, number);
     }
 
--- a/crates/edge/tests/stale_connections.rs
+++ b/crates/edge/tests/stale_connections.rs
@@ -202,3 +202,16 @@
         test.log.wait_for(&expected).await;
     });
 }
+
+/// A message that is not yet written when the link is reset is not sent: its sender counts it as
+/// lost and may have repeated its content to another instance.
+#[test]
+fn message_that_is_unsent_at_a_reset_is_not_sent() {
+    run_test(async |test| {
+        let connection = test.greet(1).await;
+        test.log.wait_for(&[Event::Up(1)]).await;
+        test.links.send(&test.log, &test.peer, message("unsent"));
+        test.links.reset(&test.log, &test.peer);
+        assert_eq!(connection.read_to_end().await, [], "sent after the reset");
+    });
+}
