fix(edge): keep the link of a process when a greeting of its predecessor arrives late

Symptom: an instance drops the link to a live peer, and its node takes the peer for a restarted one: runs of the live process count as lost. Cause: any greeting replaces the link. One that a process sent before it was killed may arrive after that of its successor, as when a connection is slow or its packets are sent again. Ruled out: messages of the earlier connection; a process sends none before its greeting is answered. Change: while a process is linked, a greeting with a lower incarnation than its is ignored. Without a link it is accepted, since the clock of a host may be set back between two processes. Not covered: an earlier connection of the same process, whose greeting arrives after that of a later one, still replaces the link until its end is read. The greeting would need a number of the connection.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -362,6 +362,9 @@
     ) {
         let PeerStream { reader, writer, early_messages } = stream;
         let Some(member) = member_from_hello(&hello) else { return };
+        if self.is_outdated(id, &hello) {
+            return;
+        }
         let number = self.next_connection.fetch_add(1, Ordering::Relaxed) + 1;
         // A bounded channel would allocate memory for its full capacity, for each link.
         let (queue, messages) = async_channel::unbounded();
@@ -406,6 +409,15 @@
         }
     }
 
+    /// Returns whether a `Hello` was sent by a process before the one that has the link.
+    ///
+    /// Without a link this is not known: incarnations fall when the clock of a host is set back.
+    fn is_outdated(&self, id: &InstanceId, hello: &Hello) -> bool {
+        let peers = self.peers();
+        let linked = peers.get(id).filter(|peer| peer.connection.is_some());
+        linked.is_some_and(|peer| hello.incarnation < peer.hello.incarnation)
+    }
+
     fn is_current(&self, id: &InstanceId, number: u64) -> bool {
         let peers = self.peers();
         let connection = peers.get(id).and_then(|peer| peer.connection.as_ref());
--- a/crates/edge/tests/stale_connections.rs
+++ b/crates/edge/tests/stale_connections.rs
@@ -215,3 +215,33 @@
         assert_eq!(connection.read_to_end().await, [], "sent after the reset");
     });
 }
+
+/// A greeting that a process sent before its end and that arrives late does not replace the link to
+/// its successor, whose runs would count as lost.
+#[test]
+fn greeting_of_an_earlier_process_does_not_replace_the_link_of_a_later_one() {
+    run_test(async |test| {
+        let earlier = test.connect().await;
+        let later = test.greet(2).await;
+        test.log.wait_for(&[Event::Up(2)]).await;
+        earlier.greet(1);
+        Timer::after(QUIET_TIME).await;
+        test.log.wait_for(&[Event::Up(2)]).await;
+        later.write(message("after"));
+        test.log.wait_for(&[Event::Up(2), received("after")]).await;
+    });
+}
+
+/// A process that starts after its host's clock was set back has a lower incarnation than the one
+/// before, and is linked once the link of that one has ended.
+#[test]
+fn process_with_a_lower_incarnation_is_linked_after_the_link_of_the_one_before() {
+    run_test(async |test| {
+        let before = test.greet(2).await;
+        test.log.wait_for(&[Event::Up(2)]).await;
+        drop(before);
+        test.log.wait_for(&[Event::Up(2), Event::Down]).await;
+        let _after = test.greet(1).await;
+        test.log.wait_for(&[Event::Up(2), Event::Down, Event::Up(1)]).await;
+    });
+}
