--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod assigned_run;
 mod backlog;
 mod bias;
+mod deferred_start;
 mod drains;
 mod fair_share;
 mod forecast;
@@ -75,6 +76,7 @@
 pub use assigned_run::{AssignedRun, RunStage};
 pub use backlog::{Backlog, BacklogEntry, QueuedTasks, latest_starts};
 pub use bias::RunBias;
+pub use deferred_start::DeferredStart;
 pub use drains::{DrainFreshness, DrainRead, ZoneChange, ZoneDrains};
 pub use fair_share::{FairShare, OverservedZones};
 pub use forecast::Forecast;
@@ -83,7 +85,8 @@
 pub use job::{Job, KindSettings, Step};
 pub use load_shedding::{ArrivalRates, RefusalCause, UnservableJob, find_unservable};
 pub use log_event::{
-    DropCause, LogEvent, RequestKind, Resolution, RestartCause, StartRefusal, StopCause,
+    DropCause, LogEvent, ReleaseCause, RequestKind, Resolution, RestartCause, StartRefusal,
+    StopCause,
 };
 pub use loss_ledger::{CRASH_LIMIT, LossLedger, SILENT_CRASH_LIMIT, Verdict};
 pub use members::{Member, Members, MembershipChange, Owners, text_hash};
