--- a/crates/fleet/tests/log_events.rs
+++ b/crates/fleet/tests/log_events.rs
@@ -325,7 +325,14 @@
             events: || {
                 let mut fixture = FrontFixture::placed();
                 let by = id("e-2");
-                fixture.front.superseded("j", &by, ms(200), NOW + ms(1_500), &mut fixture.out);
+                fixture.front.superseded(
+                    &id("s"),
+                    "j",
+                    &by,
+                    ms(200),
+                    NOW + ms(1_500),
+                    &mut fixture.out,
+                );
                 events(fixture.out)
             },
             expected: vec![LogEvent::Superseded {
@@ -340,7 +347,14 @@
             events: || {
                 let mut fixture = FrontFixture::placed();
                 let by = id("e-2");
-                fixture.front.superseded("j", &by, ms(1_600), NOW + ms(1_500), &mut fixture.out);
+                fixture.front.superseded(
+                    &id("s"),
+                    "j",
+                    &by,
+                    ms(1_600),
+                    NOW + ms(1_500),
+                    &mut fixture.out,
+                );
                 events(fixture.out)
             },
             expected: Vec::new(),
@@ -371,7 +385,8 @@
     let mut list = WorkerList::default();
     list.replace(vec![listed("w", "a", 32_000)], NOW);
     let (run, need) = (Some(run()), Some((&need(14_000)).into()));
-    let held = held.then(|| Held { run, need, left_ms: 3_000, front: "e-1".to_owned() });
+    let held =
+        held.then(|| Held { run, need, left_ms: 3_000, front: "e-1".to_owned(), age_ms: None });
     let room = Room {
         worker: "w".to_owned(),
         token: 1,
