fix(fleet): replicate submissions to enough standby schedulers

With five equal instances in a zone, seven losses of two or three of them that include the scheduler left a new one that knew no submission; so did the loss of a scheduler while a larger instance was not admitted yet.

Cause: the standbys were the first candidate of each zone, and a pending instance could take its place, though it cannot be elected.

Change: four admitted peers of the scheduler's own zone and two of each other zone, and the largest peer, pending or not.

Tests: next_scheduler_is_a_standby_after_the_loss_of_half_of_the_instances and next_scheduler_is_a_standby_while_a_larger_instance_is_pending (review.rs) failed before.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -13,6 +13,10 @@
 const MILLICORES_PER_CORE: usize = 1_000;
 /// Minimum number of owners of a zone, which bounds the workers that the loss of one affects.
 const OWNERS_MIN: usize = 3;
+/// Number of peers of its own zone that may replace a scheduler.
+const OWN_ZONE_STANDBYS: usize = OWNERS_MIN + 1;
+/// Number of peers of each other zone that may do so.
+const OTHER_ZONE_STANDBYS: usize = 2;
 /// Time for which all views must agree before members are admitted while some have not joined, so
 /// that instances that join together are admitted together. Three ticks.
 const AGREED_FOR: Span = Span::from_ms(60);
@@ -259,22 +263,23 @@
     }
 
     /// Returns the peers that may replace this instance as the scheduler, sorted: the first
-    /// candidate of each zone, as a zone may be lost or cut off, and the peer that schedules again
-    /// once it is admitted and responsive.
+    /// candidates of its own zone, so that some are left when several instances are lost, those of
+    /// each other zone, as a zone may be lost or cut off, and the peer that schedules again once it
+    /// is admitted and responsive.
     #[must_use]
     pub fn standby_schedulers(&self) -> Vec<InstanceId> {
-        let members = by_rank(self.peers.iter().filter(|peer| peer.is_active()));
+        let peers = || self.peers.iter().filter(|peer| peer.is_active());
+        let admitted = by_rank(peers().filter(|peer| !self.pending.contains(&peer.id)));
         let mut standbys: Vec<&Member> = Vec::new();
-        let mut first: Vec<&Member> = Vec::new();
-        for zone in members.chunk_by(|a, b| a.zone == b.zone) {
-            let candidates = &zone[..zone.len().min(OWNERS_MIN)];
-            standbys.extend(
-                candidates.iter().copied().max_by_key(|member| self.scheduler_rank(member)),
-            );
-            first.extend(candidates);
+        for zone in admitted.chunk_by(|a, b| a.zone == b.zone) {
+            let is_mine = zone[0].zone == self.me.zone;
+            let count = if is_mine { OWN_ZONE_STANDBYS } else { OTHER_ZONE_STANDBYS };
+            let mut candidates = zone[..zone.len().min(OWN_ZONE_STANDBYS)].to_vec();
+            candidates.sort_by_key(|member| Reverse(self.scheduler_rank(member)));
+            standbys.extend(candidates.into_iter().take(count));
         }
         let largest = |member: &&Member| (member.cores, weight("scheduler", &member.id));
-        standbys.extend(first.into_iter().max_by_key(largest));
+        standbys.extend(peers().max_by_key(largest));
         let mut standbys: Vec<InstanceId> =
             standbys.into_iter().map(|member| member.id.clone()).collect();
         standbys.sort();
