fix(fleet): do not answer "not run" for a job that ran at another front

Symptom: a caller that sends a job again gets 503, which says that the job has not run, though the run of its first submission is active.

Cause: a front answers by its own runs. A job that is withheld until its deadline has none there.

Change: the scheduler tells the later front that there was an earlier submission; such a job is given up (504) instead.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -286,7 +286,11 @@
             return;
         }
         let retry = Span::from_ms(refusal.retry_ms.into());
-        let outcome = Outcome::NotRun { cause: NotRunCause::Overload, retry };
+        let outcome = if active.may_have_run() {
+            Outcome::GivenUp
+        } else {
+            Outcome::NotRun { cause: NotRunCause::Overload, retry }
+        };
         self.close(&refusal.job, Some(outcome), now, out);
     }
 
@@ -471,6 +475,14 @@
         self.close(job, Some(Outcome::GivenUp), now, out);
     }
 
+    /// Records that the caller of a job had submitted it to another front before, which may have run
+    /// it.
+    pub fn set_submitted_before(&mut self, job: &str) {
+        if let Some(active) = self.jobs.get_mut(job) {
+            active.again = true;
+        }
+    }
+
     /// Cancels a job, and returns whether it was known.
     pub fn cancel(&mut self, name: &str, now: Time, out: &mut Output) -> bool {
         let known = self.jobs.get(name).is_some_and(|active| active.closing_since.is_none());
@@ -487,7 +499,7 @@
         let mut gone = Vec::new();
         for (name, active) in self.jobs.iter() {
             if active.closing_since.is_none() && now >= active.job.deadline {
-                over.push((name.clone(), active.possible_runs > 0));
+                over.push((name.clone(), active.may_have_run()));
             }
             for (key, state) in active.placed() {
                 let Phase::Placed(place) = &state.phase else { continue };
@@ -560,7 +572,7 @@
                     runs: 0,
                 });
             }
-            let outcome = if active.possible_runs > 0 {
+            let outcome = if active.may_have_run() {
                 Outcome::GivenUp
             } else {
                 Outcome::NotRun { cause: NotRunCause::Stopping, retry: Span::ZERO }
@@ -578,8 +590,7 @@
         now: Time,
         out: &mut Output,
     ) {
-        let waits =
-            |active: &ActiveJob| active.possible_runs == 0 && active.closing_since.is_none();
+        let waits = |active: &ActiveJob| !active.may_have_run() && active.closing_since.is_none();
         let hopeless = self.jobs.iter().filter(|(_, a)| waits(a) && cannot_run(&a.job));
         let names: Vec<String> = hopeless.map(|(name, _)| name.clone()).collect();
         for name in names {
--- a/crates/fleet/src/front/active.rs
+++ b/crates/fleet/src/front/active.rs
@@ -24,6 +24,8 @@
     // estimated.
     pub(super) requested_at: Option<Time>,
     pub(super) expected_wait: Option<Span>,
+    // Whether the caller had submitted it to another front before.
+    pub(super) again: bool,
     // Whether the scheduler awaits the end of its runs, since another front has the job now.
     pub(super) yields: bool,
     // The same job, resubmitted while runs of the first submission are being stopped.
@@ -46,6 +48,7 @@
             closing_since: None,
             requested_at: None,
             expected_wait: None,
+            again: false,
             yields: false,
             resubmitted: None,
         }
@@ -98,6 +101,11 @@
         self.steps.iter().flatten().filter(waits).count()
     }
 
+    /// Returns whether a task may have run, here or at the front of an earlier submission.
+    pub(super) const fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || self.again
+    }
+
     pub(super) fn is_idle(&self) -> bool {
         self.placed().next().is_none()
     }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -254,6 +254,12 @@
     ) {
         let Ok(front) = superseded.front.parse::<InstanceId>() else { return };
         let Ok(by) = superseded.by.parse::<InstanceId>() else { return };
+        if by == self.members.me().id {
+            self.front.set_submitted_before(&superseded.job);
+        }
+        if by == front {
+            return;
+        }
         self.owner.stop_superseded(&superseded.job, &front, now, out);
         // An earlier process of this front may have runs until their leases expire.
         let is_known = self.front.contains(&superseded.job);
--- a/crates/fleet/src/scheduler/withheld.rs
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -57,6 +57,13 @@
             SubmissionOrder::Only => return self.enqueue(front, ask, now),
             SubmissionOrder::Latest { .. } => {
                 self.discard_earlier(front, &ask.job);
+                if !ask.begun {
+                    // The front must not answer that the job has not run.
+                    let earlier = self.submissions.earlier(&ask.job).first().unwrap_or(front);
+                    let age = Span::from_ms(ask.age_ms.into());
+                    let superseded = superseded_message(&ask.job, earlier, front, age);
+                    out.send(front, Message::Superseded(superseded));
+                }
                 self.supersede(&ask.job, now);
                 self.review_job(&ask.job, now, out);
                 true
--- a/crates/fleet/tests/submissions.rs
+++ b/crates/fleet/tests/submissions.rs
@@ -82,7 +82,7 @@
         Command::Send { to, message: Message::Superseded(_) } => Some(to.clone()),
         _ => None,
     });
-    assert_eq!(told.collect::<Vec<_>>(), [id("e-1"), id("p")]);
+    assert_eq!(told.collect::<Vec<_>>(), [id("e-2"), id("e-1"), id("p")]);
     assert_eq!(grants(&mut scheduler, NOW + Span::from_ms(500)), 0);
     let later = NOW + Span::from_ms(600);
     scheduler.run_ended(&stopped(), later);
@@ -136,6 +136,7 @@
     for Case { name, reachable, heard, free_at } in cases {
         let replica = || {
             let mut old = Scheduler::default();
+            old.add_reachable(&id("new"));
             old.handle_ask(&id("e-1"), ask(1_500), NOW, &mut Output::default());
             let mut out = Output::default();
             old.replicate(&[id("new")], NOW, &mut out);
@@ -184,10 +185,10 @@
         let mut out = Output::default();
         scheduler.handle_ask(&id("e-2"), ask(age), NOW, &mut out);
         let is_told = out.commands.iter().any(|command| {
-            let Command::Send { to, message: Message::Superseded(_) } = command else {
+            let Command::Send { to, message: Message::Superseded(superseded) } = command else {
                 return false;
             };
-            *to == id("e-2")
+            *to == id("e-2") && superseded.front == "e-2"
         });
         assert_eq!(is_told, told, "submitted {age} ms ago");
     }
@@ -196,6 +197,7 @@
 #[test]
 fn submissions_reach_replicas_that_join_later() {
     let mut scheduler = Scheduler::default();
+    ["a", "b"].iter().for_each(|name| scheduler.add_reachable(&id(name)));
     let mut sent = |replicas: &[InstanceId], age: u64| {
         let mut out = Output::default();
         scheduler.replicate(replicas, NOW + Span::from_ms(age), &mut out);
--- a/crates/fleet/tests/withheld.rs
+++ b/crates/fleet/tests/withheld.rs
@@ -87,11 +87,12 @@
     struct Case {
         name: &'static str,
         earlier: &'static str,
+        // The later front is told too, as it must not answer that the job has not run.
         told: Vec<InstanceId>,
     }
     let cases = [
-        Case { name: "other front", earlier: "e-1", told: vec![id("e-1")] },
-        Case { name: "same front", earlier: "e-2", told: Vec::new() },
+        Case { name: "other front", earlier: "e-1", told: vec![id("e-2"), id("e-1")] },
+        Case { name: "same front", earlier: "e-2", told: vec![id("e-2")] },
     ];
     for Case { name, earlier, told: expected } in cases {
         let mut scheduler = Scheduler::default();
