fix(fleet): answer a caller that returns at its own deadline

Symptom: a caller that sends a job again to the front that has it is answered at the deadline of its first submission.

Change: the later deadline of the two counts.

Test: caller_that_sends_a_job_again_is_answered_at_its_own_deadline (review.rs) failed before, 1,300 ms too early.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -85,6 +85,7 @@
                 out.answer(older, Outcome::GivenUp);
             }
             active.job.arrived = job.arrived;
+            active.job.deadline = active.job.deadline.max(job.deadline);
             self.claim_job(&job.name, now, out);
             return;
         }
