fix(fleet): do not order submissions by messages that are read after a pause

Symptom: a report that was sent before a pause of the scheduler and read after it made the earlier submission of a job the latest one. Found by a review.

Cause: messages carry ages, to which a pause of the reader is not added.

Change: until the first tick after a pause, replicated submissions are ignored, ages of reported runs count as unknown, and nothing is handed over.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -200,9 +200,11 @@
             }
             Body::Superseded(superseded) => self.handle_superseded(from, &superseded, now, out),
             Body::Yielded(yielded) => self.scheduler.handle_yielded(from, &yielded.job),
-            Body::Submissions(submissions) => {
+            // The ages in messages that are read after a pause do not include it.
+            Body::Submissions(submissions) if !self.was_paused(now) => {
                 self.scheduler.merge_submissions(&submissions, now);
             }
+            Body::Submissions(_) => {}
             Body::Losses(losses) => self.front.merge_losses(&losses, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
             Body::Unused(unused) => {
@@ -212,7 +214,13 @@
                     self.scheduler.release_unused(&worker, &task, unused.refused, now);
                 }
             }
-            Body::Rooms(rooms) => self.scheduler.update_workers(from, rooms, &self.listing, now),
+            Body::Rooms(mut rooms) => {
+                if self.was_paused(now) {
+                    let held = rooms.rooms.iter_mut().flat_map(|room| &mut room.held);
+                    held.for_each(|held| held.age_ms = None);
+                }
+                self.scheduler.update_workers(from, rooms, &self.listing, now);
+            }
             Body::Freed(freed) => self.scheduler.run_ended(&freed, now),
             Body::Grant(grant) => {
                 let (me, links) = (&self.members.me().id, &self.links);
@@ -424,7 +432,7 @@
         }
         let submissions = self.scheduler.known_submissions();
         out.log(LogEvent::SchedulerChanged { scheduler: elected.clone(), submissions });
-        if self.is_scheduler() {
+        if self.is_scheduler() && !self.was_paused(now) {
             self.scheduler.hand_over(elected.as_ref(), now, out);
         }
         self.elected.clone_from(&elected);
--- a/crates/fleet/src/node/drained.rs
+++ b/crates/fleet/src/node/drained.rs
@@ -122,8 +122,13 @@
     /// Returns whether tasks may be started and capacity granted: the zone drains are fresh since
     /// the last pause.
     pub(super) fn can_start(&self, now: Time) -> bool {
-        // Messages that are handled before the first tick after a pause may be as old as the pause.
-        self.drain_freshness.is_fresh() && now.since(self.ticked_at) < PAUSE_THRESHOLD
+        self.drain_freshness.is_fresh() && !self.was_paused(now)
+    }
+
+    /// Returns whether this process was paused since the last tick, so that the messages that it
+    /// reads may be as old as the pause.
+    pub(super) fn was_paused(&self, now: Time) -> bool {
+        now.since(self.ticked_at) >= PAUSE_THRESHOLD
     }
 
     /// Requires fresh drains after a pause, and assumes the known ones after a timeout.
