fix(fleet): keep what a scheduler knows of earlier submissions and runs

Change: only replicas take the other scheduler's list as it is, others add to theirs; replicas are reachable instances; unclaimed runs of a lost owner count for RUN_EXPIRY; runs of an earlier submission of the same front count as unclaimed; a job that is sent again to a front that was lost less than RUN_EXPIRY ago waits for the rest of it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -112,7 +112,7 @@
 pub use scheduler::Scheduler;
 pub use shutdown::{ACCEPT_PERIOD, Shutdown, ShutdownProgress};
 pub use speed::{ClassSpeeds, SlownessLevel, SpeedEstimate};
-pub use submissions::{Submission, SubmissionOrder, Submissions};
+pub use submissions::{RunOrigin, Submission, SubmissionOrder, Submissions};
 pub use suspects::Suspects;
 pub use task_state::{Phase, Placed, TaskState};
 pub use topology::{InstanceInfo, LinkPlan, Topology};
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -8,11 +8,11 @@
 
 use crate::{
     ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, LossLedger, Need, Output,
-    OverservedZones, PlacementDecision, QueuedTasks, RetrySchedule, RunBias, RunKey, RunTimes,
-    Submissions, Suspects, TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool, WorkerView,
-    backlog::latest_starts, load_shedding, log_event::LogEvent, output::Message,
-    placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
-    worker_view::GrantedRun,
+    OverservedZones, PlacementDecision, QueuedTasks, RUN_EXPIRY, RetrySchedule, RunBias, RunKey,
+    RunOrigin, RunTimes, Submissions, Suspects, TaskKey, UnservableJob, VecMap, WorkerList,
+    WorkerPool, WorkerView, backlog::latest_starts, load_shedding, log_event::LogEvent,
+    output::Message, placement::Placement, placement_cache::PlacementCache, probes::Probes,
+    run_stats::WorkerStats, worker_view::GrantedRun,
 };
 use superseded::SupersededJob;
 use withheld::WithheldTasks;
@@ -51,6 +51,15 @@
 /// timeout of an unresponsive instance, and a report.
 const TAKEOVER_TIMEOUT: Span = Span::from_ms(1_000);
 
+/// A task with a run that its front may not know, so that a further run must wait.
+#[derive(Debug)]
+struct Orphan {
+    worker: WorkerId,
+    task: TaskKey,
+    // When the run has certainly ended, if the owner of the worker was lost.
+    until: Option<Time>,
+}
+
 /// Waiting tasks of all instances, and the workers that owners report to this instance.
 #[derive(Debug, Default)]
 pub struct Scheduler {
@@ -106,8 +115,7 @@
     replicated_at: Time,
     // Tasks of which another run may be active.
     withheld: Vec<WithheldTasks>,
-    // Tasks whose runs were reported without a front, with their worker: a new owner has found them.
-    orphans: Vec<(WorkerId, TaskKey)>,
+    orphans: Vec<Orphan>,
     // Tasks that workers of lost owners held, and until when their runs may continue.
     lost_runs: Vec<(TaskKey, Time)>,
 }
@@ -213,7 +221,9 @@
         }
         self.workers.retain(|worker| worker.owner != *instance);
         let workers = &self.workers;
-        self.orphans.retain(|(worker, _)| workers.get(worker).is_some());
+        for orphan in self.orphans.iter_mut().filter(|o| workers.get(&o.worker).is_none()) {
+            orphan.until.get_or_insert(now + RUN_EXPIRY);
+        }
     }
 
     /// Clears all grants and waiting tasks because another instance schedules now; learned
@@ -292,18 +302,20 @@
                 self.workers.insert(worker);
             }
             let mut left = Vec::new();
-            self.orphans.retain(|(worker, _)| *worker != id);
+            self.orphans.retain(|orphan| orphan.worker != id);
             let standing = room.standing.map(|s| WorkerStats::from_report(&s, room.born_ms, now));
             let held = room.held.into_iter().filter_map(|held| {
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
                 let front = held.front.parse::<InstanceId>().ok();
                 let arrived = held.age_ms.map(|age| now - Span::from_ms(age.into()));
-                if front.is_none() {
-                    self.orphans.push((id.clone(), key.task.clone()));
-                }
-                if self.submissions.record_run(&key.task.job, front, arrived, now) {
-                    superseded.push(key.task.job.clone());
+                let (job, is_unclaimed) = (&key.task.job, front.is_none());
+                let origin = self.submissions.record_run(job, front, arrived, now);
+                if is_unclaimed || origin == RunOrigin::Unclaimed {
+                    let (worker, task) = (id.clone(), key.task.clone());
+                    self.orphans.push(Orphan { worker, task, until: None });
+                } else if origin == RunOrigin::NewSubmission {
+                    superseded.push(job.clone());
                 }
                 if span > Span::ZERO {
                     left.push((key.task.clone(), span));
@@ -355,7 +367,7 @@
     pub fn update_listing(&mut self, listing: &WorkerList) {
         self.listed = listing.all().len();
         self.saved_stats.retain(|id, _| listing.get(id).is_some());
-        self.orphans.retain(|(id, _)| listing.get(id).is_some());
+        self.orphans.retain(|orphan| listing.get(&orphan.worker).is_some());
         self.workers.retain(|worker| match listing.get(worker.id()) {
             Some(listed) => {
                 worker.set_listed(listed.clone());
@@ -369,7 +381,7 @@
     pub fn run_ended(&mut self, freed: &Freed, now: Time) {
         let Some(run) = freed.run.as_ref().map(RunKey::from) else { return };
         let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
-        self.orphans.retain(|(on, task)| *on != worker || *task != run.task);
+        self.orphans.retain(|orphan| orphan.worker != worker || orphan.task != run.task);
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
         let is_timed = !freed.kind.is_empty();
@@ -458,6 +470,7 @@
     pub fn schedule(&mut self, now: Time, tick: bool, out: &mut Output) {
         self.reports_since.get_or_insert(now);
         if tick {
+            self.orphans.retain(|orphan| orphan.until.is_none_or(|until| until > now));
             self.probe_budget = PROBE_BUDGET;
         }
         if tick || self.superseded_changed {
@@ -549,7 +562,7 @@
             let mut places = Vec::new();
             let tasks = std::mem::take(&mut queued.tasks);
             let is_orphan = |task: &u32| {
-                let orphans = self.orphans.iter().map(|(_, key)| key);
+                let orphans = self.orphans.iter().map(|orphan| &orphan.task);
                 let mut of_step =
                     orphans.filter(|key| (&key.job, key.step) == (&queued.job, queued.step));
                 of_step.any(|key| key.task == *task)
--- a/crates/fleet/src/scheduler/superseded.rs
+++ b/crates/fleet/src/scheduler/superseded.rs
@@ -20,6 +20,9 @@
 /// Interval at which earlier fronts and the owners of runs are notified again; a message may be lost
 /// with its link.
 const NOTICE_INTERVAL: Span = Span::from_ms(250);
+/// Time for which it is remembered when a lost instance was last heard; longer than any job waits
+/// for its answer.
+const LOSS_RETENTION: Span = Span::from_secs(60);
 /// Interval at which changed submissions are replicated. Callers wait longer before they submit a job
 /// again.
 const REPLICATION_INTERVAL: Span = Span::from_ms(100);
@@ -96,13 +99,11 @@
 
     /// Returns why a front that has not answered has no run left; `None` if it may have one.
     fn release_cause(&self, front: &InstanceId, since: Time, now: Time) -> Option<ReleaseCause> {
-        if let Some(heard) = self.lost_fronts.get(front) {
-            return (now.since(*heard) >= RUN_EXPIRY).then_some(ReleaseCause::Lost);
+        if self.reachable.binary_search(front).is_ok() {
+            return (now.since(since) >= CLOSING_LIMIT).then_some(ReleaseCause::Unanswered);
         }
-        if self.reachable.binary_search(front).is_err() {
-            return (now.since(since) >= RUN_EXPIRY).then_some(ReleaseCause::Lost);
-        }
-        (now.since(since) >= CLOSING_LIMIT).then_some(ReleaseCause::Unanswered)
+        let heard = self.lost_fronts.get(front).copied().unwrap_or(since);
+        (now.since(heard) >= RUN_EXPIRY).then_some(ReleaseCause::Lost)
     }
 
     fn notify(&self, job: &str, entry: &SupersededJob, now: Time, out: &mut Output) {
@@ -134,7 +135,6 @@
 
     /// Records that an instance is reachable.
     pub fn add_reachable(&mut self, instance: &InstanceId) {
-        self.lost_fronts.remove(instance);
         if let Err(place) = self.reachable.binary_search(instance) {
             self.reachable.insert(place, instance.clone());
         }
@@ -144,10 +144,16 @@
     pub fn remove_reachable(&mut self, instance: &InstanceId, heard: Time, now: Time) {
         self.reachable.retain(|reachable| reachable != instance);
         self.replicas.retain(|replica| replica != instance);
-        self.lost_fronts.retain(|_, heard| now.since(*heard) < RUN_EXPIRY);
+        self.lost_fronts.retain(|_, heard| now.since(*heard) < LOSS_RETENTION);
         self.lost_fronts.insert(instance.clone(), heard);
     }
 
+    /// Returns whether runs of an earlier process of a front may be active, of which it does not
+    /// know.
+    pub(super) fn may_have_restarted(&self, front: &InstanceId, now: Time) -> bool {
+        self.lost_fronts.get(front).is_some_and(|heard| now.since(*heard) < RUN_EXPIRY)
+    }
+
     /// Returns the number of jobs whose latest submission is known.
     #[must_use]
     pub fn known_submissions(&self) -> usize {
@@ -156,8 +162,10 @@
 
     /// Replicates the submissions to the instances that may replace this scheduler.
     pub fn replicate(&mut self, replicas: &[InstanceId], now: Time, out: &mut Output) {
-        let new: Vec<&InstanceId> =
-            replicas.iter().filter(|id| !self.replicas.contains(id)).collect();
+        // A message to an instance whose link is broken is lost.
+        let is_reachable = |id: &&InstanceId| self.reachable.binary_search(id).is_ok();
+        let new = replicas.iter().filter(is_reachable);
+        let new: Vec<&InstanceId> = new.filter(|id| !self.replicas.contains(id)).collect();
         let is_due = now.since(self.replicated_at) >= REPLICATION_INTERVAL;
         self.replicas.retain(|id| replicas.contains(id));
         if is_due && self.submissions.has_changes() {
@@ -191,7 +199,8 @@
 
     /// Merges the submissions that another scheduler has recorded.
     pub fn merge_submissions(&mut self, message: &SubmissionsMessage, now: Time) {
-        for hash in self.submissions.merge(message, now) {
+        let is_replica = self.reports_since.is_none() && self.backlog.is_empty();
+        for hash in self.submissions.merge(message, is_replica, now) {
             let queued = self.backlog.iter().find(|queued| text_hash(&queued.job) == hash);
             if let Some(job) = queued.map(|queued| queued.job.clone()) {
                 self.supersede(&job, now);
--- a/crates/fleet/src/scheduler/withheld.rs
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -86,7 +86,8 @@
         let ask = Ask { tasks, ..ask };
         let mut withheld = WithheldTasks { front: front.clone(), ask, since: now };
         // A run that this front itself was granted may not have been started.
-        let is_free = |key: &TaskKey| !self.may_run(key, counts_grants, now);
+        let has_restarted = counts_grants && self.may_have_restarted(front, now);
+        let is_free = |key: &TaskKey| !has_restarted && !self.may_run(key, counts_grants, now);
         if let Some(free) = withheld.take(is_free, now) {
             self.enqueue(front, free, now);
         }
@@ -103,7 +104,9 @@
             if withheld.is_over(now) {
                 continue;
             }
-            let is_free = |key: &TaskKey| !self.may_run(key, true, now);
+            let has_restarted = self.submissions.is_again(&withheld.ask.job)
+                && self.may_have_restarted(&withheld.front, now);
+            let is_free = |key: &TaskKey| !has_restarted && !self.may_run(key, true, now);
             if let Some(free) = withheld.take(is_free, now) {
                 let front = withheld.front.clone();
                 let runs = self.unnamed_losses(&free, now);
--- a/crates/fleet/src/submissions.rs
+++ b/crates/fleet/src/submissions.rs
@@ -49,6 +49,18 @@
     },
 }
 
+/// What a reported run tells about the submissions of its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOrigin {
+    /// Nothing new.
+    Known,
+    /// No front has claimed it, or its front may not know it: an earlier process of that front had
+    /// the job before.
+    Unclaimed,
+    /// A submission that was not known has it.
+    NewSubmission,
+}
+
 #[derive(Debug)]
 struct Entry {
     // None while only an unclaimed run is known.
@@ -149,31 +161,35 @@
     }
 
     /// Records a run of a job that an owner has reported, the front that wants it and when that front
-    /// accepted the job. Returns whether this shows a submission that was not known.
+    /// accepted the job.
     pub fn record_run(
         &mut self,
         job: &str,
         front: Option<InstanceId>,
         arrived: Option<Time>,
         now: Time,
-    ) -> bool {
+    ) -> RunOrigin {
         let until = now + RETENTION;
         let hash = text_hash(job);
         let part = self.part_mut(hash);
         let Some(entry) = part.get_mut(&hash).filter(|entry| entry.until > now) else {
             let earlier = Vec::new();
             part.insert(hash, Entry { front, arrived, until, again: false, earlier });
-            return false;
+            return RunOrigin::Known;
         };
         entry.until = entry.until.max(until);
-        let Some(front) = front else { return false };
+        let Some(front) = front else { return RunOrigin::Unclaimed };
         if entry.front.as_ref().is_none_or(|latest| *latest == front) {
             entry.front = Some(front);
-            entry.arrived = entry.arrived.max(arrived);
-            return false;
+            let (known, arrived) = (entry.arrived, arrived);
+            entry.arrived = known.max(arrived);
+            let is_earlier = known
+                .zip(arrived)
+                .is_some_and(|(known, arrived)| known > arrived + ARRIVAL_TOLERANCE);
+            return if is_earlier { RunOrigin::Unclaimed } else { RunOrigin::Known };
         }
         // Without an arrival it is not known which submission is the later one.
-        let Some(known) = entry.arrived else { return false };
+        let Some(known) = entry.arrived else { return RunOrigin::Known };
         let is_new = match arrived {
             Some(arrived) if arrived > known => {
                 entry.replace_front(front);
@@ -182,10 +198,18 @@
             }
             _ => entry.add_earlier(front),
         };
-        if is_new {
-            self.mark_changed(hash);
+        if !is_new {
+            return RunOrigin::Known;
         }
-        is_new
+        self.mark_changed(hash);
+        RunOrigin::NewSubmission
+    }
+
+    /// Returns whether a job was submitted more than once.
+    #[must_use]
+    pub fn is_again(&self, job: &str) -> bool {
+        let hash = text_hash(job);
+        self.part(hash).get(&hash).is_some_and(|entry| entry.again)
     }
 
     /// Returns the front of the latest submission of a job and when it arrived there.
@@ -262,9 +286,10 @@
         wire::Submissions { fronts, submissions }
     }
 
-    /// Merges the entries of the scheduler into a replica. Returns the hashes of the jobs of which
-    /// this instance knows a later submission, as it has become the scheduler.
-    pub fn merge(&mut self, message: &wire::Submissions, now: Time) -> Vec<u64> {
+    /// Merges the entries of another scheduler. A replica takes its lists of earlier fronts;
+    /// otherwise, this instance schedules and may know more of them. Returns the hashes of the jobs
+    /// with earlier fronts that may have runs.
+    pub fn merge(&mut self, message: &wire::Submissions, is_replica: bool, now: Time) -> Vec<u64> {
         let mut superseded = Vec::new();
         let fronts: Vec<Option<InstanceId>> =
             message.fronts.iter().map(|front| front.parse().ok()).collect();
@@ -273,29 +298,34 @@
             let Some(front) = named(&submission.front) else { continue };
             let arrived = now - Span::from_ms(submission.age_ms.into());
             let until = now + Span::from_ms(submission.left_ms.into());
-            let mut earlier: Vec<InstanceId> =
-                submission.earlier.iter().filter_map(named).collect();
-            earlier.sort();
-            earlier.dedup();
-            let again = submission.again;
+            let earlier = submission.earlier.iter().filter_map(named);
             let part = self.part_mut(submission.job);
-            let known = part.get_mut(&submission.job).filter(|known| known.until > now);
-            let Some(known) = known else {
-                let (front, arrived) = (Some(front), Some(arrived));
+            if part.get_mut(&submission.job).is_none_or(|known| known.until <= now) {
+                let (front, arrived) = (Some(front.clone()), Some(arrived));
+                let (again, earlier) = (submission.again, Vec::new());
                 part.insert(submission.job, Entry { front, arrived, until, again, earlier });
-                continue;
-            };
-            known.until = known.until.max(until);
-            known.again |= again;
-            if known.front.as_ref() == Some(&front) {
-                known.arrived = known.arrived.max(Some(arrived));
-                known.earlier = earlier;
-            } else if known.arrived.is_none_or(|known| known <= arrived) {
-                known.again |= known.front.is_some();
-                known.front = Some(front);
-                known.arrived = Some(arrived);
-                known.earlier = earlier;
-            } else if known.add_earlier(front) {
+            }
+            let Some(entry) = part.get_mut(&submission.job) else { continue };
+            entry.until = entry.until.max(until);
+            entry.again |= submission.again;
+            if is_replica {
+                entry.earlier.clear();
+            }
+            if entry.front.as_ref().is_none_or(|known| *known == front) {
+                entry.front = Some(front);
+                entry.arrived = entry.arrived.max(Some(arrived));
+            } else if entry.arrived.is_none_or(|known| known <= arrived) {
+                entry.replace_front(front);
+                entry.arrived = Some(arrived);
+            } else {
+                entry.add_earlier(front);
+            }
+            for front in earlier {
+                if entry.front.as_ref() != Some(&front) {
+                    entry.add_earlier(front);
+                }
+            }
+            if !entry.earlier.is_empty() {
                 superseded.push(submission.job);
             }
         }
