fix(fleet): ask an earlier front again that was only cut off

Symptom: soak on real processes, jobs_sent_again_in_a_partition_run_once: when a partition heals, the scheduler grants tasks of a job whose earlier front, which it had counted as lost, is back with its runs.

Change: a front that was released because it was lost is asked again once it is reachable, and the job is withheld until it has answered.

Test: lost_front_that_is_back_is_asked_again; before, the front was not told.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -110,6 +110,8 @@
     reachable: Vec<InstanceId>,
     // When instances that were lost lately were last heard.
     lost_fronts: VecMap<InstanceId, Time>,
+    // Jobs whose earlier front counts as lost, and since when.
+    released: Vec<(String, InstanceId, Time)>,
     // Instances to which the submissions are replicated, and when they last were.
     replicas: Vec<InstanceId>,
     replicated_at: Time,
@@ -240,6 +242,7 @@
         self.reports_since = None;
         self.all_reported = false;
         self.superseded = VecMap::default();
+        self.released = Vec::new();
         self.replicas = Vec::new();
         self.withheld = Vec::new();
         self.orphans = Vec::new();
--- a/crates/fleet/src/scheduler/superseded.rs
+++ b/crates/fleet/src/scheduler/superseded.rs
@@ -61,7 +61,7 @@
 
     /// Releases the jobs whose earlier fronts have no run left, and repeats the notices for the
     /// others.
-    pub(super) fn review_superseded(&mut self, now: Time, out: &mut Output) {
+    pub fn review_superseded(&mut self, now: Time, out: &mut Output) {
         self.superseded_changed = false;
         let jobs: Vec<String> = self.superseded.iter().map(|(job, _)| job.clone()).collect();
         for job in jobs {
@@ -83,6 +83,9 @@
                 continue;
             };
             self.submissions.remove_earlier(job, &id);
+            if cause == ReleaseCause::Lost {
+                self.released.push((job.to_owned(), id.clone(), now));
+            }
             let (job, waited) = (job.to_owned(), now.since(since));
             out.log(LogEvent::Released { job, front: id, waited, cause });
         }
@@ -138,6 +141,13 @@
         if let Err(place) = self.reachable.binary_search(instance) {
             self.reachable.insert(place, instance.clone());
         }
+        // After a partition, the front and its runs may still be active.
+        let back = self.released.extract_if(.., |(_, front, _)| front == instance);
+        for (job, front, at) in back.collect::<Vec<_>>() {
+            if self.submissions.add_earlier(&job, front) {
+                self.supersede(&job, at);
+            }
+        }
     }
 
     /// Records that an instance, last heard at `heard`, is not reachable any more.
@@ -145,6 +155,7 @@
         self.reachable.retain(|reachable| reachable != instance);
         self.replicas.retain(|replica| replica != instance);
         self.lost_fronts.retain(|_, heard| now.since(*heard) < LOSS_RETENTION);
+        self.released.retain(|(.., at)| now.since(*at) < LOSS_RETENTION);
         self.lost_fronts.insert(instance.clone(), heard);
     }
 
--- a/crates/fleet/src/submissions.rs
+++ b/crates/fleet/src/submissions.rs
@@ -227,6 +227,20 @@
         self.part(hash).get(&hash).map_or(&[], |entry| entry.earlier.as_slice())
     }
 
+    /// Records that a front with an earlier submission of a job may have runs. Returns whether the job
+    /// is known.
+    pub fn add_earlier(&mut self, job: &str, front: InstanceId) -> bool {
+        let hash = text_hash(job);
+        let Some(entry) = self.part_mut(hash).get_mut(&hash) else { return false };
+        if entry.front.as_ref() == Some(&front) {
+            return false;
+        }
+        if entry.add_earlier(front) {
+            self.mark_changed(hash);
+        }
+        true
+    }
+
     /// Records that a front has no run of an earlier submission of a job.
     pub fn remove_earlier(&mut self, job: &str, front: &InstanceId) {
         let hash = text_hash(job);
--- a/crates/fleet/tests/submissions.rs
+++ b/crates/fleet/tests/submissions.rs
@@ -194,6 +194,28 @@
     }
 }
 
+#[test]
+fn lost_front_that_is_back_is_asked_again() {
+    // Guards against an earlier front on the other side of a partition, whose runs go on after it.
+    let mut scheduler = scheduler();
+    scheduler.add_reachable(&id("e-1"));
+    scheduler.handle_ask(&id("e-2"), ask(0), NOW, &mut Output::default());
+    scheduler.run_ended(&stopped(), NOW);
+    scheduler.remove_reachable(&id("e-1"), NOW, NOW);
+    let lost = NOW + RUN_EXPIRY;
+    scheduler.review_superseded(lost, &mut Output::default());
+    scheduler.add_reachable(&id("e-1"));
+    let mut out = Output::default();
+    scheduler.schedule(lost, true, &mut out);
+    let is_told = out.commands.iter().any(|command| {
+        matches!(command, Command::Send { to, message: Message::Superseded(_) } if *to == id("e-1"))
+    });
+    assert!(is_told, "it does not learn that it is superseded");
+    assert_eq!(grants(&mut scheduler, lost), 0);
+    scheduler.handle_yielded(&id("e-1"), "j");
+    assert_eq!(grants(&mut scheduler, lost), 1);
+}
+
 #[test]
 fn submissions_reach_replicas_that_join_later() {
     let mut scheduler = Scheduler::default();
