--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -30,9 +30,6 @@
 /// No lease lasts longer than `RUN_LIFETIME` after the last heartbeat of the owner that this front
 /// has echoed, and it cannot have echoed one that it had not received.
 pub const RUN_EXPIRY: Span = Span::from_ms(1_500);
-/// Time in which the report of a next owner is awaited that reaches a worker: it opens the worker a
-/// second later, and if that poll or the next probe is lost, it announces the worker again.
-const REPORT_TIMEOUT: Span = Span::from_secs(3);
 /// Distance between run numbers after a worker refused one as superseded.
 const RUN_NUMBER_SKIP: u32 = 4;
 /// Time after which a caller should retry a job that was not started before its deadline.
@@ -50,8 +47,6 @@
     // When the last message from the scheduler was received.
     heard: Option<Time>,
     losses: LossLedger,
-    // Workers that a next owner reaches but does not own yet, with that owner and the time.
-    reached: VecMap<WorkerId, (InstanceId, Time)>,
     // Jobs with tasks for which capacity is requested again at the next review of the losses.
     requeued: Vec<String>,
 }
@@ -61,8 +56,7 @@
     #[must_use]
     pub fn new(me: InstanceId, zone: String) -> Self {
         let (jobs, losses) = (VecMap::default(), LossLedger::default());
-        let (scheduler, heard, reached) = (None, None, VecMap::default());
-        Self { me, zone, jobs, scheduler, heard, losses, reached, requeued: Vec::new() }
+        Self { me, zone, jobs, scheduler: None, heard: None, losses, requeued: Vec::new() }
     }
 
     /// Submits a job. A job that is already known gets the new caller, and the previous one an
@@ -454,7 +448,6 @@
     /// Closes jobs past their deadline, and ends runs whose owners have been unreachable for too
     /// long.
     pub fn tick(&mut self, now: Time, out: &mut Output) {
-        self.reached.retain(|_, (_, at)| now.since(*at) < REPORT_TIMEOUT);
         let mut over = Vec::new();
         let mut gone = Vec::new();
         for (name, active) in self.jobs.iter() {
@@ -463,8 +456,7 @@
             }
             for (key, state) in active.placed() {
                 let Phase::Placed(place) = &state.phase else { continue };
-                let lost = place.lost_since.is_some_and(|heard| now.since(heard) >= RUN_EXPIRY)
-                    && !self.reached.contains(&place.worker);
+                let lost = place.lost_since.is_some_and(|heard| now.since(heard) >= RUN_EXPIRY);
                 let stuck = active.closing_since.is_some_and(|at| now.since(at) >= CLOSING_LIMIT);
                 if lost || stuck {
                     let run = RunKey { task: key, run: state.run };
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -1,6 +1,6 @@
 //! Runs whose owner became unreachable or was replaced.
 
-use cranberryhatch_schema::fleet::{Claim, Confirm, How, Reached, Relinked, Run, Takeover};
+use cranberryhatch_schema::fleet::{Claim, Confirm, How, Relinked, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Time};
 
 use super::{Front, start_message};
@@ -10,21 +10,8 @@
 };
 
 impl Front {
-    /// Records workers that answer their next owner, which has not opened them yet.
-    ///
-    /// Where leases count from the arrival of a request, a request of the lost owner that is carried
-    /// out late can start a run or extend its lease until the worker accepts the next owner. Runs on
-    /// these workers are therefore kept until that owner reports them or no longer reaches them. A
-    /// worker that lost power answers nobody, so its runs are given up in time.
-    pub fn workers_reached(&mut self, from: &InstanceId, reached: &Reached, now: Time) {
-        for worker in reached.workers.iter().filter_map(|worker| worker.parse().ok()) {
-            self.reached.insert(worker, (from.clone(), now));
-        }
-    }
-
     /// Marks the runs of an unreachable owner, which was last heard at `heard`.
     pub fn owner_unreachable(&mut self, owner: &InstanceId, heard: Time, out: &mut Output) {
-        self.reached.retain(|_, (next, _)| next != owner);
         for (name, active) in self.jobs.iter_mut() {
             for (tasks, step) in active.steps.iter_mut().zip(0..) {
                 for (state, task) in tasks.iter_mut().zip(0..) {
@@ -112,9 +99,6 @@
         now: Time,
         out: &mut Output,
     ) {
-        if let Ok(worker) = found.worker.parse() {
-            self.reached.remove(&worker);
-        }
         let running: Vec<RunKey> = found.running.iter().map(RunKey::from).collect();
         let mut ends = Vec::new();
         let mut claims = Vec::new();
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -221,7 +221,6 @@
                     self.takeover(from, found, now, out);
                 }
             }
-            Body::Reached(reached) => self.front.workers_reached(from, &reached, now),
             Body::Start(start) => {
                 self.owner.allow_starts(self.can_start(now));
                 self.owner.start(from, start, now, out);
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -85,8 +85,6 @@
     abandoned_starts: Vec<(WorkerId, AssignedRun)>,
     // Opened workers without runs that have not been announced to the fronts.
     opened_idle: Vec<Takeover>,
-    // Workers that answer again, of which the fronts have not been told.
-    reached: Vec<WorkerId>,
     reconnects: Reconnects,
     // Whether the zone drains are known; no run is started otherwise.
     starts_allowed: bool,
@@ -118,7 +116,6 @@
             fenced_at: VecMap::default(),
             abandoned_starts: Vec::new(),
             opened_idle: Vec::new(),
-            reached: Vec::new(),
             reconnects: Reconnects::default(),
             starts_allowed: true,
             response_times: ResponseTimes::default(),
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -1,6 +1,6 @@
 //! How an instance takes over a worker, and how it gives a worker up.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, Reached, Room, Run, Takeover, Takeovers};
+use cranberryhatch_schema::fleet::{Claim, Ended, Room, Run, Takeover, Takeovers};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
@@ -39,7 +39,6 @@
                 let Some(worker) = self.workers.get_mut(id) else { return };
                 worker.token = token;
                 worker.ownership = Ownership::Opening { at: now + REOPEN_DELAY };
-                self.reached.push(id.clone());
                 out.log(LogEvent::WorkerReached { worker: id.clone(), opens_in: REOPEN_DELAY });
             }
         }
@@ -110,19 +109,6 @@
         }
     }
 
-    /// Announces to all instances the workers that answer again, so that fronts wait for the report
-    /// of what runs there.
-    pub(super) fn send_reached(&mut self, out: &mut Output) {
-        if self.reached.is_empty() {
-            return;
-        }
-        let reached = std::mem::take(&mut self.reached);
-        let reached = Reached { workers: reached.iter().map(WorkerId::to_string).collect() };
-        for peer in self.peers.iter().chain([&self.me]) {
-            out.send(peer, Message::Reached(reached.clone()));
-        }
-    }
-
     /// Handles a front's claim of the runs that were found on a worker.
     pub fn handle_claim(&mut self, front: &InstanceId, claim: &Claim, now: Time, out: &mut Output) {
         let Ok(id) = claim.worker.parse::<WorkerId>() else { return };
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -36,7 +36,6 @@
         self.losses.review(list.crashes(), now);
         self.stop_unconfirmed(now, out);
         self.send_idle_takeovers(out);
-        self.send_reached(out);
         self.send_polls(now, out);
         self.report(now, out);
     }
