--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -227,6 +227,7 @@
                     self.takeover(from, found, now, out);
                 }
             }
+            Body::Reached(reached) => self.front.workers_reached(from, &reached, now),
             Body::Start(start) => {
                 self.owner.allow_starts(self.can_start(now));
                 self.owner.start(from, start, now, out);
@@ -415,7 +416,8 @@
         if elected == self.elected {
             return;
         }
-        out.log(LogEvent::SchedulerChanged { scheduler: elected.clone() });
+        let submissions = self.scheduler.known_submissions();
+        out.log(LogEvent::SchedulerChanged { scheduler: elected.clone(), submissions });
         if self.is_scheduler() {
             self.scheduler.hand_over(elected.as_ref(), now, out);
         }
