--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -24,7 +24,9 @@
             return send_end(&assigned, &start.worker, How::NotStarted, Span::ZERO, out);
         };
         let known = self.workers.get(&id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
-        if known.iter().any(|known| known.run == assigned.run) {
+        // Run numbers start anew with each submission, so another front may have an equal run.
+        let is_repeated = |known: &AssignedRun| known.run == assigned.run && known.is_of(front);
+        if known.iter().any(is_repeated) {
             return;
         }
         let response_times = self.response_times;
@@ -99,11 +101,13 @@
         let (run, age) = (assigned.run.clone(), now.since(oldest));
         let front = assigned.front.clone();
         out.log(LogEvent::StartRefused { run, worker: id.clone(), cause, age, front });
-        send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
-        // The scheduler knows reservations by task, and the other run keeps its own.
-        if cause != StartRefusal::OtherRun {
-            self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        // The scheduler knows reservations by task, and another run keeps its own. A front returns
+        // the grant of a start without room.
+        if runs.iter().any(|known| known.run.task == assigned.run.task) {
+            return send_end(assigned, id.as_str(), How::NotStarted, Span::ZERO, out);
         }
+        send_end(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
+        self.report_freed(assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
     }
 
     /// Records that a front has read a heartbeat that this owner sent at `at`.
@@ -271,8 +275,13 @@
         let Some(run) = stop.run.as_ref().map(RunKey::from) else { return };
         let id = stop.worker.parse::<WorkerId>().ok();
         let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) else { return };
-        let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == run) else {
-            if worker.ownership == Ownership::Open {
+        // An equal run may be one of another front.
+        let is_run = |assigned: &&mut AssignedRun| {
+            assigned.run == run && (assigned.is_of(front) || !assigned.is_claimed())
+        };
+        let Some(assigned) = worker.runs.iter_mut().find(is_run) else {
+            let is_of_another = worker.runs.iter().any(|assigned| assigned.run == run);
+            if worker.ownership == Ownership::Open || is_of_another {
                 // Start requests arrive in order on a link, so either this run's start request or
                 // the report of its end was lost with an earlier link.
                 let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
@@ -292,9 +301,9 @@
     /// Stops the runs of a job that a front has, since a later submission has superseded its own.
     pub fn stop_superseded(&mut self, job: &str, front: &InstanceId, now: Time, out: &mut Output) {
         for (_, worker) in self.workers.iter_mut() {
-            let of_job = |assigned: &&mut AssignedRun| {
-                assigned.run.task.job == job && assigned.front == *front
-            };
+            // An unclaimed run may be one of the later submission.
+            let of_job =
+                |assigned: &&mut AssignedRun| assigned.run.task.job == job && assigned.is_of(front);
             let mut stops = Vec::new();
             for assigned in worker.runs.iter_mut().filter(of_job) {
                 assigned.wanted = false;
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -1,6 +1,6 @@
 //! How an instance takes over a worker, and how it gives a worker up.
 
-use cranberryhatch_schema::fleet::{Claim, Ended, Room, Run, Takeover, Takeovers};
+use cranberryhatch_schema::fleet::{Claim, Ended, How, Room, Run, Takeover, Takeovers};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
@@ -83,6 +83,8 @@
             Ownership::Claiming { until: now + CLAIM_TIMEOUT, pending_fronts, found };
         // The runs may still have a lease from the previous owner.
         worker.lease_end = worker.lease_end.max(now + LEASE + LEASE_SLACK);
+        // The scheduler withholds further runs of these tasks.
+        self.unreported.push(id.clone());
         // A run that no front claims counts as orphaned and is stopped in the end.
         for running in &status.running {
             if worker.runs.iter().all(|assigned| assigned.run != running.run) {
@@ -117,6 +119,13 @@
             if let Some(assigned) =
                 worker.runs.iter_mut().find(|assigned| assigned.run == claimed.run)
             {
+                if assigned.is_claimed() && assigned.front != *front {
+                    // The start of an equal run was refused, and the refusal was lost.
+                    let ended =
+                        ended_message(&claimed.run, &claim.worker, How::Stopped, Span::ZERO);
+                    out.send(front, Message::Ended(ended));
+                    continue;
+                }
                 claimed.stage = assigned.stage;
                 claimed.percent = assigned.percent;
                 claimed.incarnation = assigned.incarnation;
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! Scheduler: grants capacity on workers to the waiting tasks of all instances.
 
+mod superseded;
 mod withheld;
 
 use cranberryhatch_schema::fleet::{Ask, Freed, Grant, How, LostRun, Place, Refusal, Rooms};
@@ -13,6 +14,7 @@
     placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
     worker_view::GrantedRun,
 };
+use superseded::SupersededJob;
 use withheld::WithheldTasks;
 
 /// Maximum number of jobs whose first failure is remembered.
@@ -91,8 +93,21 @@
     losses: LossLedger,
     suspects: Suspects,
     submissions: Submissions,
+    // Jobs whose earlier fronts may have runs.
+    superseded: VecMap<String, SupersededJob>,
+    // Whether they have changed since they were last reviewed.
+    superseded_changed: bool,
+    // Instances that are reachable, this one included; sorted.
+    reachable: Vec<InstanceId>,
+    // When instances that were lost lately were last heard.
+    lost_fronts: VecMap<InstanceId, Time>,
+    // Instances to which the submissions are replicated, and when they last were.
+    replicas: Vec<InstanceId>,
+    replicated_at: Time,
     // Tasks of which another run may be active.
     withheld: Vec<WithheldTasks>,
+    // Tasks whose runs were reported without a front, with their worker: a new owner has found them.
+    orphans: Vec<(WorkerId, TaskKey)>,
     // Tasks that workers of lost owners held, and until when their runs may continue.
     lost_runs: Vec<(TaskKey, Time)>,
 }
@@ -197,6 +212,8 @@
             self.saved_stats.insert(worker.id().clone(), *worker.stats());
         }
         self.workers.retain(|worker| worker.owner != *instance);
+        let workers = &self.workers;
+        self.orphans.retain(|(worker, _)| workers.get(worker).is_some());
     }
 
     /// Clears all grants and waiting tasks because another instance schedules now; learned
@@ -212,11 +229,18 @@
         self.merged_owners = Vec::new();
         self.reports_since = None;
         self.all_reported = false;
-        self.submissions = Submissions::default();
+        self.superseded = VecMap::default();
+        self.replicas = Vec::new();
         self.withheld = Vec::new();
+        self.orphans = Vec::new();
         self.lost_runs = Vec::new();
     }
 
+    /// Does the periodic work that does not depend on whether this instance schedules.
+    pub fn tick(&mut self, now: Time) {
+        self.submissions.remove_old(now);
+    }
+
     /// Expects reports of owners that became reachable again.
     pub fn await_reports(&mut self, now: Time) {
         if self.reports_since.is_some() {
@@ -247,6 +271,7 @@
         listing: &WorkerList,
         now: Time,
     ) {
+        let mut superseded = Vec::new();
         for room in rooms.rooms {
             let Ok(id) = room.worker.parse::<WorkerId>() else { continue };
             let Some(listed) = listing.get(&id) else { continue };
@@ -267,12 +292,18 @@
                 self.workers.insert(worker);
             }
             let mut left = Vec::new();
+            self.orphans.retain(|(worker, _)| *worker != id);
             let standing = room.standing.map(|s| WorkerStats::from_report(&s, room.born_ms, now));
             let held = room.held.into_iter().filter_map(|held| {
                 let span = Span::from_ms(held.left_ms.into());
                 let key = RunKey::from(&held.run?);
                 let front = held.front.parse::<InstanceId>().ok();
-                self.submissions.record_run(&key.task.job, front, now);
+                if front.is_none() {
+                    self.orphans.push((id.clone(), key.task.clone()));
+                }
+                if self.submissions.record_run(&key.task.job, front, now) {
+                    superseded.push(key.task.job.clone());
+                }
                 if span > Span::ZERO {
                     left.push((key.task.clone(), span));
                 }
@@ -297,6 +328,9 @@
             });
             (self.dirty, self.freed) = (true, true);
         }
+        for job in superseded {
+            self.supersede(&job, now);
+        }
         self.losses.merge(&rooms.lost, now);
         self.listed = listing.all().len();
         if !rooms.kinds.is_empty() && !self.merged_owners.contains(owner) {
@@ -320,6 +354,7 @@
     pub fn update_listing(&mut self, listing: &WorkerList) {
         self.listed = listing.all().len();
         self.saved_stats.retain(|id, _| listing.get(id).is_some());
+        self.orphans.retain(|(id, _)| listing.get(id).is_some());
         self.workers.retain(|worker| match listing.get(worker.id()) {
             Some(listed) => {
                 worker.set_listed(listed.clone());
@@ -333,6 +368,7 @@
     pub fn run_ended(&mut self, freed: &Freed, now: Time) {
         let Some(run) = freed.run.as_ref().map(RunKey::from) else { return };
         let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
+        self.orphans.retain(|(on, task)| *on != worker || *task != run.task);
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
         let is_timed = !freed.kind.is_empty();
@@ -422,7 +458,9 @@
         self.reports_since.get_or_insert(now);
         if tick {
             self.probe_budget = PROBE_BUDGET;
-            self.submissions.remove_old(now);
+        }
+        if tick || self.superseded_changed {
+            self.review_superseded(now, out);
         }
         if tick || self.dirty {
             self.review_withheld(now, out);
@@ -500,6 +538,7 @@
         let mut placement_cache = std::mem::take(&mut self.placement_cache);
         for queued in self.backlog.iter_mut() {
             if queued.need.cores > largest_free
+                || !self.superseded.is_empty() && self.superseded.contains(&queued.job)
                 || queued.suspect && !may_start(&self.suspects, &self.workers, queued, now)
                 || placement_cache.is_full(queued)
                 || placement_cache.must_wait(queued, now)
@@ -507,9 +546,21 @@
                 continue;
             }
             let mut places = Vec::new();
+            let tasks = std::mem::take(&mut queued.tasks);
+            let is_orphan = |task: &u32| {
+                let orphans = self.orphans.iter().map(|(_, key)| key);
+                let mut of_step =
+                    orphans.filter(|key| (&key.job, key.step) == (&queued.job, queued.step));
+                of_step.any(|key| key.task == *task)
+            };
+            let (held, tasks): (Vec<u32>, Vec<u32>) = if self.orphans.is_empty() {
+                (Vec::new(), tasks)
+            } else {
+                tasks.into_iter().partition(is_orphan)
+            };
             let mut left = Vec::new();
             let known = self.run_times.is_known(&queued.kind);
-            for task in std::mem::take(&mut queued.tasks) {
+            for task in tasks {
                 if !left.is_empty() {
                     // All tasks of a step are alike.
                     left.push(task);
@@ -568,6 +619,7 @@
                     worker.expect_end(&key, START_DELAY + mean + RELEASE_DELAY, mean, now);
                 });
             }
+            left.extend(held);
             queued.tasks = left;
             if places.is_empty() {
                 continue;
