--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -297,23 +297,25 @@
         Case { name: "full lease", age: 0, longest: 240 },
         Case { name: "the front was unresponsive", age: 900, longest: 155 },
     ];
+    // A start with an old heartbeat is deferred while a former owner's lease may last.
+    let now = START + Span::from_ms(2_000);
     for Case { name, age, longest } in cases {
         let mut fixture = Fixture::opened();
-        let request = start(fixture.token, START - Span::from_ms(age));
+        let request = start(fixture.token, now - Span::from_ms(age));
         let run = RunKey::from(request.run.as_ref().expect("a run"));
         let mut out = Output::default();
-        fixture.owner.start(&"e-2".parse().expect("a name"), request, START, &mut out);
-        let (worker, clock) = (fixture.worker.clone(), Some(START.as_ms()));
+        fixture.owner.start(&"e-2".parse().expect("a name"), request, now, &mut out);
+        let (worker, clock) = (fixture.worker.clone(), Some(now.as_ms()));
         fixture.owner.handle_start_response(
             &worker,
             &run,
             StartResponse::Started,
             clock,
-            START,
+            now,
             &mut out,
         );
         out.commands.clear();
-        fixture.owner.send_polls(START, &mut out);
+        fixture.owner.send_polls(now, &mut out);
         let wait = out.commands.iter().find_map(|command| match command {
             Command::Poll { wait, lease: Some(_), .. } => Some(wait.as_ms()),
             _ => None,
@@ -766,6 +768,8 @@
     struct Case {
         name: &'static str,
         response: PollResponse,
+        // Time of the first of these responses, in milliseconds after the start.
+        from: u64,
         draining: bool,
         ends: [How; 2],
     }
@@ -774,18 +778,33 @@
         Case {
             name: "crash",
             response: refused.clone(),
+            from: 70,
             draining: false,
             ends: [How::Lost, How::Crashed],
         },
+        Case {
+            name: "crash after the lease, as an owner that was paused sees it",
+            response: refused.clone(),
+            from: 1_400,
+            draining: false,
+            ends: [How::Lost; 2],
+        },
         Case {
             name: "cut",
             response: PollResponse::NoResponse,
+            from: 70,
             draining: false,
             ends: [How::Lost; 2],
         },
-        Case { name: "drained", response: refused, draining: true, ends: [How::Stopped; 2] },
+        Case {
+            name: "drained",
+            response: refused,
+            from: 70,
+            draining: true,
+            ends: [How::Stopped; 2],
+        },
     ];
-    for Case { name, response, draining, ends } in cases {
+    for Case { name, response, from, draining, ends } in cases {
         let mut out = Output::default();
         let (mut fixture, first) = Fixture::with_run(StartResponse::Started, &mut out);
         let at = |ms: u64| START + Span::from_ms(ms);
@@ -802,7 +821,7 @@
         fixture.listing.replace(vec![listed], at(60));
         fixture.owner.update_listed(&fixture.listing);
         for after in 0..4 {
-            fixture.poll_with(&response, at(70 + 10 * after), &mut out);
+            fixture.poll_with(&response, at(from + 10 * after), &mut out);
         }
         out.commands.clear();
         fixture.tick(at(1_500), &mut out);
