--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -61,6 +61,8 @@
     // Distinguishes the connection from earlier ones to the same peer.
     number: u64,
     queue: Sender<Vec<u8>>,
+    // Dropping it ends the task that reads and writes.
+    _open: Sender<()>,
 }
 
 /// Connection whose remote side has sent its `Hello`.
@@ -360,15 +362,19 @@
     ) {
         let PeerStream { reader, writer, early_messages } = stream;
         let Some(member) = member_from_hello(&hello) else { return };
+        if self.is_outdated(id, &hello) {
+            return;
+        }
         let number = self.next_connection.fetch_add(1, Ordering::Relaxed) + 1;
         // A bounded channel would allocate memory for its full capacity, for each link.
         let (queue, messages) = async_channel::unbounded();
+        let (open, closed) = async_channel::bounded::<()>(1);
         // A new connection means that the peer has given up the earlier one.
         self.reset(events, id);
         match self.peers().get_mut(id) {
             Some(peer) => {
                 peer.hello = hello;
-                peer.connection = Some(Connection { number, queue });
+                peer.connection = Some(Connection { number, queue, _open: open });
             }
             None => return,
         }
@@ -376,8 +382,10 @@
         self.any_link_up.notify(usize::MAX);
         let read = self.read(events, id, number, reader, early_messages);
         let write = write(writer, &messages);
+        // After a reset, queued messages count as lost and must not be sent.
+        let closed = async { closed.recv().await.map_err(io::Error::other) };
         // The error only tells that the connection has ended.
-        let _ = read.or(write).await;
+        let _ = closed.or(read).or(write).await;
         self.close_if_current(events, id, number);
     }
 
@@ -401,6 +409,15 @@
         }
     }
 
+    /// Returns whether a `Hello` was sent by a process before the one that has the link.
+    ///
+    /// Without a link this is not known: incarnations fall when the clock of a host is set back.
+    fn is_outdated(&self, id: &InstanceId, hello: &Hello) -> bool {
+        let peers = self.peers();
+        let linked = peers.get(id).filter(|peer| peer.connection.is_some());
+        linked.is_some_and(|peer| hello.incarnation < peer.hello.incarnation)
+    }
+
     fn is_current(&self, id: &InstanceId, number: u64) -> bool {
         let peers = self.peers();
         let connection = peers.get(id).and_then(|peer| peer.connection.as_ref());
