--- a/review/standin/bed.py
+++ b/review/standin/bed.py
@@ -368,18 +368,75 @@
         return 200, value
 
 
+class Forwarder:
+    """Forwards channels to one address, and holds their bytes back while a party is cut off.
+
+    The parties are the instance `owner` and, if its name stands in the first bytes, the instance
+    that opened the channel. While one of them is cut off, nothing passes in either direction and
+    no end of a channel is passed on; a reset that happens meanwhile is lost.
+    """
+
+    def __init__(self, bed, owner, target):
+        self.bed, self.owner, self.target = bed, owner, target
+        self.server = None
+        self.tasks = set()
+
+    async def listen(self, host, port):
+        self.server = await asyncio.start_server(self.serve, host, port)
+        return self.server.sockets[0].getsockname()[:2]
+
+    async def passable(self, parties):
+        while self.bed.cut_off.intersection(parties):
+            await asyncio.sleep(0.005)
+
+    async def serve(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
+        pumps = []
+        try:
+            data = await reader.read(1 << 16)
+            opener = [edge.name for edge in self.bed.edges if edge.name.encode() in data]
+            parties = {self.owner, *opener[:1]}
+            await self.passable(parties)
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+            far_writer.write(data)
+            pumps = [asyncio.ensure_future(self.pump(reader, far_writer, parties)),
+                     asyncio.ensure_future(self.pump(far_reader, writer, parties))]
+            await asyncio.wait(pumps)
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            writer.close()
+            self.tasks.discard(asyncio.current_task())
+
+    async def pump(self, reader, writer, parties):
+        try:
+            while True:
+                data = await reader.read(1 << 16)
+                await self.passable(parties)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            await self.passable(parties)
+        writer.close()
+
+
 class Edge:
     """One edge process, with the command of the deploy file and a settings file of its own."""
 
     def __init__(self, bed, name, zone, ip):
         self.bed, self.name, self.zone, self.ip = bed, name, zone, ip
+        self.store = None  # address of its way to the store, if that is forwarded
         self.process = None
         self.file = os.path.join(bed.folder, f"{name}.toml")
 
     def settings(self):
         zones = sorted({edge.zone for edge in self.bed.edges})
         seeds = json.dumps([f"{edge.ip}:8166" for edge in self.bed.edges[:3]])
-        store = self.bed.store.server.address
+        store = self.store or self.bed.store.server.address
         return f"""NodeName = "{self.name}"
 Role = "edge"
 MachineClass = "edge"
@@ -441,10 +498,20 @@
         env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/tmp"),
                "LANG": "C", "CRANBERRYHATCH_BOOT": self.file}
         log = open(os.path.join(self.bed.folder, f"{self.name}.log"), "ab")
+        # With forwarders, the instance listens for links behind the address that it advertises.
+        words = ["--links-listen", f"{self.ip}:7721"] if self.store else []
         self.process = await asyncio.create_subprocess_exec(
-            EDGE, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+            EDGE, *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
         log.close()
 
+    async def forward(self):
+        """Puts forwarders before the links, the store and the callers of this instance."""
+        bed = self.bed
+        await Forwarder(bed, self.name, (self.ip, 7721)).listen(self.ip, 7720)
+        await Forwarder(bed, self.name, (self.ip, 8161)).listen(self.ip, 8162)
+        store = Forwarder(bed, self.name, bed.store.server.address)
+        self.store = await store.listen(self.ip, 8170)
+
     def signal(self, number):
         if self.process.returncode is None:
             self.process.send_signal(number)
@@ -460,6 +527,7 @@
         self.store = Store()
         self.edges = []
         self.workers = []
+        self.cut_off = set()  # names of instances that are cut off
 
     @staticmethod
     def free_net():
@@ -468,7 +536,7 @@
             net = f"127.{random.randint(60, 240)}.{random.randint(1, 250)}"
             try:
                 for last in range(1, 9):
-                    for port in (8161, 8166, 8167, 7720, 9464):
+                    for port in (8161, 8162, 8166, 8167, 8170, 7720, 7721, 9464):
                         with socket.socket() as sock:
                             sock.bind((f"{net}.{last}", port))
                 return net
