feat(fleet): log runs that a worker does not list or that nobody knows

`run-missing` tells on which status a run counted as ended, `unknown-run` that a worker lists a run whose end was reported before, both with a counter. These two and `run-restarted` get 600 lines in a second instead of 60, and `lines-dropped` names the line that was dropped.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -264,6 +264,13 @@
             LogEvent::RunRestarted { previous, .. } => {
                 Metrics::count(&self.metrics.restarted_runs, &previous.end.cause);
             }
+            LogEvent::RunMissing { how, .. } => {
+                Metrics::count(&self.metrics.missing_runs, &how.as_str_name());
+            }
+            LogEvent::UnknownRun { ended, .. } => {
+                let cause = ended.map_or("none", |(how, _)| how.as_str_name());
+                Metrics::count(&self.metrics.unknown_runs, &cause);
+            }
             LogEvent::Resubmitted { .. } => {
                 self.metrics.resubmitted_jobs.inc();
             }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -11,6 +11,9 @@
 
 /// Maximum number of lines of one name per window; further lines are dropped and counted.
 const MAX_LINES_PER_WINDOW: u32 = 60;
+/// The same for the lines that tell why a task was started again, which a report of a task that ran
+/// twice cannot do without.
+const MAX_RESTART_LINES_PER_WINDOW: u32 = 600;
 /// Every step of one job in this many is logged; all instances sample the same jobs.
 const SAMPLE_ONE_IN: u64 = 16;
 /// Maximum number of lines queued for standard output; further lines are dropped.
@@ -66,7 +69,13 @@
 #[derive(Default)]
 struct RateWindow {
     started_at: Time,
-    lines: VecMap<&'static str, u32>,
+    lines: VecMap<&'static str, LineCount>,
+}
+
+/// Lines of one name in a window.
+#[derive(Default)]
+struct LineCount {
+    written: u32,
     dropped: u64,
 }
 
@@ -85,31 +94,42 @@
             return false;
         }
         let name: &'static str = event.into();
-        if !self.admit(name, now) {
+        if !self.admit(name, line_limit(event), now) {
             return true;
         }
         write(name, event);
         false
     }
 
-    fn admit(&self, name: &'static str, now: Time) -> bool {
+    fn admit(&self, name: &'static str, limit: u32, now: Time) -> bool {
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         if now.since(window.started_at) >= RATE_WINDOW {
-            let dropped = std::mem::take(&mut window.dropped);
-            if dropped > 0 {
-                log::warn!(dropped; "lines-dropped");
+            for (line, count) in window.lines.iter().filter(|(_, count)| count.dropped > 0) {
+                log::warn!(line, dropped = count.dropped; "lines-dropped");
             }
-            window.started_at = now;
-            window.lines = VecMap::default();
+            *window = RateWindow { started_at: now, lines: VecMap::default() };
+        }
+        let count = window.lines.get_or_insert_with(name, LineCount::default);
+        let admitted = count.written < limit;
+        if admitted {
+            count.written += 1;
+        } else {
+            count.dropped += 1;
         }
-        let lines = window.lines.get_or_insert_with(name, || 0);
-        *lines += 1;
-        let admitted = *lines <= MAX_LINES_PER_WINDOW;
-        window.dropped += u64::from(!admitted);
         admitted
     }
 }
 
+/// Returns the maximum number of lines of an event's name per window.
+const fn line_limit(event: &LogEvent) -> u32 {
+    match event {
+        LogEvent::RunRestarted { .. }
+        | LogEvent::RunMissing { .. }
+        | LogEvent::UnknownRun { .. } => MAX_RESTART_LINES_PER_WINDOW,
+        _ => MAX_LINES_PER_WINDOW,
+    }
+}
+
 /// Returns whether an event is rare, a failure, or about a sampled job.
 fn should_log(event: &LogEvent) -> bool {
     match event {
@@ -327,6 +347,23 @@
                 "{name}"
             );
         }
+        LogEvent::RunMissing { run, worker, how, confirmed, polled, lead, front } => {
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), how = how.as_str_name(),
+                confirmed_ms = confirmed.as_ms(), polled_ms = polled.as_ms(),
+                lead_ms = lead.as_ms(), front = id_or_none(front.as_ref());
+                "{name}"
+            );
+        }
+        LogEvent::UnknownRun { run, worker, polled, ended } => {
+            let how = ended.map_or("none", |(how, _)| how.as_str_name());
+            let ended_ms = ms_or_none(ended.map(|(_, ago)| ago));
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), polled_ms = polled.as_ms(), how,
+                ended_ms;
+                "{name}"
+            );
+        }
         LogEvent::Resolved { worker, request, run, outcome, took, front } => {
             let run = run.as_ref().map_or_else(|| "none".to_owned(), run_text);
             log::info!(
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -117,6 +117,11 @@
     /// Runs started after an earlier run of their task that may have been running, by the evidence
     /// of its end.
     pub restarted_runs: Family<CauseLabel, Counter>,
+    /// Runs that count as ended because their worker did not list them, by how they count.
+    pub missing_runs: Family<CauseLabel, Counter>,
+    /// Runs that a worker listed and this instance did not know, by how it had reported their end;
+    /// `none` if it had not.
+    pub unknown_runs: Family<CauseLabel, Counter>,
     /// Jobs submitted again to this instance while it had them.
     pub resubmitted_jobs: Counter,
 }
@@ -163,6 +168,8 @@
             unanswered_time: Family::new_with_constructor(new_histogram),
             run_restarts: Family::default(),
             restarted_runs: Family::default(),
+            missing_runs: Family::default(),
+            unknown_runs: Family::default(),
             resubmitted_jobs: Counter::default(),
         };
         metrics.register();
@@ -228,6 +235,8 @@
         );
         r.register("restarts", "Runs started again elsewhere", self.run_restarts.clone());
         r.register("restarted_runs", "Runs after an earlier run", self.restarted_runs.clone());
+        r.register("missing_runs", "Runs that a worker did not list", self.missing_runs.clone());
+        r.register("unknown_runs", "Runs that no owner knew", self.unknown_runs.clone());
         r.register("resubmitted_jobs", "Jobs submitted again", self.resubmitted_jobs.clone());
         r.register("unanswered_orders", "Orders without answer", self.unanswered_requests.clone());
         r.register("resolved_orders", "Orders that were resolved", self.resolved_requests.clone());
--- a/crates/edge/tests/journal.rs
+++ b/crates/edge/tests/journal.rs
@@ -1,7 +1,7 @@
 //! Guards against a log volume that grows with the load.
 
 use cranberryhatch_edge::EventLogger;
-use cranberryhatch_fleet::{LogEvent, NotRunCause, Outcome, RefusalCause};
+use cranberryhatch_fleet::{LogEvent, NotRunCause, Outcome, RefusalCause, RunKey, TaskKey};
 use cranberryhatch_types::{Span, Time};
 
 /// Maximum number of lines of one name in a second, as stated in docs/OPERATIONS.md.
@@ -35,6 +35,21 @@
     assert!(!logger.log(&refused(1), later), "the limit starts anew in the next second");
 }
 
+#[test]
+fn unknown_runs_are_logged_beyond_the_limit_of_other_lines() {
+    // Stated in docs/OPERATIONS.md.
+    const RESTART_LIMIT: usize = 600;
+    let unknown = |number: u32| LogEvent::UnknownRun {
+        run: RunKey { task: TaskKey { job: "j".to_owned(), step: 0, task: number }, run: 1 },
+        worker: "w".parse().expect("an id"),
+        polled: Span::from_ms(2),
+        ended: None,
+    };
+    let logger = EventLogger::default();
+    let now = Time::from_ms(10_000);
+    assert_eq!(dropped(&logger, (0..1_000).map(unknown), now), 1_000 - RESTART_LIMIT);
+}
+
 #[test]
 fn routine_events_are_logged_for_sampled_jobs_and_failures_for_all_jobs() {
     let answered = |number: u64, outcome: Outcome| LogEvent::Answered {
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -176,13 +176,19 @@
         }
     }
 
-    /// Returns the expected remaining run time, extrapolated from its progress if it has any.
+    /// Returns since when the worker is known to have the run, or when its start request was sent.
     #[must_use]
-    pub fn remaining(&self, now: Time) -> Span {
-        let since = match self.stage {
+    pub const fn active_since(&self) -> Time {
+        match self.stage {
             RunStage::Running { since } => since,
             RunStage::Starting | RunStage::Unconfirmed { .. } => self.sent_at,
-        };
+        }
+    }
+
+    /// Returns the expected remaining run time, extrapolated from its progress if it has any.
+    #[must_use]
+    pub fn remaining(&self, now: Time) -> Span {
+        let since = self.active_since();
         let ran = now.since(since);
         let total = match u64::from(self.percent.min(100)) {
             0 => self.expected_here(),
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -430,6 +430,34 @@
         /// Front of the run; none if there is no run or no front has claimed it.
         front: Option<InstanceId>,
     },
+    /// A run counts as ended because a status of its worker does not list it.
+    RunMissing {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// How it counts as ended.
+        how: How,
+        /// Time since the worker was known to have the run, or since its start request was sent.
+        confirmed: Span,
+        /// Time since the poll was sent whose response is the status.
+        polled: Span,
+        /// Time on the worker's clock from the latest status before to this one.
+        lead: Span,
+        /// Front of the run; none if no front has claimed it.
+        front: Option<InstanceId>,
+    },
+    /// A worker lists a run that this instance does not know; it is stopped.
+    UnknownRun {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Time since the poll was sent whose response lists it.
+        polled: Span,
+        /// How this instance reported its end and how long ago, if it recently did.
+        ended: Option<(How, Span)>,
+    },
     /// The fate of a request without a response was resolved.
     Resolved {
         /// The worker.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -230,10 +230,7 @@
         let assigned = worker.runs.remove(index);
         let restart = assigned.restart_cause.filter(|_| how == How::Stopped);
         let how = if restart.is_some() { How::Stalled } else { how };
-        let took = match assigned.stage {
-            RunStage::Running { since } => now.since(since),
-            RunStage::Starting | RunStage::Unconfirmed { .. } => now.since(assigned.sent_at),
-        };
+        let took = now.since(assigned.active_since());
         if matches!(assigned.stage, RunStage::Unconfirmed { .. }) {
             let outcome = match how {
                 How::Unanswered => Resolution::NeverRan,
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -111,6 +111,7 @@
         if older > 0 {
             return;
         }
+        let lead = Span::from_ms(status.clock.saturating_sub(worker.latest_clock));
         worker.latest_clock = status.clock;
         let mut ends = Vec::new();
         for end in &status.ended {
@@ -120,6 +121,16 @@
             worker.acked = end.number;
             ends.push((end.run.clone(), wire_end(end.how)));
         }
+        for running in &status.running {
+            if worker.runs.iter().all(|assigned| assigned.run != running.run) {
+                out.log(LogEvent::UnknownRun {
+                    run: running.run.clone(),
+                    worker: id.clone(),
+                    polled: now.since(poll.sent_at),
+                    ended: self.reconnects.recent_end(id, &running.run, now),
+                });
+            }
+        }
         let mut stops = update_running(worker, poll, status, now, out);
         let is_listed = |run: &RunKey| {
             status.running.iter().any(|running| running.run == *run)
@@ -143,6 +154,15 @@
                     | RunStage::Starting
                     | RunStage::Running { .. } => How::Stopped,
                 };
+                out.log(LogEvent::RunMissing {
+                    run: assigned.run.clone(),
+                    worker: id.clone(),
+                    how,
+                    confirmed: now.since(assigned.active_since()),
+                    polled: now.since(poll.sent_at),
+                    lead,
+                    front: assigned.claimed_front(),
+                });
                 ends.push((assigned.run.clone(), how));
             } else if matches!(assigned.stage, RunStage::Unconfirmed { last_poll: last, .. } if poll.number > last)
                 && assigned.stop_requested.is_none()
--- a/crates/fleet/src/owner/reconnect.rs
+++ b/crates/fleet/src/owner/reconnect.rs
@@ -1,7 +1,7 @@
 //! Reconciliation of runs with fronts whose link was lost and is back.
 
-use cranberryhatch_schema::fleet::{Confirm, Ended, Obeying, Relinked, Run};
-use cranberryhatch_types::{InstanceId, Span, Time};
+use cranberryhatch_schema::fleet::{Confirm, Ended, How, Obeying, Relinked, Run};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{Owner, push_stop};
 use crate::{
@@ -33,6 +33,21 @@
         self.recent_ends.push((now, front.clone(), ended.clone()));
     }
 
+    /// Returns how the end of a run on a worker was last reported, and how long ago.
+    pub(super) fn recent_end(
+        &self,
+        worker: &WorkerId,
+        run: &RunKey,
+        now: Time,
+    ) -> Option<(How, Span)> {
+        let is_run = |ended: &Ended| {
+            ended.worker == worker.as_str()
+                && ended.run.as_ref().is_some_and(|known| RunKey::from(known) == *run)
+        };
+        let (at, _, ended) = self.recent_ends.iter().rfind(|(.., ended)| is_run(ended))?;
+        Some((ended.how(), now.since(*at)))
+    }
+
     fn drop_old_ends(&mut self, now: Time) {
         let old = self.recent_ends.partition_point(|(at, ..)| now.since(*at) >= ENDS_RETENTION);
         self.recent_ends.drain(..old);
--- a/crates/fleet/tests/log_events.rs
+++ b/crates/fleet/tests/log_events.rs
@@ -8,7 +8,7 @@
 use common::{kind_settings, listed, need};
 use cranberryhatch_fleet::{
     Command, EndReport, Front, Incarnation, Job, LogEvent, Member, Members, Output, Owner,
-    PollResponse, PollResult, PreviousRun, RUN_EXPIRY, RunEndCause, RunKey, Scheduler,
+    PollResponse, PollResult, PreviousRun, RUN_EXPIRY, RunEndCause, RunKey, Running, Scheduler,
     StartResponse, Step, StopCause, TaskKey, WorkerList, WorkerStatus,
 };
 use cranberryhatch_schema::fleet::{
@@ -20,7 +20,9 @@
 /// Longest time for which a front keeps an answered job with runs, in milliseconds.
 const CLOSING_LIMIT: u64 = 10_000;
 /// Names of the lines that this file is about.
-const NAMES: [&str; 7] = [
+const NAMES: [&str; 9] = [
+    "run-missing",
+    "unknown-run",
     "withheld",
     "superseded",
     "run-restarted",
@@ -429,6 +431,26 @@
     ]);
 }
 
+/// Starts a run for front `e-2`.
+fn start(owner: &mut Owner, run: Run, token: u64) {
+    let key = RunKey::from(&run);
+    let request = Start {
+        run: Some(run),
+        worker: "w".to_owned(),
+        service: "svc".to_owned(),
+        need: Some((&need(14_000)).into()),
+        run_ms: 100,
+        kind: "k".to_owned(),
+        token,
+        seen_ms: NOW.as_ms(),
+        ..Start::default()
+    };
+    let mut out = Output::default();
+    owner.start(&id("e-2"), request, NOW, &mut out);
+    let response = StartResponse::Started;
+    owner.handle_start_response(&worker("w"), &key, response, None, NOW, &mut out);
+}
+
 /// Returns an owner with a run of front `e-2` on its worker.
 fn owner_with_run() -> (Owner, Members, WorkerList) {
     let me = Member {
@@ -461,20 +483,7 @@
     let response = PollResponse::Status(Box::new(status));
     let result = PollResult { worker: worker("w"), token, sent: NOW, response };
     owner.handle_poll_result(result, &members, NOW, &mut out);
-    let start = Start {
-        run: Some(run()),
-        worker: "w".to_owned(),
-        service: "svc".to_owned(),
-        need: Some((&need(14_000)).into()),
-        run_ms: 100,
-        kind: "k".to_owned(),
-        token,
-        seen_ms: NOW.as_ms(),
-        ..Start::default()
-    };
-    owner.start(&id("e-2"), start, NOW, &mut out);
-    let (run, response) = (RunKey::from(&run()), StartResponse::Started);
-    owner.handle_start_response(&worker("w"), &run, response, None, NOW, &mut out);
+    start(&mut owner, run(), token);
     assert_eq!(owner.run_count(), 1, "the start");
     (owner, members, list)
 }
@@ -519,3 +528,79 @@
         Case { name: "back, without runs", events: || reconnected("e-3"), expected: Vec::new() },
     ]);
 }
+
+/// Returns what an owner of two runs logs when its worker lists the second one and these, at
+/// intervals of 10 ms.
+fn listed_runs(lists: &[&[Run]]) -> Vec<LogEvent> {
+    let (mut owner, members, _) = owner_with_run();
+    let mut out = Output::default();
+    let second = Run { task: 2, ..run() };
+    let mut token = 0;
+    for (running, number) in lists.iter().zip(1..) {
+        let sent = NOW + ms(10 * number);
+        let mut polls = Output::default();
+        owner.send_polls(sent, &mut polls);
+        for command in &polls.commands {
+            if let Command::Poll { token: known, .. } = command {
+                token = *known;
+            }
+        }
+        if number == 1 {
+            start(&mut owner, second.clone(), token);
+        }
+        let running = running.iter().chain([&second]);
+        let running = running.map(|run| Running { run: RunKey::from(run), percent: 0 });
+        let status = WorkerStatus {
+            clock: sent.as_ms(),
+            incarnation: Incarnation::UNKNOWN,
+            running: running.collect(),
+            ended: Vec::new(),
+        };
+        let response = PollResponse::Status(Box::new(status));
+        let result = PollResult { worker: worker("w"), token, sent, response };
+        owner.handle_poll_result(result, &members, sent + ms(2), &mut out);
+    }
+    events(out)
+}
+
+#[test]
+fn run_that_its_worker_does_not_list_is_logged_and_so_is_one_that_nobody_knows() {
+    let other = || Run { task: 1, ..run() };
+    let unknown = |run: &Run, ended| LogEvent::UnknownRun {
+        run: RunKey::from(run),
+        worker: worker("w"),
+        polled: ms(2),
+        ended,
+    };
+    let missing = LogEvent::RunMissing {
+        run: RunKey::from(&run()),
+        worker: worker("w"),
+        how: How::Stopped,
+        confirmed: ms(12),
+        polled: ms(2),
+        lead: ms(10),
+        front: Some(id("e-2")),
+    };
+    check(vec![
+        Case {
+            name: "listed",
+            events: || listed_runs(&[&[run()], &[run()]]),
+            expected: Vec::new(),
+        },
+        Case {
+            name: "not listed",
+            events: || listed_runs(&[&[]]),
+            expected: vec![missing.clone()],
+        },
+        Case {
+            name: "listed again",
+            events: || listed_runs(&[&[], &[run()]]),
+            expected: vec![missing, unknown(&run(), Some((How::Stopped, ms(10))))],
+        },
+        Case {
+            name: "never started",
+            events: || listed_runs(&[&[run(), Run { task: 1, ..run() }]]),
+            expected: vec![unknown(&other(), None)],
+        },
+    ]);
+}
