test(fleet): a status read before a start in the same millisecond ends the run

Fails: [Done, Stopped] instead of [Done]. A worker has a held poll and, since a start is unanswered, a second one. It answers the second poll, carries out the start and answers the held poll in one millisecond of its clock. The owner reads the held poll's status first, which lists the run, and then takes the run for gone, since the other status does not list it.

--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -828,3 +828,59 @@
         assert_eq!(how(&out), ends, "{name}");
     }
 }
+
+#[test]
+fn status_read_before_a_start_in_the_same_millisecond_does_not_end_the_run() {
+    let mut fixture = Fixture::opened();
+    let mut out = Output::default();
+    let front: InstanceId = "e-2".parse().expect("a name");
+    let worker = fixture.worker.clone();
+    let request = |task: u32, now: Time, token| {
+        let mut request = start(token, now);
+        request.run = Some(Run { job: "j".to_owned(), step: 0, task, run: 1 });
+        let run = RunKey::from(request.run.as_ref().expect("a run"));
+        (request, run)
+    };
+    let (a, run_a) = request(1, START, fixture.token);
+    fixture.owner.start(&front, a, START, &mut out);
+    fixture.owner.handle_start_response(
+        &worker,
+        &run_a,
+        StartResponse::Started,
+        None,
+        START,
+        &mut out,
+    );
+    let t1 = START + Span::from_ms(1);
+    assert_eq!(fixture.send_polls(t1).len(), 1);
+    let t2 = START + Span::from_ms(2);
+    let (b, run_b) = request(2, t2, fixture.token);
+    fixture.owner.start(&front, b, t2, &mut out);
+    let t3 = START + Span::from_ms(32);
+    fixture.owner.handle_start_response(
+        &worker,
+        &run_b,
+        StartResponse::NoResponse,
+        None,
+        t3,
+        &mut out,
+    );
+    assert_eq!(fixture.send_polls(t3).len(), 1);
+    // In one millisecond: the second poll, the start, and the end of a run, which answers the first.
+    let clock = (START + Span::from_ms(33)).as_ms();
+    let status = |running: &[&RunKey], ended: Vec<End>| {
+        let running =
+            running.iter().map(|run| Running { run: (*run).clone(), percent: 0 }).collect();
+        PollResponse::Status(Box::new(WorkerStatus {
+            clock,
+            incarnation: Incarnation::UNKNOWN,
+            running,
+            ended,
+        }))
+    };
+    let t4 = START + Span::from_ms(34);
+    let ended = vec![End { number: 1, run: run_a.clone(), how: RunEnd::Done }];
+    fixture.respond(status(&[&run_b], ended), t1, t4, &mut out);
+    fixture.respond(status(&[&run_a], Vec::new()), t3, START + Span::from_ms(35), &mut out);
+    assert_eq!(how(&out), [How::Done], "the second run goes on");
+}
