fix(fleet): only a poll sent after a run was seen ends it for not being listed

Symptom: a task runs on two workers at once, and its job may do its work twice. The earlier run is stopped only when a later poll lists a run that the owner does not know.

Cause: while a start is unanswered, a worker has a second poll beside the one that it holds open. An owner dropped an overtaken status only if its clock in milliseconds was lower than that of one read before, and otherwise took the order in which the polls were sent for the order in which they were answered. A held poll is answered when a run ends, so it may be answered after a later poll. If the start falls between the two in the same millisecond, the run counts as gone, and its front starts it again elsewhere.

Change: a confirmed run remembers the number of the last poll that was sent before its confirmation was read, as an unconfirmed one does. Only a status of a later poll, which the worker answers after it had the run, shows that it is gone. This needs no clock, and costs a poll where a run has vanished without a listed end; listed ends are matched by their numbers as before.

--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -41,6 +41,9 @@
     Running {
         /// Time of that confirmation.
         since: Time,
+        /// Number of the last poll that was sent before the confirmation was read. Responses to
+        /// polls may overtake each other, so only a later one shows that the run is gone.
+        last_poll: u64,
     },
     /// The start request got no response; the run may have started or may still start.
     Unconfirmed {
@@ -180,7 +183,7 @@
     #[must_use]
     pub const fn active_since(&self) -> Time {
         match self.stage {
-            RunStage::Running { since } => since,
+            RunStage::Running { since, .. } => since,
             RunStage::Starting | RunStage::Unconfirmed { .. } => self.sent_at,
         }
     }
@@ -208,7 +211,7 @@
     pub fn is_gone(&self, poll: PendingPoll) -> bool {
         match self.stage {
             RunStage::Starting => false,
-            RunStage::Running { since } => poll.sent_at > since,
+            RunStage::Running { last_poll, .. } => poll.number > last_poll,
             RunStage::Unconfirmed { stop_accepted: accepted, .. } => {
                 accepted.is_some_and(|last| poll.number > last)
             }
@@ -240,7 +243,9 @@
     /// A task that was stopped before for this reason may simply be long, so it gets more time.
     #[must_use]
     pub fn gains_from_restart(&self, now: Time) -> bool {
-        let (RunStage::Running { since }, Some(due)) = (self.stage, self.due) else { return false };
+        let (RunStage::Running { since, .. }, Some(due)) = (self.stage, self.due) else {
+            return false;
+        };
         let ran = now.since(since).as_ms();
         let expected = self.expected_here().as_ms().max(1);
         let patience = 1 + 2 * u64::from(self.stalls);
@@ -260,7 +265,7 @@
     /// A task that was stopped before for this reason may simply be long, so it gets more time.
     #[must_use]
     pub fn is_stalled(&self, now: Time) -> bool {
-        let RunStage::Running { since } = self.stage else { return false };
+        let RunStage::Running { since, .. } = self.stage else { return false };
         let ran = now.since(since).as_ms();
         let patience = 1 + 2 * u64::from(self.stalls);
         let expected = self.expected_here().as_ms().max(1) * patience;
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -375,7 +375,7 @@
         }
         // Without a response to the start request, the time at which the run started is unknown.
         assigned.duration_unknown = true;
-        assigned.stage = RunStage::Running { since: poll.sent_at };
+        assigned.stage = RunStage::Running { since: poll.sent_at, last_poll: worker.polls_sent };
     }
     stops
 }
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -249,8 +249,9 @@
         };
         match response {
             StartResponse::Started => {
+                let last_poll = worker.polls_sent;
                 let assigned = &mut worker.runs[index];
-                assigned.stage = RunStage::Running { since: now };
+                assigned.stage = RunStage::Running { since: now, last_poll };
                 assigned.duration_unknown = was_paused;
                 if assigned.stop_requested.is_some() {
                     assigned.stop_requested = Some(now);
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -76,6 +76,7 @@
         // times out.
         worker.lease_end = worker.lease_end.max(now + IN_FLIGHT_LIMIT + LEASE + LEASE_SLACK);
         let (cause, draining) = (worker.likely_cause(), worker.listed.draining);
+        let last_poll = worker.polls_sent;
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             assigned.duration_unknown = true;
@@ -85,7 +86,7 @@
             if let Some(end) = ended {
                 ends.push((assigned.run.clone(), wire_end(end.how)));
             } else if runs {
-                assigned.stage = RunStage::Running { since: assigned.sent_at };
+                assigned.stage = RunStage::Running { since: assigned.sent_at, last_poll };
             } else if matches!(assigned.stage, RunStage::Running { .. }) {
                 let how = loss_of(draining, &assigned.run, cause.as_ref());
                 ends.push((assigned.run.clone(), how));
@@ -123,12 +124,12 @@
         out: &mut Output,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let draining = worker.listed.draining;
+        let (draining, last_poll) = (worker.listed.draining, worker.polls_sent);
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             if status.running.iter().any(|running| running.run == assigned.run) {
                 if !matches!(assigned.stage, RunStage::Running { .. }) {
-                    assigned.stage = RunStage::Running { since: assigned.sent_at };
+                    assigned.stage = RunStage::Running { since: assigned.sent_at, last_poll };
                 }
                 continue;
             }
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -91,7 +91,9 @@
         // A run that no front claims counts as orphaned and is stopped in the end.
         for running in &status.running {
             if worker.runs.iter().all(|assigned| assigned.run != running.run) {
-                worker.runs.push(orphaned_run(&self.me, &running.run, status.incarnation, now));
+                let last_poll = worker.polls_sent;
+                let incarnation = status.incarnation;
+                worker.runs.push(orphaned_run(&self.me, &running.run, incarnation, last_poll, now));
             }
         }
     }
@@ -221,7 +223,13 @@
 }
 
 /// Creates the entry of a run that was found on a worker and whose front is not known yet.
-fn orphaned_run(me: &InstanceId, run: &RunKey, incarnation: Incarnation, now: Time) -> AssignedRun {
+fn orphaned_run(
+    me: &InstanceId,
+    run: &RunKey,
+    incarnation: Incarnation,
+    last_poll: u64,
+    now: Time,
+) -> AssignedRun {
     AssignedRun {
         run: run.clone(),
         front: me.clone(),
@@ -235,7 +243,7 @@
         seen_heartbeat: Time::ZERO,
         submitted: None,
         wanted: false,
-        stage: RunStage::Running { since: now },
+        stage: RunStage::Running { since: now, last_poll },
         stop_requested: None,
         restart_cause: None,
         stop_lost_at: None,
--- a/crates/fleet/tests/assigned_run.rs
+++ b/crates/fleet/tests/assigned_run.rs
@@ -28,7 +28,7 @@
     };
     let front = "e-1".parse().expect("a name");
     let mut run = AssignedRun::new(front, &start, Time::ZERO).expect("a start");
-    run.stage = RunStage::Running { since: Time::ZERO };
+    run.stage = RunStage::Running { since: Time::ZERO, last_poll: 0 };
     run.percent = percent;
     run
 }
