fix(fleet): do not blame a run for a restart that came after its end

Symptom: a job is answered as failed, for two crashes of workers under a task, although one of these workers restarted after the task had ended there.

Cause: an owner that learns of a restart blames the run that started last, also when its own process was paused since the last status, or the lease has ended, so that the run may have ended before.

Change: such a run counts as lost, not as crashed, as on a worker that did not refuse connections: it takes three such losses, not two, to give the job up.

run_is_not_blamed_for_a_restart_that_may_have_come_after_its_end failed before (Crashed instead of Lost).

--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -64,6 +64,9 @@
         if worker.is_unopened() && worker.runs.is_empty() {
             return;
         }
+        // A run whose lease has ended, or whose end this paused process may have missed, may have
+        // ended before the restart.
+        let may_have_ended = now >= worker.lease_end || self.paused_since(worker.responded_at, now);
         let (incarnation, runs) = (worker.incarnation, worker.runs.len());
         out.log(LogEvent::IncarnationEnded { worker: id.clone(), incarnation, runs });
         let token = self.next_token(0);
@@ -75,7 +78,8 @@
         // poll in flight, whose lease is by the earlier clock, can extend that run until the poll
         // times out.
         worker.lease_end = worker.lease_end.max(now + IN_FLIGHT_LIMIT + LEASE + LEASE_SLACK);
-        let (cause, draining) = (worker.likely_cause(), worker.listed.draining);
+        let cause = worker.likely_cause().filter(|_| !may_have_ended);
+        let draining = worker.listed.draining;
         let last_poll = worker.polls_sent;
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -78,11 +78,16 @@
         self.sent_in(polls, seen)
     }
 
+    fn tick(&mut self) -> Output {
+        let mut out = Output::default();
+        self.owner.tick(&self.listing, &self.members.owners(1), 0, self.now, &mut out);
+        out
+    }
+
     /// The same, after the time that fronts have to claim runs.
     fn poll_after_claims(&mut self, seen: &WorkerStatus, out: &mut Output) {
         self.wait(400);
-        let mut ticked = Output::default();
-        self.owner.tick(&self.listing, &self.members.owners(1), 0, self.now, &mut ticked);
+        let ticked = self.tick();
         let (_, result) = self.sent_in(ticked, seen).expect("a poll");
         self.owner.handle_poll_result(result, &self.members, self.now, out);
     }
@@ -284,6 +289,40 @@
     assert_eq!(fixture.owner.worker_counts().1, 1, "the worker is not dropped");
 }
 
+#[test]
+fn run_is_not_blamed_for_a_restart_that_may_have_come_after_its_end() {
+    struct Case {
+        name: &'static str,
+        /// Whether this instance ticks before it learns of the restart.
+        ticks: bool,
+        /// Time from the last status of the earlier incarnation to the first of the later one.
+        silence: u64,
+        how: How,
+    }
+    let cases = [
+        Case { name: "a restart", ticks: true, silence: 240, how: How::Crashed },
+        Case { name: "a pause of this instance", ticks: false, silence: 240, how: How::Lost },
+        Case { name: "a restart after the lease", ticks: true, silence: 1_100, how: How::Lost },
+    ];
+    for Case { name, ticks, silence, how } in cases {
+        let mut fixture = Fixture::new();
+        let token = fixture.token();
+        let (run, _) = fixture.start(0, token);
+        fixture.respond(&run, StartResponse::Started, Some((CLOCK, FIRST)));
+        let ticked = fixture.tick();
+        let (_, result) = fixture.sent_in(ticked, &status(SECOND, &[], &[])).expect("a poll");
+        for _ in 0..silence / 20 {
+            fixture.wait(20);
+            if ticks {
+                fixture.tick();
+            }
+        }
+        let mut out = Output::default();
+        fixture.owner.handle_poll_result(result, &fixture.members, fixture.now, &mut out);
+        assert_eq!(reported_ends(&out, &run), [how], "{name}");
+    }
+}
+
 #[test]
 fn newer_list_entry_triggers_a_poll() {
     let mut fixture = Fixture::new();
