fix(fleet): match the response to a start by the number of its request

Symptom: a task may run on two workers at once, or its capacity stays reserved for seconds, after two submissions of its job had equal runs on one worker.

Cause: run numbers start anew with each submission of a job, and the owner matched the response to a start by the worker and the run. A late response to the earlier start confirmed or ended the later run. "Started" made it a confirmed run, so that the next poll, which does not list it, ended it while its start was still on the way. A response to a start on a worker that had been fenced and taken back was taken for the one to the abandoned start: a refusal went to the wrong front, and the later run was never resolved.

Ruled out: a time as the identity; two starts may be sent within one millisecond. The token alone does not tell two starts under one token apart.

Change: an owner numbers its start requests, and the response names the number. Abandoned starts are matched by it too. A run that was found on a worker has no number, so that no response resolves it.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -144,7 +144,7 @@
                 let options = PollOptions { acked, lease, wait, new_connection };
                 self.spawn_poll(WorkerRequest { worker, token, timeout }, options, now);
             }
-            Command::StartRun { worker, token, timeout, run, payload, lease } => {
+            Command::StartRun { number, worker, token, timeout, run, payload, lease } => {
                 let edge = Arc::clone(self);
                 let start = async move {
                     let id = worker.id.clone();
@@ -156,7 +156,7 @@
                             edge.platform.start(request, &run, &payload, lease).await
                         };
                     edge.with_node(|node, now, out| {
-                        node.handle_start_response_from(&id, &run, response, responder, now, out);
+                        node.handle_start_response_from(&id, number, response, responder, now, out);
                     });
                 };
                 self.executor.spawn(start).detach();
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -76,6 +76,8 @@
     pub due: Option<Time>,
     /// Number of earlier runs of the task that were stopped for lack of progress.
     pub stalls: u32,
+    /// Number of its start request among the requests of the owner; `None` if the owner sent none.
+    pub request: Option<u64>,
     /// Time at which the start request was sent.
     pub sent_at: Time,
     /// Time of this owner's latest heartbeat that the front has read while it wanted the run.
@@ -119,6 +121,7 @@
             pace: start.pace_permille,
             due: (start.due_ms > 0).then(|| now + Span::from_ms(start.due_ms.into())),
             stalls: start.stalls,
+            request: None,
             sent_at: now,
             // The front cannot have read a heartbeat from the future.
             seen_heartbeat: Time::from_ms(start.seen_ms).min(now),
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -452,7 +452,8 @@
         self.process_pending(now, false, out);
     }
 
-    /// Handles the response to a start request, with the worker's clock in milliseconds if known.
+    /// Handles the response to the earliest unanswered start request for a run, with the worker's
+    /// clock in milliseconds if known.
     pub fn handle_start_response(
         &mut self,
         worker: &WorkerId,
@@ -462,21 +463,22 @@
         now: Time,
         out: &mut Output,
     ) {
-        let from = clock.map(|clock| (clock, Incarnation::UNKNOWN));
-        self.handle_start_response_from(worker, run, answer, from, now, out);
+        self.owner.handle_start_response(worker, run, answer, clock, now, out);
+        self.process_pending(now, false, out);
     }
 
-    /// Handles the response to a start request, with the clock and the incarnation of the worker.
+    /// Handles the response to the start request with this number, with the clock and the incarnation
+    /// of the worker.
     pub fn handle_start_response_from(
         &mut self,
         worker: &WorkerId,
-        run: &RunKey,
+        number: u64,
         answer: StartResponse,
         from: Option<(u64, Incarnation)>,
         now: Time,
         out: &mut Output,
     ) {
-        self.owner.handle_start_response_from(worker, run, answer, from, now, out);
+        self.owner.handle_start_response_from(worker, number, answer, from, now, out);
         self.process_pending(now, false, out);
     }
 
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -62,6 +62,8 @@
     },
     /// Start a run on a worker.
     StartRun {
+        /// Number of the request, which its response is to name.
+        number: u64,
         /// The worker.
         worker: Box<ListedWorker>,
         /// Fencing token.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -81,6 +81,8 @@
     wall_ms: u64,
     // Workers that another instance has taken over, with the time.
     fenced_at: VecMap<WorkerId, Time>,
+    // Number of start and stop requests that were sent, which identifies their responses.
+    requests_sent: u64,
     // Start requests that were in flight when their worker was dropped.
     abandoned_starts: Vec<(WorkerId, AssignedRun)>,
     // Opened workers without runs that have not been announced to the fronts.
@@ -114,6 +116,7 @@
             last_token_ms: 0,
             wall_ms: 0,
             fenced_at: VecMap::default(),
+            requests_sent: 0,
             abandoned_starts: Vec::new(),
             opened_idle: Vec::new(),
             reconnects: Reconnects::default(),
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -59,6 +59,8 @@
         out: &mut Output,
     ) -> Option<DeferredStart> {
         let response_times = self.response_times;
+        self.requests_sent += 1;
+        let number = self.requests_sent;
         let DeferredStart { mut assigned, start } = deferred;
         let (lease, worker) = match self.reserve(id, &assigned, &start, now) {
             Ok(placed) => placed,
@@ -69,6 +71,7 @@
             }
         };
         out.commands.push(Command::StartRun {
+            number,
             worker: Box::new(worker.listed.clone()),
             token: worker.token,
             timeout: worker.request_timeout(&response_times, now),
@@ -77,6 +80,7 @@
             lease,
         });
         assigned.incarnation = worker.incarnation;
+        assigned.request = Some(number);
         assigned.sent_at = now;
         worker.runs.push(assigned);
         self.restarts.earn();
@@ -165,7 +169,8 @@
         }
     }
 
-    /// Handles the response to a start request of a worker whose incarnation is unknown.
+    /// Handles the response to the earliest unanswered start request for a run on a worker whose
+    /// incarnation is unknown.
     pub fn handle_start_response(
         &mut self,
         id: &WorkerId,
@@ -175,9 +180,18 @@
         now: Time,
         out: &mut Output,
     ) {
+        let abandoned = self.abandoned_starts.iter().filter(|(worker, _)| worker == id);
+        let worker = self.workers.get(id);
+        let kept = worker.into_iter().flat_map(|worker| &worker.runs);
+        let mut sent = abandoned.map(|(_, assigned)| assigned).chain(kept);
+        let Some(number) =
+            sent.find(|assigned| assigned.run == *run).and_then(|assigned| assigned.request)
+        else {
+            return;
+        };
         self.handle_start_response_from(
             id,
-            run,
+            number,
             response,
             clock.map(|clock| (clock, Incarnation::UNKNOWN)),
             now,
@@ -185,21 +199,23 @@
         );
     }
 
-    /// Handles the response to a start request; `from` is the clock and the incarnation of the
-    /// worker.
+    /// Handles the response to the start request with this number; `from` is the clock and the
+    /// incarnation of the worker.
     pub fn handle_start_response_from(
         &mut self,
         id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         response: StartResponse,
         from: Option<(u64, Incarnation)>,
         now: Time,
         out: &mut Output,
     ) {
-        if self.handle_abandoned_response(id, run, response, out) {
+        if self.handle_abandoned_response(number, response, out) {
             return;
         }
-        let sent = self.workers.get(id).and_then(|worker| worker.start_sent_at(run));
+        let started = self.workers.get(id).and_then(|worker| worker.run_of_request(number));
+        let run = started.map(|assigned| assigned.run.clone());
+        let sent = started.map(|assigned| assigned.sent_at);
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
         let incarnation = from.map_or(Incarnation::UNKNOWN, |(_, incarnation)| incarnation);
         let order = if incarnation.is_known() {
@@ -213,7 +229,7 @@
                 // The run ended with that incarnation.
                 let draining = self.workers.get(id).is_some_and(|worker| worker.listed.draining);
                 let how = if draining { How::Stopped } else { How::Crashed };
-                return self.end(id, run, how, now, out);
+                return run.into_iter().for_each(|run| self.end(id, &run, how, now, out));
             }
             IncarnationOrder::Earlier => {}
             IncarnationOrder::Later => self.handle_restart(id, &WorkerStatus::default(), now, out),
@@ -222,7 +238,7 @@
         if response == StartResponse::Fenced && worker.is_some_and(Worker::is_unopened) {
             // The worker has restarted and already accepts the token under which it is opened
             // again.
-            return self.end(id, run, How::NoRoom, now, out);
+            return run.into_iter().for_each(|run| self.end(id, &run, How::NoRoom, now, out));
         }
         // Leases would be too long by the clock of an earlier incarnation.
         let is_current = order != IncarnationOrder::Earlier
@@ -234,7 +250,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let predates_restart =
-            worker.runs.iter().any(|assigned| assigned.run == *run && assigned.predates_restart);
+            worker.run_of_request(number).is_some_and(|assigned| assigned.predates_restart);
         // The response to a request that was sent before a restart may come from either
         // incarnation. If this response is what shows the restart, no other clock is known.
         if let Some(clock) = clock.filter(|_| !predates_restart || !worker.has_clock()) {
@@ -244,9 +260,9 @@
             self.response_times
                 .record_response(sent.filter(|_| !was_paused).map(|sent| now.since(sent)));
         }
-        let Some(index) = worker.runs.iter().position(|assigned| assigned.run == *run) else {
-            return;
-        };
+        let is_started = |assigned: &AssignedRun| assigned.request == Some(number);
+        let Some(index) = worker.runs.iter().position(is_started) else { return };
+        let run = &worker.runs[index].run.clone();
         match response {
             StartResponse::Started => {
                 let last_poll = worker.polls_sent;
@@ -464,15 +480,13 @@
     /// If the worker rejected the run, no one else reports that it never started.
     pub(super) fn handle_abandoned_response(
         &mut self,
-        id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         response: StartResponse,
         out: &mut Output,
     ) -> bool {
-        let same =
-            |(worker, assigned): &(WorkerId, AssignedRun)| worker == id && assigned.run == *run;
-        let Some(index) = self.abandoned_starts.iter().position(same) else { return false };
-        let (_, assigned) = self.abandoned_starts.swap_remove(index);
+        let is_started = |(_, assigned): &(WorkerId, AssignedRun)| assigned.request == Some(number);
+        let Some(index) = self.abandoned_starts.iter().position(is_started) else { return false };
+        let (id, assigned) = self.abandoned_starts.swap_remove(index);
         if !matches!(response, StartResponse::Started | StartResponse::NoResponse) {
             send_end(&assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
         }
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -132,6 +132,7 @@
                     continue;
                 }
                 claimed.stage = assigned.stage;
+                claimed.request = assigned.request;
                 claimed.percent = assigned.percent;
                 claimed.incarnation = assigned.incarnation;
                 claimed.duration_unknown = true;
@@ -239,6 +240,7 @@
         pace: 0,
         due: None,
         stalls: 0,
+        request: None,
         sent_at: now,
         seen_heartbeat: Time::ZERO,
         submitted: None,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -239,10 +239,12 @@
         self.poll.take_if(is_sent).or_else(|| self.extra_poll.take_if(is_sent))
     }
 
-    /// Returns when the start request of a run was sent.
+    /// Returns the run whose start request has this number.
+    ///
+    /// Runs of several submissions of a job may be equal, so a run does not identify its request.
     #[must_use]
-    pub fn start_sent_at(&self, run: &RunKey) -> Option<Time> {
-        self.runs.iter().find(|assigned| assigned.run == *run).map(|assigned| assigned.sent_at)
+    pub fn run_of_request(&self, number: u64) -> Option<&AssignedRun> {
+        self.runs.iter().find(|assigned| assigned.request == Some(number))
     }
 
     /// Returns when the last stop request of a run was sent.
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -27,6 +27,8 @@
     listing: WorkerList,
     worker: WorkerId,
     now: Time,
+    /// Numbers of the start requests that were sent.
+    requests: Vec<(RunKey, u64)>,
 }
 
 /// A poll that was sent.
@@ -56,7 +58,8 @@
         let mut owner = Owner::new(me.id);
         owner.assign(&listing, &members.owners(1), 0, START);
         let worker = "w".parse().expect("an id");
-        let mut fixture = Self { owner, members, listing, worker, now: START };
+        let mut fixture =
+            Self { owner, members, listing, worker, now: START, requests: Vec::new() };
         fixture.poll(&status(FIRST, &[], &[]), &mut Output::default());
         fixture
     }
@@ -113,9 +116,13 @@
         let mut out = Output::default();
         self.owner.start(&front(), request, self.now, &mut out);
         let lease = out.commands.iter().find_map(|command| match command {
-            Command::StartRun { lease, .. } => Some(lease.until),
+            Command::StartRun { number, lease, .. } => Some((*number, lease.until)),
             _ => None,
         });
+        let lease = lease.map(|(number, lease)| {
+            self.requests.push((run.clone(), number));
+            lease
+        });
         (run, lease)
     }
 
@@ -127,7 +134,9 @@
     ) -> Output {
         let mut out = Output::default();
         let worker = self.worker.clone();
-        self.owner.handle_start_response_from(&worker, run, response, from, self.now, &mut out);
+        let request = self.requests.iter().find(|(known, _)| known == run);
+        let (_, number) = *request.expect("a start request");
+        self.owner.handle_start_response_from(&worker, number, response, from, self.now, &mut out);
         out
     }
 
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -86,6 +86,7 @@
     Start {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -99,7 +100,7 @@
         node: usize,
         generation: u64,
         worker: WorkerId,
-        run: RunKey,
+        number: u64,
         response: StartResponse,
         from: Option<(u64, Incarnation)>,
     },
@@ -519,6 +520,7 @@
             EventKind::Start {
                 node,
                 generation,
+                number,
                 worker,
                 token,
                 run,
@@ -533,12 +535,12 @@
                 }) {
                     return;
                 }
-                self.start(node, generation, &worker, token, run, lease, sent, responds);
+                self.start(node, generation, number, &worker, token, &run, lease, sent, responds);
             }
-            EventKind::StartResponse { node, generation, worker, run, response, from } => {
+            EventKind::StartResponse { node, generation, worker, number, response, from } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_start_response_from(&worker, &run, response, from, now, out);
+                        n.handle_start_response_from(&worker, number, response, from, now, out);
                     });
                 }
             }
@@ -720,7 +722,7 @@
                     self.schedule_soon(EventKind::PollRequest { node, generation, request });
                 }
             }
-            Command::StartRun { worker, token, timeout, run, lease, .. } => {
+            Command::StartRun { number, worker, token, timeout, run, lease, .. } => {
                 let worker = worker.id;
                 let place = self.place_of(&worker).expect("a known worker");
                 self.check_zone(node, place);
@@ -732,6 +734,7 @@
                 let event = EventKind::Start {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -759,7 +762,14 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StartResponse { node, generation, worker, run, response, from },
+                        EventKind::StartResponse {
+                            node,
+                            generation,
+                            worker,
+                            number,
+                            response,
+                            from,
+                        },
                     );
                 }
             }
@@ -853,9 +863,10 @@
         &mut self,
         node: usize,
         generation: u64,
+        number: u64,
         worker: &WorkerId,
         token: u64,
-        run: RunKey,
+        run: &RunKey,
         lease: u64,
         sent: u64,
         responds: bool,
@@ -887,7 +898,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
@@ -899,7 +910,7 @@
                 let at = now + RESPONSE_TIMEOUT;
                 self.schedule(
                     at,
-                    EventKind::StartResponse { node, generation, worker, run, response, from },
+                    EventKind::StartResponse { node, generation, worker, number, response, from },
                 );
             }
             return;
@@ -919,7 +930,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
