fix(fleet): an accepted stop counts only for the start and the incarnation it was sent to

Symptom: a task may run on two workers at once. An unanswered start counts as one that never runs, while the worker may still carry it out.

Cause: once a worker has accepted a stop, a later poll that does not list the run ends it. The owner matched the acceptance by the worker and the run alone. So it counted a stop that the worker had accepted before it restarted, read after the restart was known, or one that was sent for an equal run of an earlier submission. An acceptance that was read before a restart was also kept when the worker was opened again under a new token, so that the run counted as over once its lease had expired.

Ruled out: the token alone, since a worker whose restart shows only in its clock keeps its token.

Change: stop requests are numbered like starts. A run remembers the first stop that was sent for it since its start or since a restart, and responses to earlier ones do not resolve it. Opening a restarted worker again forgets accepted stops, as a restart that only the clock shows does.

With the match by the run alone, two new tests of late_responses.rs failed ([Stopped] and [Lost] instead of no end); without the reset when a worker is opened again, the second one failed. They pass now.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -161,14 +161,14 @@
                 };
                 self.executor.spawn(start).detach();
             }
-            Command::StopRun { worker, token, timeout, run } => {
+            Command::StopRun { number, worker, token, timeout, run } => {
                 let edge = Arc::clone(self);
                 let stop = async move {
                     let id = worker.id.clone();
                     let accepted =
                         edge.platform.stop(WorkerRequest { worker, token, timeout }, &run).await;
                     edge.with_node(|node, now, out| {
-                        node.handle_stop_response(&id, &run, accepted, now, out);
+                        node.handle_stop_response_to(&id, &run, number, accepted, now, out);
                     });
                 };
                 self.executor.spawn(stop).detach();
--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -90,6 +90,9 @@
     pub stage: RunStage,
     /// Time at which the last stop request was sent or became due, if the run is to be stopped.
     pub stop_requested: Option<Time>,
+    /// Number of the first stop request that was sent since its start request, or since the worker
+    /// has restarted. Responses to earlier ones are not about this run.
+    pub first_stop: Option<u64>,
     /// Reason for stopping it to restart it elsewhere, if it is.
     pub restart_cause: Option<RestartCause>,
     /// Time of the first stop request without response, if none has been accepted since.
@@ -129,6 +132,7 @@
             wanted: true,
             stage: RunStage::Starting,
             stop_requested: None,
+            first_stop: None,
             restart_cause: None,
             stop_lost_at: None,
             percent: 0,
@@ -226,6 +230,12 @@
     pub const fn mark_restarted(&mut self) {
         self.predates_restart = true;
         self.duration_unknown = true;
+        self.forget_stops();
+    }
+
+    /// Forgets the stop requests, which the worker may have accepted in an earlier incarnation.
+    pub const fn forget_stops(&mut self) {
+        self.first_stop = None;
         if let RunStage::Unconfirmed { stop_accepted: accepted, .. } = &mut self.stage {
             *accepted = None;
         }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -482,16 +482,17 @@
         self.process_pending(now, false, out);
     }
 
-    /// Handles the response to a stop request.
-    pub fn handle_stop_response(
+    /// Handles the response to the stop request with this number.
+    pub fn handle_stop_response_to(
         &mut self,
         worker: &WorkerId,
         run: &RunKey,
+        number: u64,
         accepted: bool,
         now: Time,
         out: &mut Output,
     ) {
-        self.owner.handle_stop_response(worker, run, accepted, now, out);
+        self.owner.handle_stop_response_to(worker, run, number, accepted, now, out);
         self.process_pending(now, false, out);
     }
 
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -79,6 +79,8 @@
     },
     /// Stop a run on a worker.
     StopRun {
+        /// Number of the request, which its response is to name.
+        number: u64,
         /// The worker.
         worker: Box<ListedWorker>,
         /// Fencing token.
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -348,13 +348,20 @@
 }
 
 fn push_stop(
-    worker: &Worker,
+    worker: &mut Worker,
     run: &RunKey,
     response_times: &ResponseTimes,
+    requests_sent: &mut u64,
     now: Time,
     out: &mut Output,
 ) {
+    *requests_sent += 1;
+    let number = *requests_sent;
+    if let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == *run) {
+        assigned.first_stop.get_or_insert(number);
+    }
     out.commands.push(Command::StopRun {
+        number,
         worker: Box::new(ListedWorker::clone(&worker.listed)),
         token: worker.token,
         timeout: worker.request_timeout(response_times, now),
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -176,7 +176,7 @@
             assigned.duration_unknown |= gap && ends.iter().any(|(run, _)| *run == assigned.run);
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         for (run, how) in ends {
             self.end(id, &run, how, now, out);
@@ -202,7 +202,7 @@
             stops.push(assigned.run.clone());
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         self.run_stats.forget(id);
         self.unreported.push(id.clone());
@@ -243,7 +243,7 @@
             }
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
     }
 
--- a/crates/fleet/src/owner/reconnect.rs
+++ b/crates/fleet/src/owner/reconnect.rs
@@ -120,7 +120,7 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
         for (front, runs) in stopped.iter() {
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -271,7 +271,7 @@
                 assigned.duration_unknown = was_paused;
                 if assigned.stop_requested.is_some() {
                     assigned.stop_requested = Some(now);
-                    push_stop(worker, run, &self.response_times, now, out);
+                    push_stop(worker, run, &self.response_times, &mut self.requests_sent, now, out);
                 }
             }
             StartResponse::NoResponse => {
@@ -310,7 +310,14 @@
                 worker.needs_status = true;
                 if let (true, Some(run)) = (unwanted, run) {
                     worker.runs[index].stop_requested = Some(now);
-                    push_stop(worker, &run, &self.response_times, now, out);
+                    push_stop(
+                        worker,
+                        &run,
+                        &self.response_times,
+                        &mut self.requests_sent,
+                        now,
+                        out,
+                    );
                 }
             }
             StartResponse::Fenced => {
@@ -358,7 +365,7 @@
         if assigned.stop_requested.is_none() {
             assigned.stop_requested = Some(now);
             if assigned.stage != RunStage::Starting {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
     }
@@ -384,12 +391,12 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
     }
 
-    /// Handles the response to a stop request.
+    /// Handles the response to a stop request for a run that a worker has now.
     pub fn handle_stop_response(
         &mut self,
         id: &WorkerId,
@@ -397,6 +404,23 @@
         accepted: bool,
         now: Time,
         out: &mut Output,
+    ) {
+        let runs = self.workers.get(id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
+        let sent = runs.iter().find(|assigned| assigned.run == *run);
+        if let Some(number) = sent.and_then(|assigned| assigned.first_stop) {
+            self.handle_stop_response_to(id, run, number, accepted, now, out);
+        }
+    }
+
+    /// Handles the response to the stop request with this number.
+    pub fn handle_stop_response_to(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        number: u64,
+        accepted: bool,
+        now: Time,
+        out: &mut Output,
     ) {
         let sent = self.workers.get(id).and_then(|worker| worker.stop_sent_at(run));
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
@@ -408,9 +432,11 @@
             worker.timed_out_at = Some(now);
         }
         let last_poll = worker.polls_sent;
-        let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == *run) else {
-            return;
+        // An equal run of another submission, or the worker before a restart, may have been stopped.
+        let is_stopped = |assigned: &&mut AssignedRun| {
+            assigned.run == *run && assigned.first_stop.is_some_and(|first| number >= first)
         };
+        let Some(assigned) = worker.runs.iter_mut().find(is_stopped) else { return };
         let (worker_id, request) = (id.clone(), RequestKind::Stop);
         if !accepted {
             let waited = sent.map_or(Span::ZERO, |sent| now.since(sent));
@@ -465,7 +491,7 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
         if stopped > 0 {
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -80,6 +80,7 @@
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             assigned.duration_unknown = true;
+            assigned.forget_stops();
             let is_run = |run: &RunKey| *run == assigned.run;
             let ended = status.ended.iter().find(|end| is_run(&end.run));
             let runs = status.running.iter().any(|running| is_run(&running.run));
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -133,6 +133,7 @@
                 }
                 claimed.stage = assigned.stage;
                 claimed.request = assigned.request;
+                claimed.first_stop = assigned.first_stop;
                 claimed.percent = assigned.percent;
                 claimed.incarnation = assigned.incarnation;
                 claimed.duration_unknown = true;
@@ -164,7 +165,7 @@
         worker.ownership = Ownership::Open;
         let token = worker.token;
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         out.log(LogEvent::WorkerOpened { worker: id.clone(), token, found, kept });
         self.unreported.push(id.clone());
@@ -247,6 +248,7 @@
         wanted: false,
         stage: RunStage::Running { since: now, last_poll },
         stop_requested: None,
+        first_stop: None,
         restart_cause: None,
         stop_lost_at: None,
         percent: 0,
--- a/crates/fleet/tests/late_responses.rs
+++ b/crates/fleet/tests/late_responses.rs
@@ -20,6 +20,9 @@
 /// Time after which an owner may take back a worker that another one has fenced.
 const BACKOFF: Span = Span::from_ms(2_100);
 
+/// Time between two steps of a test.
+const STEP: Span = Span::from_ms(10);
+
 fn id(name: &str) -> InstanceId {
     name.parse().expect("a name")
 }
@@ -94,11 +97,27 @@
 
     /// Polls the worker, which reports these runs and perhaps the end of one.
     fn poll(&mut self, runs: &[RunKey], ended: Option<RunEnd>, out: &mut Output) {
-        let response = status(self.now.as_ms(), runs, ended);
-        let result = self.send_poll(&response).expect("a poll");
+        self.poll_as(Incarnation::UNKNOWN, self.now.as_ms(), runs, ended, out);
+    }
+
+    /// Polls an incarnation of the worker with this clock.
+    fn poll_as(
+        &mut self,
+        incarnation: Incarnation,
+        clock: u64,
+        runs: &[RunKey],
+        ended: Option<RunEnd>,
+        out: &mut Output,
+    ) {
+        let result = self.send_poll(&status(incarnation, clock, runs, ended)).expect("a poll");
         self.read(result, out);
     }
 
+    fn tick(&mut self, out: &mut Output) {
+        let owners = self.members.owners(1);
+        self.owner.tick(&self.listing, &owners, 0, self.now, out);
+    }
+
     /// Starts the run for a front and returns the number of the request.
     fn start(&mut self, front: &str) -> u64 {
         let request = Start {
@@ -121,18 +140,45 @@
         number.expect("a start request")
     }
 
+    /// Starts the run for a front without a response, and returns the number of the request that
+    /// stops it once a poll does not list it.
+    fn start_unanswered(&mut self, front: &str, incarnation: Incarnation) -> u64 {
+        let number = self.start(front);
+        self.respond(number, StartResponse::NoResponse, &mut Output::default());
+        self.wait(STEP);
+        let mut out = Output::default();
+        self.poll_as(incarnation, self.now.as_ms(), &[], None, &mut out);
+        stop(&out).expect("a stop request")
+    }
+
+    fn accept_stop(&mut self, number: u64, out: &mut Output) {
+        self.owner.handle_stop_response_to(&worker(), &run(), number, true, self.now, out);
+    }
+
     fn respond(&mut self, number: u64, response: StartResponse, out: &mut Output) {
         self.owner.handle_start_response_from(&worker(), number, response, None, self.now, out);
     }
 }
 
-fn status(clock: u64, runs: &[RunKey], ended: Option<RunEnd>) -> PollResponse {
+fn status(
+    incarnation: Incarnation,
+    clock: u64,
+    runs: &[RunKey],
+    ended: Option<RunEnd>,
+) -> PollResponse {
     let running = runs.iter().map(|run| Running { run: run.clone(), percent: 0 }).collect();
     let ended = ended.into_iter().map(|how| End { number: 1, run: run(), how }).collect();
-    let incarnation = Incarnation::UNKNOWN;
     PollResponse::Status(Box::new(WorkerStatus { clock, incarnation, running, ended }))
 }
 
+/// Returns the number of the last stop request.
+fn stop(out: &Output) -> Option<u64> {
+    out.commands.iter().rev().find_map(|command| match command {
+        Command::StopRun { number, .. } => Some(*number),
+        _ => None,
+    })
+}
+
 /// Returns the ends that were reported to fronts.
 fn ends(out: &Output) -> Vec<(InstanceId, How)> {
     let end = |command: &Command| match command {
@@ -158,14 +204,14 @@
     for response in responses {
         let mut fixture = Fixture::new();
         let earlier = fixture.start(EARLIER);
-        fixture.wait(Span::from_ms(10));
+        fixture.wait(STEP);
         let mut out = Output::default();
         fixture.poll(&[], Some(RunEnd::Stopped), &mut out);
         assert_eq!(ends(&out), [(id(EARLIER), How::Stopped)], "{response}: the earlier run");
         fixture.start(LATER);
         let mut out = Output::default();
         fixture.respond(earlier, response, &mut out);
-        fixture.wait(Span::from_ms(10));
+        fixture.wait(STEP);
         fixture.poll(&[], None, &mut out);
         assert_eq!(ends(&out), [], "{response}: the later start may still be carried out");
         assert_eq!(fixture.owner.run_count(), 1, "{response}: the later run");
@@ -187,7 +233,7 @@
     for Case { response, ends: expected } in cases {
         let mut fixture = Fixture::new();
         let earlier = fixture.start(EARLIER);
-        fixture.wait(Span::from_ms(10));
+        fixture.wait(STEP);
         let fenced = fixture.send_poll(&PollResponse::Fenced).expect("a poll");
         fixture.read(fenced, &mut Output::default());
         fixture.wait(BACKOFF);
@@ -195,7 +241,7 @@
         let later = fixture.start(LATER);
         let mut out = Output::default();
         fixture.respond(later, response, &mut out);
-        fixture.wait(Span::from_ms(10));
+        fixture.wait(STEP);
         if response == StartResponse::Started {
             fixture.poll(&[], None, &mut out);
         }
@@ -205,3 +251,71 @@
         assert_eq!(ends(&out), [(id(EARLIER), How::NoRoom)], "{response}: the earlier start");
     }
 }
+
+#[test]
+fn late_response_to_a_stop_does_not_resolve_another_start() {
+    struct Case {
+        name: &'static str,
+        /// Whether the worker restarts, as its clock shows; otherwise the run ends and a later
+        /// submission starts an equal one.
+        restarts: bool,
+        /// End once the later stop is accepted.
+        end: (InstanceId, How),
+    }
+    let cases = [
+        Case { name: "restart", restarts: true, end: (id(EARLIER), How::Stopped) },
+        Case { name: "equal run", restarts: false, end: (id(LATER), How::Unanswered) },
+    ];
+    for Case { name, restarts, end } in cases {
+        let mut fixture = Fixture::new();
+        let first = fixture.start_unanswered(EARLIER, Incarnation::UNKNOWN);
+        fixture.wait(STEP);
+        let second = if restarts {
+            let mut out = Output::default();
+            fixture.poll_as(Incarnation::UNKNOWN, 50, &[], None, &mut out);
+            stop(&out).expect("a stop for the new incarnation")
+        } else {
+            fixture.poll(&[], Some(RunEnd::Stopped), &mut Output::default());
+            fixture.start_unanswered(LATER, Incarnation::UNKNOWN)
+        };
+        let clock = |fixture: &Fixture| if restarts { 100 } else { fixture.now.as_ms() };
+        let mut out = Output::default();
+        fixture.accept_stop(first, &mut out);
+        fixture.wait(STEP);
+        let now = clock(&fixture);
+        fixture.poll_as(Incarnation::UNKNOWN, now, &[], None, &mut out);
+        assert_eq!(ends(&out), [], "{name}: the start may still be carried out");
+        fixture.accept_stop(second, &mut out);
+        fixture.wait(STEP);
+        let now = clock(&fixture) + 1;
+        fixture.poll_as(Incarnation::UNKNOWN, now, &[], None, &mut out);
+        assert_eq!(ends(&out), [end], "{name}");
+    }
+}
+
+#[test]
+fn stop_that_an_earlier_incarnation_accepted_does_not_end_a_start_that_the_next_may_carry_out() {
+    for read_after in [false, true] {
+        let mut fixture = Fixture::new();
+        let stop = fixture.start_unanswered(EARLIER, Incarnation::new(1));
+        let mut out = Output::default();
+        if !read_after {
+            fixture.accept_stop(stop, &mut out);
+        }
+        let restarted = fixture.now;
+        fixture.wait(STEP);
+        fixture.poll_as(Incarnation::new(2), 50, &[], None, &mut out);
+        if read_after {
+            fixture.accept_stop(stop, &mut out);
+        }
+        fixture.wait(STEP);
+        let lost = fixture.send_poll(&PollResponse::NoResponse).expect("a poll");
+        fixture.read(lost, &mut out);
+        fixture.now = restarted + Span::from_ms(2_000);
+        fixture.tick(&mut out);
+        assert_eq!(ends(&out), [], "read after the restart: {read_after}");
+        fixture.now = restarted + Span::from_secs(14);
+        fixture.tick(&mut out);
+        assert_eq!(ends(&out), [(id(EARLIER), How::Lost)], "no request takes effect that late");
+    }
+}
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -107,6 +107,7 @@
     Stop {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -115,6 +116,7 @@
     StopResponse {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         run: RunKey,
         accepted: bool,
@@ -544,23 +546,24 @@
                     });
                 }
             }
-            EventKind::Stop { node, generation, worker, token, run, responds } => {
+            EventKind::Stop { node, generation, number, worker, token, run, responds } => {
                 let now = self.now;
                 let accepted = self.reach(node, &worker).is_some_and(|w| w.stop(token, &run, now));
                 if responds {
                     self.schedule_soon(EventKind::StopResponse {
                         node,
                         generation,
+                        number,
                         worker,
                         run,
                         accepted,
                     });
                 }
             }
-            EventKind::StopResponse { node, generation, worker, run, accepted } => {
+            EventKind::StopResponse { node, generation, number, worker, run, accepted } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_stop_response(&worker, &run, accepted, now, out);
+                        n.handle_stop_response_to(&worker, &run, number, accepted, now, out);
                     });
                 }
             }
@@ -773,7 +776,7 @@
                     );
                 }
             }
-            Command::StopRun { worker, token, timeout, run } => {
+            Command::StopRun { number, worker, token, timeout, run } => {
                 let worker = worker.id;
                 let lost = self.loses_response(node, &worker);
                 let late = self.chance(self.fault_rates.request_late);
@@ -781,6 +784,7 @@
                 let event = EventKind::Stop {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -796,7 +800,14 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StopResponse { node, generation, worker, run, accepted: false },
+                        EventKind::StopResponse {
+                            node,
+                            generation,
+                            number,
+                            worker,
+                            run,
+                            accepted: false,
+                        },
                     );
                 }
             }
