--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -76,6 +76,8 @@
     pub due: Option<Time>,
     /// Number of earlier runs of the task that were stopped for lack of progress.
     pub stalls: u32,
+    /// Number of its start request among the requests of the owner; `None` if the owner sent none.
+    pub request: Option<u64>,
     /// Time at which the start request was sent.
     pub sent_at: Time,
     /// Time of this owner's latest heartbeat that the front has read while it wanted the run.
@@ -88,6 +90,9 @@
     pub stage: RunStage,
     /// Time at which the last stop request was sent or became due, if the run is to be stopped.
     pub stop_requested: Option<Time>,
+    /// Number of the first stop request that was sent since its start request, or since the worker
+    /// has restarted. Responses to earlier ones are not about this run.
+    pub first_stop: Option<u64>,
     /// Reason for stopping it to restart it elsewhere, if it is.
     pub restart_cause: Option<RestartCause>,
     /// Time of the first stop request without response, if none has been accepted since.
@@ -119,6 +124,7 @@
             pace: start.pace_permille,
             due: (start.due_ms > 0).then(|| now + Span::from_ms(start.due_ms.into())),
             stalls: start.stalls,
+            request: None,
             sent_at: now,
             // The front cannot have read a heartbeat from the future.
             seen_heartbeat: Time::from_ms(start.seen_ms).min(now),
@@ -126,6 +132,7 @@
             wanted: true,
             stage: RunStage::Starting,
             stop_requested: None,
+            first_stop: None,
             restart_cause: None,
             stop_lost_at: None,
             percent: 0,
@@ -223,6 +230,12 @@
     pub const fn mark_restarted(&mut self) {
         self.predates_restart = true;
         self.duration_unknown = true;
+        self.forget_stops();
+    }
+
+    /// Forgets the stop requests, which the worker may have accepted in an earlier incarnation.
+    pub const fn forget_stops(&mut self) {
+        self.first_stop = None;
         if let RunStage::Unconfirmed { stop_accepted: accepted, .. } = &mut self.stage {
             *accepted = None;
         }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -81,6 +81,8 @@
     wall_ms: u64,
     // Workers that another instance has taken over, with the time.
     fenced_at: VecMap<WorkerId, Time>,
+    // Number of start and stop requests that were sent, which identifies their responses.
+    requests_sent: u64,
     // Start requests that were in flight when their worker was dropped.
     abandoned_starts: Vec<(WorkerId, AssignedRun)>,
     // Opened workers without runs that have not been announced to the fronts.
@@ -114,6 +116,7 @@
             last_token_ms: 0,
             wall_ms: 0,
             fenced_at: VecMap::default(),
+            requests_sent: 0,
             abandoned_starts: Vec::new(),
             opened_idle: Vec::new(),
             reconnects: Reconnects::default(),
@@ -345,13 +348,20 @@
 }
 
 fn push_stop(
-    worker: &Worker,
+    worker: &mut Worker,
     run: &RunKey,
     response_times: &ResponseTimes,
+    requests_sent: &mut u64,
     now: Time,
     out: &mut Output,
 ) {
+    *requests_sent += 1;
+    let number = *requests_sent;
+    if let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == *run) {
+        assigned.first_stop.get_or_insert(number);
+    }
     out.commands.push(Command::StopRun {
+        number,
         worker: Box::new(ListedWorker::clone(&worker.listed)),
         token: worker.token,
         timeout: worker.request_timeout(response_times, now),
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -86,6 +86,7 @@
     Start {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -99,13 +100,14 @@
         node: usize,
         generation: u64,
         worker: WorkerId,
-        run: RunKey,
+        number: u64,
         response: StartResponse,
         from: Option<(u64, Incarnation)>,
     },
     Stop {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -114,6 +116,7 @@
     StopResponse {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         run: RunKey,
         accepted: bool,
@@ -519,6 +522,7 @@
             EventKind::Start {
                 node,
                 generation,
+                number,
                 worker,
                 token,
                 run,
@@ -533,32 +537,33 @@
                 }) {
                     return;
                 }
-                self.start(node, generation, &worker, token, run, lease, sent, responds);
+                self.start(node, generation, number, &worker, token, &run, lease, sent, responds);
             }
-            EventKind::StartResponse { node, generation, worker, run, response, from } => {
+            EventKind::StartResponse { node, generation, worker, number, response, from } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_start_response_from(&worker, &run, response, from, now, out);
+                        n.handle_start_response_from(&worker, number, response, from, now, out);
                     });
                 }
             }
-            EventKind::Stop { node, generation, worker, token, run, responds } => {
+            EventKind::Stop { node, generation, number, worker, token, run, responds } => {
                 let now = self.now;
                 let accepted = self.reach(node, &worker).is_some_and(|w| w.stop(token, &run, now));
                 if responds {
                     self.schedule_soon(EventKind::StopResponse {
                         node,
                         generation,
+                        number,
                         worker,
                         run,
                         accepted,
                     });
                 }
             }
-            EventKind::StopResponse { node, generation, worker, run, accepted } => {
+            EventKind::StopResponse { node, generation, number, worker, run, accepted } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_stop_response(&worker, &run, accepted, now, out);
+                        n.handle_stop_response_to(&worker, &run, number, accepted, now, out);
                     });
                 }
             }
@@ -720,7 +725,7 @@
                     self.schedule_soon(EventKind::PollRequest { node, generation, request });
                 }
             }
-            Command::StartRun { worker, token, timeout, run, lease, .. } => {
+            Command::StartRun { number, worker, token, timeout, run, lease, .. } => {
                 let worker = worker.id;
                 let place = self.place_of(&worker).expect("a known worker");
                 self.check_zone(node, place);
@@ -732,6 +737,7 @@
                 let event = EventKind::Start {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -759,11 +765,18 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StartResponse { node, generation, worker, run, response, from },
+                        EventKind::StartResponse {
+                            node,
+                            generation,
+                            worker,
+                            number,
+                            response,
+                            from,
+                        },
                     );
                 }
             }
-            Command::StopRun { worker, token, timeout, run } => {
+            Command::StopRun { number, worker, token, timeout, run } => {
                 let worker = worker.id;
                 let lost = self.loses_response(node, &worker);
                 let late = self.chance(self.fault_rates.request_late);
@@ -771,6 +784,7 @@
                 let event = EventKind::Stop {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -786,7 +800,14 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StopResponse { node, generation, worker, run, accepted: false },
+                        EventKind::StopResponse {
+                            node,
+                            generation,
+                            number,
+                            worker,
+                            run,
+                            accepted: false,
+                        },
                     );
                 }
             }
@@ -853,9 +874,10 @@
         &mut self,
         node: usize,
         generation: u64,
+        number: u64,
         worker: &WorkerId,
         token: u64,
-        run: RunKey,
+        run: &RunKey,
         lease: u64,
         sent: u64,
         responds: bool,
@@ -887,7 +909,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
@@ -899,7 +921,7 @@
                 let at = now + RESPONSE_TIMEOUT;
                 self.schedule(
                     at,
-                    EventKind::StartResponse { node, generation, worker, run, response, from },
+                    EventKind::StartResponse { node, generation, worker, number, response, from },
                 );
             }
             return;
@@ -919,7 +941,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
