test(fleet): name the stop whose acceptance precedes a restart

The test of a stop that an earlier incarnation accepted was written before responses to stops named their request. It now answers the first stop, and then the second one, by their numbers; its checks are the same.

--- a/crates/fleet/tests/late_stop_responses.rs
+++ b/crates/fleet/tests/late_stop_responses.rs
@@ -66,8 +66,13 @@
     }
 }
 
-fn stops(out: &Output) -> usize {
-    out.commands.iter().filter(|command| matches!(command, Command::StopRun { .. })).count()
+/// Returns the numbers of the stop requests.
+fn stops(out: &Output) -> Vec<u64> {
+    let number = |command: &Command| match command {
+        Command::StopRun { number, .. } => Some(*number),
+        _ => None,
+    };
+    out.commands.iter().filter_map(number).collect()
 }
 
 fn ends(out: &Output) -> Vec<How> {
@@ -101,16 +106,16 @@
     let response = StartResponse::NoResponse;
     fixture.owner.handle_start_response(&worker, &key, response, None, now, &mut out);
     fixture.poll(CLOCK + 4, &mut out);
-    assert_eq!(stops(&out), 1, "to the first incarnation");
+    assert_eq!(stops(&out).len(), 1, "to the first incarnation");
     // The worker accepts the stop and restarts; the response to a poll overtakes that to the stop.
     fixture.poll(50, &mut out);
-    assert_eq!(stops(&out), 2, "to the second incarnation");
+    let [first, second] = stops(&out)[..] else { panic!("no stop to the second incarnation") };
     let now = fixture.now;
-    fixture.owner.handle_stop_response(&worker, &key, true, now, &mut out);
+    fixture.owner.handle_stop_response_to(&worker, &key, first, true, now, &mut out);
     fixture.poll(54, &mut out);
     assert_eq!(ends(&out), [], "the second incarnation may still carry out the start request");
     let now = fixture.now;
-    fixture.owner.handle_stop_response(&worker, &key, true, now, &mut out);
+    fixture.owner.handle_stop_response_to(&worker, &key, second, true, now, &mut out);
     fixture.poll(58, &mut out);
     assert_eq!(ends(&out).len(), 1, "it has accepted the stop");
 }
