fix(fleet): match the end of a run by the number of its start

Symptom: a task of a job that was submitted again to its front runs on two workers at once.

Cause: the report of an end named the run and the worker. Run numbers start anew with each submission, and an owner that does not know a run that is to be stopped reports it as stopped. If it had refused that run, the front got two reports; the second one ended the equal run of the next submission.

Change: a front numbers its starts. Owners return the number with the end of the run and with the reply to a stop, and a front ignores an end of another start of its own. An end without a number, from an earlier version or found on a worker by a new owner, is matched as before. An equal run that the owner still has from an earlier submission no longer counts as a repeated message: the start is refused, so that its front learns of it.

--- a/crates/fleet/src/assigned_run.rs
+++ b/crates/fleet/src/assigned_run.rs
@@ -76,6 +76,8 @@
     pub due: Option<Time>,
     /// Number of earlier runs of the task that were stopped for lack of progress.
     pub stalls: u32,
+    /// Number of its start among those of the front; 0 if it is unknown.
+    pub start_number: u64,
     /// Number of its start request among the requests of the owner; `None` if the owner sent none.
     pub request: Option<u64>,
     /// Time at which the start request was sent.
@@ -124,6 +126,7 @@
             pace: start.pace_permille,
             due: (start.due_ms > 0).then(|| now + Span::from_ms(start.due_ms.into())),
             stalls: start.stalls,
+            start_number: start.start_number,
             request: None,
             sent_at: now,
             // The front cannot have read a heartbeat from the future.
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -49,6 +49,8 @@
     losses: LossLedger,
     // Jobs with tasks for which capacity is requested again at the next review of the losses.
     requeued: Vec<String>,
+    // Number of starts that were sent.
+    starts_sent: u64,
 }
 
 impl Front {
@@ -56,7 +58,16 @@
     #[must_use]
     pub fn new(me: InstanceId, zone: String) -> Self {
         let (jobs, losses) = (VecMap::default(), LossLedger::default());
-        Self { me, zone, jobs, scheduler: None, heard: None, losses, requeued: Vec::new() }
+        Self {
+            me,
+            zone,
+            jobs,
+            scheduler: None,
+            heard: None,
+            losses,
+            requeued: Vec::new(),
+            starts_sent: 0,
+        }
     }
 
     /// Submits a job. A job that is already known gets the new caller, and the previous one an
@@ -204,6 +215,7 @@
                     lost_since,
                     claimed,
                     incarnation: Incarnation::new(place.born_ms),
+                    start_number: self.starts_sent + 1,
                 };
                 self.start(&key, placed, seen, now, out)
             });
@@ -253,6 +265,7 @@
             let run = RunKey { task: key.clone(), run: state.run + 1 };
             out.log(restart_event(run, &placed, previous, now));
         }
+        self.starts_sent = placed.start_number;
         state.place(placed);
         let state = state.clone();
         let start = start_message(&active.job, key, &state, seen, now);
@@ -296,8 +309,9 @@
         let Some(state) = active.task(&run.task) else { return };
         let Phase::Placed(place) = &state.phase else { return };
         // Run numbers start anew with each submission, so an earlier submission may have had a run
-        // of the same number on another worker.
-        if place.worker.as_str() != ended.worker {
+        // of the same number.
+        let is_start = ended.start_number == 0 || ended.start_number == place.start_number;
+        if place.worker.as_str() != ended.worker || !is_start {
             return;
         }
         // A previous owner may consider a run ended whose lease the current owner has extended.
@@ -703,6 +717,7 @@
         seen_ms: seen.as_ms(),
         due_ms: place.due.map_or(0, |due| to_u32(due.since(place.requested_at).as_ms())),
         age_ms: Some(to_u32(now.since(job.arrived).as_ms())),
+        start_number: place.start_number,
     })
 }
 
@@ -719,7 +734,8 @@
 fn stop(key: &TaskKey, state: &TaskState, out: &mut Output) {
     let Phase::Placed(place) = &state.phase else { return };
     let run = RunKey { task: key.clone(), run: state.run };
-    let stop = Stop { run: Some((&run).into()), worker: place.worker.to_string() };
+    let (worker, start_number) = (place.worker.to_string(), place.start_number);
+    let stop = Stop { run: Some((&run).into()), worker, start_number };
     out.send(&place.owner, Message::Stop(stop));
 }
 
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -61,6 +61,7 @@
                 }
                 let said = relinked.ended.iter().find(|ended| {
                     ended.worker == place.worker.as_str()
+                        && (ended.start_number == 0 || ended.start_number == place.start_number)
                         && ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
                 });
                 // The run may still be running if the claim of a run that the owner found was lost,
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -218,7 +218,7 @@
     ) {
         if !assigned.is_claimed() {
             for peer in &self.peers {
-                out.send(peer, Message::Ended(ended_message(&assigned.run, worker, how, took)));
+                out.send(peer, Message::Ended(end_of(assigned, worker, how, took)));
             }
         }
         send_end(assigned, worker, how, took, out);
@@ -260,7 +260,7 @@
         self.record_loss(id, &assigned, how, now);
         self.reconnects.record_end(
             &assigned.front,
-            &ended_message(&assigned.run, id.as_str(), how, took),
+            &end_of(&assigned, id.as_str(), how, took),
             now,
         );
         self.notify_end(&assigned, id.as_str(), how, took, out);
@@ -377,17 +377,18 @@
     }
 }
 
-fn ended_message(run: &RunKey, worker: &str, how: How, took: Span) -> Ended {
+fn end_of(assigned: &AssignedRun, worker: &str, how: How, took: Span) -> Ended {
     Ended {
-        run: Some(run.into()),
+        run: Some((&assigned.run).into()),
         worker: worker.to_owned(),
         how: how.into(),
         took_ms: to_u32(took),
+        start_number: assigned.start_number,
     }
 }
 
 fn send_end(assigned: &AssignedRun, worker: &str, how: How, took: Span, out: &mut Output) {
-    out.send(&assigned.front, Message::Ended(ended_message(&assigned.run, worker, how, took)));
+    out.send(&assigned.front, Message::Ended(end_of(assigned, worker, how, took)));
 }
 
 fn to_u32(span: Span) -> u32 {
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -1,11 +1,10 @@
 //! Start and stop requests of the fronts, and the responses of workers to them.
 
-use cranberryhatch_schema::fleet::{How, Start, Stop};
+use cranberryhatch_schema::fleet::{Ended, How, Start, Stop};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
-    LOST_STOP_RETRY_DELAY, Owner, STOP_RETRY_DELAY, ended_message, push_stop,
-    restart::IncarnationOrder, send_end,
+    LOST_STOP_RETRY_DELAY, Owner, STOP_RETRY_DELAY, push_stop, restart::IncarnationOrder, send_end,
 };
 use crate::{
     AssignedRun, Command, DeferredStart, Incarnation, Output, ResponseTimes, RunKey, StartResponse,
@@ -40,7 +39,11 @@
         };
         // Run numbers start anew with each submission, so another front may have an equal run.
         let is_known = |worker: &Worker| {
-            worker.all_runs().any(|known| known.run == assigned.run && known.is_of(front))
+            worker.all_runs().any(|known| {
+                known.run == assigned.run
+                    && known.is_of(front)
+                    && known.start_number == assigned.start_number
+            })
         };
         if self.workers.get(&id).is_some_and(is_known) {
             return;
@@ -356,7 +359,13 @@
             if worker.ownership == Ownership::Open || is_of_another {
                 // Start requests arrive in order on a link, so either this run's start request or
                 // the report of its end was lost with an earlier link.
-                let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
+                let ended = Ended {
+                    run: Some((&run).into()),
+                    worker: stop.worker.clone(),
+                    how: How::Stopped.into(),
+                    took_ms: 0,
+                    start_number: stop.start_number,
+                };
                 out.send(front, Message::Ended(ended));
             }
             return;
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
-    ABANDONED_START_TIMEOUT, CLAIM_TIMEOUT, FENCED_RETRY_DELAY, Owner, REOPEN_DELAY, ended_message,
+    ABANDONED_START_TIMEOUT, CLAIM_TIMEOUT, FENCED_RETRY_DELAY, Owner, REOPEN_DELAY, end_of,
     push_stop, wire_end,
 };
 use crate::{
@@ -126,8 +126,7 @@
             {
                 if assigned.is_claimed() && assigned.front != *front {
                     // The start of an equal run was refused, and the refusal was lost.
-                    let ended =
-                        ended_message(&claimed.run, &claim.worker, How::Stopped, Span::ZERO);
+                    let ended = end_of(&claimed, &claim.worker, How::Stopped, Span::ZERO);
                     out.send(front, Message::Ended(ended));
                     continue;
                 }
@@ -241,6 +240,7 @@
         pace: 0,
         due: None,
         stalls: 0,
+        start_number: 0,
         request: None,
         sent_at: now,
         seen_heartbeat: Time::ZERO,
@@ -260,5 +260,10 @@
 }
 
 fn takeover_end(worker: &WorkerId, end: &End) -> Ended {
-    ended_message(&end.run, worker.as_str(), wire_end(end.how), Span::ZERO)
+    Ended {
+        run: Some((&end.run).into()),
+        worker: worker.to_string(),
+        how: wire_end(end.how).into(),
+        ..Ended::default()
+    }
 }
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -43,6 +43,8 @@
     pub claimed: bool,
     /// Incarnation of the worker as the scheduler knew it.
     pub incarnation: Incarnation,
+    /// Number of the start among those of this front.
+    pub start_number: u64,
 }
 
 /// One task of a job.
--- a/crates/fleet/tests/deferred_starts.rs
+++ b/crates/fleet/tests/deferred_starts.rs
@@ -175,7 +175,7 @@
         Case {
             name: "stopped by its front",
             end: |owner, out| {
-                let stop = Stop { run: Some(run("j")), worker: "w".to_owned() };
+                let stop = Stop { run: Some(run("j")), worker: "w".to_owned(), ..Stop::default() };
                 owner.stop(&id("f-2"), &stop, NOW, out);
             },
             how: How::NotStarted,
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -165,6 +165,7 @@
             worker: "w".to_owned(),
             how: How::Stopped.into(),
             took_ms: 5,
+            ..Ended::default()
         };
         let relinked = Relinked {
             running: running.then(run).into_iter().collect(),
@@ -254,7 +255,13 @@
         let found =
             Takeover { worker: "w".to_owned(), running, ended: Vec::new(), token: 8, born_ms: 0 };
         front.takeover(&id("p"), &found, SENT, SENT, &mut out);
-        let ended = Ended { run: Some(run()), worker: "w".to_owned(), how: how.into(), took_ms: 9 };
+        let ended = Ended {
+            run: Some(run()),
+            worker: "w".to_owned(),
+            how: how.into(),
+            took_ms: 9,
+            ..Ended::default()
+        };
         front.ended(&id(from), &ended, SENT, &mut out);
         assert_eq!(asks(&out), expected, "{name}");
         let is_answer = |command: &Command| matches!(command, Command::Answer { .. });
@@ -280,7 +287,8 @@
         let mut out = Output::default();
         let mut front = placed(&mut out);
         let worker = "another".to_owned();
-        let ended = Ended { run: Some(run()), worker, how: how.into(), took_ms: 9 };
+        let ended =
+            Ended { run: Some(run()), worker, how: how.into(), took_ms: 9, ..Ended::default() };
         front.ended(&id(from), &ended, SENT, &mut out);
         assert!(out.commands.is_empty(), "{name}: {:?}", out.commands);
 
@@ -311,8 +319,13 @@
         let mut front = placed(&mut out);
         for (how, number) in ends.into_iter().zip(1..) {
             let run = Run { run: number, ..run() };
-            let ended =
-                Ended { run: Some(run), worker: "w".to_owned(), how: how.into(), took_ms: 9 };
+            let ended = Ended {
+                run: Some(run),
+                worker: "w".to_owned(),
+                how: how.into(),
+                took_ms: 9,
+                ..Ended::default()
+            };
             front.ended(&id("o"), &ended, SENT, &mut out);
             grant(&mut front, 7, SENT, &mut out);
         }
@@ -328,8 +341,13 @@
 fn refused_start_is_reported_to_the_scheduler_before_the_next_request() {
     let mut out = Output::default();
     let mut front = placed(&mut out);
-    let ended =
-        Ended { run: Some(run()), worker: "w".to_owned(), how: How::NoRoom.into(), took_ms: 0 };
+    let ended = Ended {
+        run: Some(run()),
+        worker: "w".to_owned(),
+        how: How::NoRoom.into(),
+        took_ms: 0,
+        ..Ended::default()
+    };
     front.ended(&id("o"), &ended, SENT, &mut out);
     let sent: Vec<&str> = out
         .commands
@@ -438,7 +456,13 @@
             let refusal = Refusal { job: "j".to_owned(), retry_ms: 100, ahead_ms: 70 };
             front.refused(&refusal, at, &mut out);
             let how = How::NotStarted.into();
-            let ended = Ended { run: Some(run()), worker: "w".to_owned(), how, took_ms: 0 };
+            let ended = Ended {
+                run: Some(run()),
+                worker: "w".to_owned(),
+                how,
+                took_ms: 0,
+                ..Ended::default()
+            };
             front.ended(&id("o"), &ended, at, &mut out);
         }
         front.tick(SENT + Span::from_ms(500), &mut out);
--- a/crates/fleet/tests/late_ends.rs
+++ b/crates/fleet/tests/late_ends.rs
@@ -78,7 +78,13 @@
         assert_eq!(grant(&mut front, "w", NOW, &mut out), 1, "{name}: the first run");
         let now = give_up(&mut front, &mut out);
         let run = Some(Run { job: "j".to_owned(), step: 0, task: 0, run: 1 });
-        let ended = Ended { run, worker: "w".to_owned(), how: How::Done.into(), took_ms: 60 };
+        let ended = Ended {
+            run,
+            worker: "w".to_owned(),
+            how: How::Done.into(),
+            took_ms: 60,
+            ..Ended::default()
+        };
         front.ended(&id("o"), &ended, now, &mut out);
         let further = grant(&mut front, "v", now, &mut out);
         let is_completed = out
--- a/crates/fleet/tests/log_events.rs
+++ b/crates/fleet/tests/log_events.rs
@@ -114,7 +114,7 @@
 
     fn ended(&mut self, how: How, after: u64) {
         let (run, worker) = (Some(run()), "w".to_owned());
-        let ended = Ended { run, worker, how: how.into(), took_ms: 9 };
+        let ended = Ended { run, worker, how: how.into(), took_ms: 9, ..Ended::default() };
         self.front.ended(&id("o"), &ended, NOW + ms(after), &mut self.out);
     }
 
@@ -148,7 +148,13 @@
 
 /// Returns the end that an owner reports.
 fn end(how: How) -> Ended {
-    Ended { run: Some(run()), worker: "w".to_owned(), how: how.into(), took_ms: 9 }
+    Ended {
+        run: Some(run()),
+        worker: "w".to_owned(),
+        how: how.into(),
+        took_ms: 9,
+        ..Ended::default()
+    }
 }
 
 /// Returns the earlier run, which counted as ended after some milliseconds.
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -62,7 +62,7 @@
     let worker = || "w".to_owned();
     let need = || Some(Size { cores: small(14_000), memory: small(64), accels: small(0) });
     let job = || "j".to_owned();
-    let ended = Ended { run: run(), worker: worker(), how: 1, took_ms: small(5) };
+    let ended = Ended { run: run(), worker: worker(), how: 1, took_ms: small(5), start_number: 1 };
     let start = Start {
         run: run(),
         worker: worker(),
@@ -77,6 +77,7 @@
         due_ms: small(160),
         pace_permille: small(1_600),
         age_ms: Some(small(40)),
+        start_number: 1,
     };
     let takeover = Takeover {
         worker: worker(),
@@ -175,7 +176,7 @@
             ..Unused::default()
         }),
         Message::Start(start.clone()),
-        Message::Stop(Stop { run: run(), worker: worker() }),
+        Message::Stop(Stop { run: run(), worker: worker(), start_number: 1 }),
         Message::Ended(ended.clone()),
         Message::Takeover(takeover.clone()),
         Message::Takeovers(Takeovers { found: vec![takeover] }),
--- a/crates/fleet/tests/second_start.rs
+++ b/crates/fleet/tests/second_start.rs
@@ -187,7 +187,7 @@
         assert_eq!(yields(&superseded(&mut front, "j")), 0, "its run may be active");
     }
     let (worker, how) = ("w".to_owned(), How::Stopped.into());
-    let ended = Ended { run: Some(run("j")), worker, how, took_ms: 9 };
+    let ended = Ended { run: Some(run("j")), worker, how, took_ms: 9, ..Ended::default() };
     let mut out = Output::default();
     front.ended(&id("o"), &ended, later, &mut out);
     assert_eq!((yields(&out), asks(&out)), (1, 0));
@@ -225,7 +225,13 @@
             let mut front = placed();
             let mut out = Output::default();
             let (run, worker) = (Some(run("j")), worker.to_owned());
-            let ended = Ended { run, worker: worker.clone(), how: how.into(), took_ms: 9 };
+            let ended = Ended {
+                run,
+                worker: worker.clone(),
+                how: how.into(),
+                took_ms: 9,
+                ..Ended::default()
+            };
             front.ended(&id("o"), &ended, NOW, &mut out);
             assert_eq!(asks(&out), expected, "{how:?} on {worker}");
         }
--- a/crates/fleet/tests/two_fronts.rs
+++ b/crates/fleet/tests/two_fronts.rs
@@ -133,7 +133,7 @@
 
     fn stop(&mut self, front: &str) -> Output {
         let mut out = Output::default();
-        let stop = Stop { run: Some(run()), worker: "w".to_owned() };
+        let stop = Stop { run: Some(run()), worker: "w".to_owned(), ..Stop::default() };
         self.owner.stop(&id(front), &stop, self.now, &mut out);
         out
     }
