fix(fleet): accept a successful end that is reported late

Symptom: a task that has ended successfully runs again.

Cause: a front ignored the end of a run that it had given up, since its owner was unreachable for too long or a new owner had not found it, even if the report said that the run was done and the task was still waiting for capacity.

Change: such an end makes the task done, unless another run of it has been started; the capacity that was requested for it is returned when it is granted. The line `ended-late` tells the evidence by which the run had counted as ended.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -347,6 +347,13 @@
                 "{name}"
             );
         }
+        LogEvent::EndedLate { run, worker, reporter, cause, since } => {
+            log::warn!(
+                run = run_text(run), worker = worker.as_str(), reporter = reporter.as_str(),
+                cause = cause.to_string(), since_ms = since.as_ms();
+                "{name}"
+            );
+        }
         LogEvent::RunMissing { run, worker, how, confirmed, polled, lead, front } => {
             log::warn!(
                 run = run_text(run), worker = worker.as_str(), how = how.as_str_name(),
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -307,7 +307,9 @@
         let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
         let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
         let Some(state) = active.task(&run.task) else { return };
-        let Phase::Placed(place) = &state.phase else { return };
+        let Phase::Placed(place) = &state.phase else {
+            return self.ended_late(from, &run, ended, now, out);
+        };
         // Run numbers start anew with each submission, so an earlier submission may have had a run
         // of the same number.
         let is_start = ended.start_number == 0 || ended.start_number == place.start_number;
@@ -325,6 +327,40 @@
         self.end_run(&run, EndReport { cause, how, reporter, worker }, now, out);
     }
 
+    /// Handles the successful end of a run that had counted as ended, if its task has not been
+    /// started again.
+    fn ended_late(
+        &mut self,
+        from: &InstanceId,
+        run: &RunKey,
+        ended: &Ended,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
+        if active.closing_since.is_some() || ended.how() != How::Done {
+            return;
+        }
+        let Some(state) = active.task(&run.task) else { return };
+        let is_waiting = matches!(state.phase, Phase::Ready | Phase::Requested);
+        let Some(previous) =
+            state.previous.take_if(|previous| is_waiting && previous.is_of(run, ended))
+        else {
+            return;
+        };
+        out.log(LogEvent::EndedLate {
+            run: run.clone(),
+            worker: previous.worker,
+            reporter: from.clone(),
+            cause: previous.end.cause,
+            since: now.since(previous.ended_at),
+        });
+        // Capacity that was requested is returned when it is granted.
+        state.phase = Phase::Done;
+        self.request_capacity(&run.task.job, now, out);
+        self.finish(&run.task.job, now, out);
+    }
+
     fn end_run(&mut self, run: &RunKey, end: EndReport, now: Time, out: &mut Output) {
         let name = &run.task.job;
         let Some(active) = self.jobs.get_mut(name) else { return };
@@ -340,7 +376,9 @@
         let worker = end.worker.clone();
         if let (Phase::Placed(place), true) = (&phase, how != How::Done) {
             let (worker, owner) = (place.worker.clone(), place.owner.clone());
-            let previous = PreviousRun { run: run.run, worker, owner, end, ended_at: now };
+            let start_number = place.start_number;
+            let previous =
+                PreviousRun { run: run.run, worker, start_number, owner, end, ended_at: now };
             state.previous = Some(Box::new(previous));
         }
         match how {
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -5,8 +5,8 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::{
-    Incarnation, MembershipChange, NotRunCause, Outcome, PreviousRun, RefusalCause, RunKey,
-    ShutdownProgress, TaskKey, ZoneChange,
+    Incarnation, MembershipChange, NotRunCause, Outcome, PreviousRun, RefusalCause, RunEndCause,
+    RunKey, ShutdownProgress, TaskKey, ZoneChange,
 };
 
 /// A logged event with its details; its kebab-case text form is the name of the log line.
@@ -430,6 +430,19 @@
         /// Front of the run; none if there is no run or no front has claimed it.
         front: Option<InstanceId>,
     },
+    /// A run that had counted as ended without success is reported to have ended successfully.
+    EndedLate {
+        /// The run.
+        run: RunKey,
+        /// The worker.
+        worker: WorkerId,
+        /// Instance that reported the end.
+        reporter: InstanceId,
+        /// Why it had counted as ended.
+        cause: RunEndCause,
+        /// Time since then.
+        since: Span,
+    },
     /// A run counts as ended because a status of its worker does not list it.
     RunMissing {
         /// The run.
--- a/crates/fleet/src/previous_run.rs
+++ b/crates/fleet/src/previous_run.rs
@@ -1,8 +1,10 @@
 //! Why the front of a job considers the earlier run of a task to have ended.
 
-use cranberryhatch_schema::fleet::How;
+use cranberryhatch_schema::fleet::{Ended, How};
 use cranberryhatch_types::{InstanceId, Time, WorkerId};
 
+use crate::RunKey;
+
 /// Evidence by which a front considers a run to have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -43,6 +45,8 @@
     pub run: u32,
     /// Worker on which it was placed.
     pub worker: WorkerId,
+    /// Number of its start among those of the front.
+    pub start_number: u64,
     /// Owner of that worker as the front last knew it.
     pub owner: InstanceId,
     /// Its end.
@@ -52,6 +56,14 @@
 }
 
 impl PreviousRun {
+    /// Returns whether the report of an end is about this run.
+    #[must_use]
+    pub fn is_of(&self, run: &RunKey, ended: &Ended) -> bool {
+        self.run == run.run
+            && self.worker.as_str() == ended.worker
+            && (ended.start_number == 0 || ended.start_number == self.start_number)
+    }
+
     /// Returns whether its start was refused, so that it cannot have run.
     #[must_use]
     pub const fn was_refused(&self) -> bool {
--- a/crates/fleet/tests/log_events.rs
+++ b/crates/fleet/tests/log_events.rs
@@ -160,6 +160,7 @@
 /// Returns the earlier run, which counted as ended after some milliseconds.
 fn previous(cause: RunEndCause, how: How, reporter: &str, after: u64) -> Box<PreviousRun> {
     Box::new(PreviousRun {
+        start_number: 1,
         run: 1,
         worker: worker("w"),
         owner: id("o"),
