fix(fleet): send no poll in the millisecond of one that was forgotten

Symptom: a run that has just started counts as ended, and its front starts it again elsewhere.

Cause: polls of a worker are identified by the time at which they were sent. Guards kept two pending polls of one millisecond apart, but not a new one from one that was forgotten under the same token: after the list shows a later incarnation, or after a clock shows a restart. The response to the forgotten poll, which may have been read before the run started, then counted for the new poll.

Ruled out: a reopened worker, whose polls carry another token. A guard on the last poll of any kind delays polls that were answered within the same millisecond (trial: 7 tests failed).

Change: a worker remembers when the last poll that it forgot was sent, and the next one is sent later.

The new test of late_responses.rs failed in both of its cases, the second one with the guard taken out where a clock shows a restart, and passes. owner, incarnations, second_start, deferred_starts and slow_clocks pass; fuzz fails in its known red alone.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -175,7 +175,7 @@
                 if listed.incarnation.is_after(worker.incarnation) {
                     // The worker may have restarted, so it is polled at once.
                     worker.polled_at = Time::ZERO;
-                    worker.poll = None;
+                    worker.forget_poll();
                 }
                 worker.listed = listed.clone();
                 self.unreported.push(id.clone());
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -326,7 +326,8 @@
                     busy || worker.unresponsive || worker.missed_polls > 0 || idle
                 }
             };
-            let same = worker.extra_poll.is_some_and(|poll| poll.sent_at == now);
+            let same = worker.extra_poll.is_some_and(|poll| poll.sent_at == now)
+                || worker.forgotten_poll == Some(now);
             if !due
                 || same
                 || (worker.unresponsive && now.since(worker.polled_at) < UNRESPONSIVE_POLL_INTERVAL)
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -88,6 +88,9 @@
     pub poll: Option<PendingPoll>,
     /// A second poll, sent while the worker may be holding `poll` open.
     pub extra_poll: Option<PendingPoll>,
+    /// Time at which the last poll was sent whose response no longer counts, although the token
+    /// does. Polls are identified by the time, so the next one is sent later.
+    pub forgotten_poll: Option<Time>,
     /// Whether a poll should be sent that the worker does not hold open.
     pub needs_status: bool,
     /// Number of polls that were sent.
@@ -133,6 +136,7 @@
             deferred: Vec::new(),
             poll: None,
             extra_poll: None,
+            forgotten_poll: None,
             needs_status: false,
             polls_sent: 0,
             missed_polls: 0,
@@ -183,11 +187,14 @@
         self.ownership = Ownership::Opening { at: now };
         self.unresponsive = false;
         self.reset_incarnation();
+        self.forgotten_poll = None;
     }
 
     fn reset_incarnation(&mut self) {
         self.acked = 0;
-        (self.poll, self.extra_poll) = (None, None);
+        self.forget_poll();
+        self.poll = self.extra_poll.take();
+        self.forget_poll();
         self.missed_polls = 0;
         self.missed_since = None;
         self.timed_out_at = None;
@@ -233,6 +240,12 @@
         PendingPoll { sent_at: now, number: self.polls_sent, wait }
     }
 
+    /// Forgets the pending poll, so that another one is sent.
+    pub fn forget_poll(&mut self) {
+        let sent = self.poll.take().map(|poll| poll.sent_at);
+        self.forgotten_poll = self.forgotten_poll.max(sent);
+    }
+
     /// Removes and returns the pending poll that was sent at `at`, if there is one.
     pub fn take_poll(&mut self, at: Time) -> Option<PendingPoll> {
         let is_sent = |poll: &mut PendingPoll| poll.sent_at == at;
--- a/crates/fleet/tests/late_responses.rs
+++ b/crates/fleet/tests/late_responses.rs
@@ -120,8 +120,12 @@
 
     /// Starts the run for a front and returns the number of the request.
     fn start(&mut self, front: &str) -> u64 {
+        self.start_task(0, front)
+    }
+
+    fn start_task(&mut self, task: u32, front: &str) -> u64 {
         let request = Start {
-            run: Some((&run()).into()),
+            run: Some(Run { task, ..Run::from(&run()) }),
             worker: "w".to_owned(),
             service: "svc".to_owned(),
             need: Some((&need(14_000)).into()),
@@ -319,3 +323,64 @@
         assert_eq!(ends(&out), [(id(EARLIER), How::Lost)], "no request takes effect that late");
     }
 }
+
+#[test]
+fn response_to_a_poll_is_not_taken_for_one_to_another_poll_of_the_same_millisecond() {
+    struct Case {
+        name: &'static str,
+        /// Makes the owner forget its pending poll after a run was seen.
+        forget: fn(&mut Fixture),
+        incarnation: Incarnation,
+        /// Clock of a status that was read before the run started, relative to that of the owner.
+        clock: fn(u64) -> u64,
+    }
+    let cases = [
+        Case {
+            name: "a later incarnation is listed",
+            forget: |fixture| {
+                let mut worker = listed("w", "a", 32_000);
+                worker.incarnation = Incarnation::new(2);
+                fixture.listing.replace(vec![worker], fixture.now);
+                fixture.owner.update_listed(&fixture.listing);
+            },
+            incarnation: Incarnation::new(1),
+            clock: |now| now,
+        },
+        Case {
+            name: "a start response shows a restart",
+            forget: |fixture| {
+                let number = fixture.start_task(1, EARLIER);
+                let from = Some((50, Incarnation::UNKNOWN));
+                let (response, mut out) = (StartResponse::Started, Output::default());
+                fixture.owner.handle_start_response_from(
+                    &worker(),
+                    number,
+                    response,
+                    from,
+                    fixture.now,
+                    &mut out,
+                );
+            },
+            incarnation: Incarnation::UNKNOWN,
+            clock: |_| 49,
+        },
+    ];
+    for Case { name, forget, incarnation, clock } in cases {
+        let mut fixture = Fixture::new();
+        let mut out = Output::default();
+        fixture.wait(STEP);
+        let known = fixture.now.as_ms();
+        let number = fixture.start(EARLIER);
+        fixture.poll_as(incarnation, known, &[], None, &mut out);
+        fixture.wait(STEP);
+        let read_before = status(incarnation, clock(fixture.now.as_ms()), &[], None);
+        let earlier = fixture.send_poll(&read_before).expect("a poll");
+        fixture.respond(number, StartResponse::Started, &mut out);
+        forget(&mut fixture);
+        fixture.send_poll(&read_before);
+        fixture.read(earlier, &mut out);
+        assert_eq!(ends(&out), [], "{name}: the response is to a poll that was forgotten");
+        fixture.wait(STEP);
+        assert!(fixture.send_poll(&read_before).is_some(), "{name}: another poll");
+    }
+}
