fix(fleet): order incarnations of a worker by what was observed

Symptom: a worker that restarts under its id with a lower `born`, because the time of day of its machine was set back, accepts starts and runs them, but each one counts as crashed within 3 ms and is started elsewhere beside the first run.

Cause: incarnations were ordered by `born`. One with a lower `born` counted as an earlier one whose response was delayed: its statuses were dropped and its accepted starts were taken to have ended with it.

Ruled out: a lost list entry (the worker stays open for grants and is polled), and the lease (the runs last to their end).

Change: `born` only tells whether two incarnations are the same. A response of another incarnation is of a later one if its request was sent after the first response of the latest known one had been read, and a start that was sent to an incarnation that another one has followed is of the earlier one. If neither is known, a status is dropped and the worker is polled again, and an accepted start is held until a poll settles it. Reports to the scheduler and the fronts are ordered by their tokens, so that another incarnation there is a later one. Crashes that the list shows are still ordered by `born`.

The fuzzing model draws such clocks as well, from a generator of its own.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -130,7 +130,7 @@
                 // The worker accepts requests of the new owner only, so a run that is not there
                 // cannot start any more. It may have run and ended without its report reaching this
                 // front.
-                let has_restarted = Incarnation::new(found.born_ms).is_after(place.incarnation);
+                let has_restarted = Incarnation::new(found.born_ms).is_other(place.incarnation);
                 // The worker may have restarted after the run had ended.
                 let loss = if has_restarted { How::Lost } else { How::Stopped };
                 let (cause, how) = match said {
--- a/crates/fleet/src/incarnation.rs
+++ b/crates/fleet/src/incarnation.rs
@@ -2,13 +2,15 @@
 
 /// One run of a worker's process, identified by its start time.
 ///
-/// A worker may restart under the same id; a later incarnation has a later start time.
+/// A worker may restart under the same id. A later incarnation may have a lower start time, since the
+/// time of day of its machine may be set back; the order of two incarnations of one id comes from the
+/// order in which they were seen.
 ///
 /// ```
 /// use cranberryhatch_fleet::Incarnation;
 ///
-/// assert!(Incarnation::new(2).is_after(Incarnation::new(1)));
-/// assert!(!Incarnation::new(2).is_after(Incarnation::UNKNOWN));
+/// assert!(Incarnation::new(1).is_other(Incarnation::new(2)));
+/// assert!(!Incarnation::new(2).is_other(Incarnation::UNKNOWN));
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Incarnation(u64);
@@ -35,10 +37,16 @@
         self.0 > 0
     }
 
-    /// Returns whether it is certainly later than the other one; an unknown incarnation is neither
-    /// earlier nor later than any.
+    /// Returns whether both are known and differ.
     #[must_use]
-    pub const fn is_after(self, other: Self) -> bool {
+    pub const fn is_other(self, other: Self) -> bool {
+        self.0 > 0 && other.0 > 0 && self.0 != other.0
+    }
+
+    /// Returns whether its start time is higher. This is no order of processes: the time of day of a
+    /// machine may be set back between two starts.
+    #[must_use]
+    pub const fn has_higher_start(self, other: Self) -> bool {
         other.0 > 0 && self.0 > other.0
     }
 }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -169,7 +169,8 @@
                 continue;
             };
             if worker.listed != *listed {
-                if listed.incarnation.is_after(worker.incarnation) {
+                let is_new = listed.incarnation != worker.listed.incarnation;
+                if is_new && listed.incarnation.is_other(worker.incarnation) {
                     // The worker may have restarted, so it is polled at once.
                     worker.polled_at = Time::ZERO;
                     worker.poll = None;
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -35,18 +35,19 @@
         }
         // A late response to an earlier poll can show as well that the worker has restarted.
         let order = match &response {
-            PollResponse::Status(status) => self.compare_incarnation(id, status.incarnation),
+            PollResponse::Status(status) => self.compare_polled(id, status.incarnation, at, now),
             _ => IncarnationOrder::Current,
         };
         if let (IncarnationOrder::Later, PollResponse::Status(status)) = (order, &response) {
             self.handle_restart(id, status, now, out);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(poll) =
-            poll.filter(|_| worker.token == token && order != IncarnationOrder::Earlier)
-        else {
+        if order == IncarnationOrder::Unordered {
+            // A poll that is sent from now on tells which incarnation is the later one.
+            worker.polled_at = Time::ZERO;
             return;
-        };
+        }
+        let Some(poll) = poll.filter(|_| worker.token == token) else { return };
         if matches!(worker.ownership, Ownership::Probing { .. }) {
             return self.handle_probe_response(id, poll, &response, now, out);
         }
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -203,7 +203,7 @@
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
         let incarnation = from.map_or(Incarnation::UNKNOWN, |(_, incarnation)| incarnation);
         let order = if incarnation.is_known() {
-            self.compare_incarnation(id, incarnation)
+            self.compare_started(id, run, incarnation, now)
         } else {
             IncarnationOrder::Current
         };
@@ -215,7 +215,10 @@
                 let how = if draining { How::Stopped } else { How::Crashed };
                 return self.end(id, run, how, now, out);
             }
-            IncarnationOrder::Earlier => {}
+            IncarnationOrder::Unordered if response == StartResponse::Started => {
+                return self.hold_unordered(id, run, now, out);
+            }
+            IncarnationOrder::Earlier | IncarnationOrder::Unordered => {}
             IncarnationOrder::Later => self.handle_restart(id, &WorkerStatus::default(), now, out),
         }
         let worker = self.workers.get(id);
@@ -225,7 +228,7 @@
             return self.end(id, run, How::NoRoom, now, out);
         }
         // Leases would be too long by the clock of an earlier incarnation.
-        let is_current = order != IncarnationOrder::Earlier
+        let is_current = matches!(order, IncarnationOrder::Current | IncarnationOrder::Later)
             && (incarnation.is_known()
                 || worker.is_none_or(|worker| !worker.incarnation.is_known()));
         let clock = from.filter(|_| is_current).map(|(clock, _)| clock);
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -5,13 +5,17 @@
 //! opens the worker again under a new token. Once the new incarnation has accepted it, start
 //! requests with the earlier token can no longer take effect, and the status of the worker is
 //! complete.
+//!
+//! Start times do not order incarnations, because the time of day of a machine may be set back. A
+//! response of another incarnation comes from a later one if its request was sent after the first
+//! response of the latest known incarnation had been read.
 
 use cranberryhatch_schema::fleet::{Held as HeldMessage, Room};
 use cranberryhatch_types::{Span, Time, WorkerId};
 
-use super::{Owner, wire_end};
+use super::{Owner, push_stop, wire_end};
 use crate::{
-    Incarnation, Output, RunKey, WorkerStatus,
+    AssignedRun, Incarnation, Output, RunKey, WorkerStatus,
     assigned_run::RunStage,
     log_event::LogEvent,
     run_lease::{LEASE, LEASE_SLACK},
@@ -28,27 +32,92 @@
     Current,
     /// An earlier incarnation; its response was delayed.
     Earlier,
+    /// Another incarnation, either an earlier or a later one: the request was in flight when the
+    /// latest known incarnation first responded.
+    Unordered,
     /// A new incarnation: the worker has restarted since the last response.
     Later,
 }
 
 impl Owner {
-    /// Compares the incarnation that sent a response with the latest known one, and records it if
-    /// it is newer.
-    pub(super) fn compare_incarnation(
+    /// Compares the incarnation that responded to a poll, which was sent at `sent`, with the latest
+    /// known one, and records it if it is newer.
+    pub(super) fn compare_polled(
+        &mut self,
+        id: &WorkerId,
+        incarnation: Incarnation,
+        sent: Time,
+        now: Time,
+    ) -> IncarnationOrder {
+        let Some(worker) = self.workers.get_mut(id) else { return IncarnationOrder::Current };
+        if !incarnation.is_other(worker.incarnation) {
+            if incarnation.is_known() && !worker.incarnation.is_known() {
+                worker.set_incarnation(incarnation, now);
+            }
+            return IncarnationOrder::Current;
+        }
+        if sent <= worker.incarnation_since {
+            return IncarnationOrder::Unordered;
+        }
+        worker.set_incarnation(incarnation, now);
+        IncarnationOrder::Later
+    }
+
+    /// Compares the incarnation that responded to the start request of a run with the latest known
+    /// one, and records it if it is newer.
+    pub(super) fn compare_started(
         &mut self,
         id: &WorkerId,
+        run: &RunKey,
         incarnation: Incarnation,
+        now: Time,
     ) -> IncarnationOrder {
         let Some(worker) = self.workers.get_mut(id) else { return IncarnationOrder::Current };
-        if worker.incarnation.is_after(incarnation) {
-            return IncarnationOrder::Earlier;
+        let assigned = worker.runs.iter().find(|assigned| assigned.run == *run);
+        let sent_to = assigned.map(|assigned| (assigned.incarnation, assigned.stage));
+        if !incarnation.is_other(worker.incarnation) {
+            // A request of an earlier ownership may have reached an earlier incarnation.
+            if incarnation.is_known() && !worker.incarnation.is_known() && sent_to.is_some() {
+                worker.set_incarnation(incarnation, now);
+            }
+            return IncarnationOrder::Current;
+        }
+        match sent_to {
+            // A run in another stage was found by a poll of the latest incarnation.
+            Some((latest, RunStage::Starting)) if latest == worker.incarnation => {
+                worker.set_incarnation(incarnation, now);
+                IncarnationOrder::Later
+            }
+            Some((earlier, _)) if earlier == incarnation => IncarnationOrder::Earlier,
+            _ => IncarnationOrder::Unordered,
+        }
+    }
+
+    /// Keeps a run whose start request was carried out by an incarnation that may have ended, until
+    /// a poll settles whether it runs.
+    pub(super) fn hold_unordered(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let last_poll = worker.polls_sent;
+        let is_starting = |assigned: &&mut AssignedRun| {
+            assigned.run == *run && assigned.stage == RunStage::Starting
+        };
+        let Some(assigned) = worker.runs.iter_mut().find(is_starting) else { return };
+        assigned.stage = RunStage::Unconfirmed { last_poll, stop_accepted: None };
+        assigned.mark_restarted();
+        let unwanted = assigned.stop_requested.is_some();
+        if unwanted {
+            assigned.stop_requested = Some(now);
         }
-        let later = incarnation.is_after(worker.incarnation);
-        if incarnation.is_known() {
-            worker.incarnation = incarnation;
+        worker.needs_status = true;
+        if unwanted {
+            push_stop(worker, run, &self.response_times, now, out);
         }
-        if later { IncarnationOrder::Later } else { IncarnationOrder::Current }
     }
 
     /// Handles a restart of the worker: reports the runs that ended with the earlier incarnation
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -296,7 +296,7 @@
             let reborn = self
                 .workers
                 .get(&id)
-                .is_some_and(|worker| incarnation.is_after(worker.incarnation));
+                .is_some_and(|worker| incarnation.is_other(worker.incarnation));
             if known.is_none() || reborn {
                 let mut worker = WorkerView::new(listed.clone(), owner.clone(), room.token);
                 if let Some(stats) = self.saved_stats.remove(&id) {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -108,8 +108,10 @@
     pub timed_out_at: Option<Time>,
     /// Latest end of all leases that this instance or an earlier owner may have given.
     pub lease_end: Time,
-    /// Incarnation that sent the last response.
+    /// Latest incarnation that has sent a response.
     pub incarnation: Incarnation,
+    /// Time at which its first response was read.
+    pub incarnation_since: Time,
     /// Time at which the last request with a lease was sent.
     pub leased_at: Time,
     /// Number of consecutive polls that the worker rejected because it knows a higher token.
@@ -144,6 +146,7 @@
             timed_out_at: None,
             lease_end: Time::ZERO,
             incarnation: Incarnation::UNKNOWN,
+            incarnation_since: Time::ZERO,
             leased_at: Time::ZERO,
             fenced_polls: 0,
             latest_clock: 0,
@@ -225,6 +228,12 @@
         self.runs.iter_mut().for_each(AssignedRun::mark_restarted);
     }
 
+    /// Sets the incarnation, whose first response is read now.
+    pub const fn set_incarnation(&mut self, incarnation: Incarnation, now: Time) {
+        self.incarnation = incarnation;
+        self.incarnation_since = now;
+    }
+
     /// Counts a poll that is sent now and returns it.
     pub fn begin_poll(&mut self, wait: Span, now: Time) -> PendingPoll {
         self.polls_sent += 1;
--- a/crates/fleet/src/worker_crashes.rs
+++ b/crates/fleet/src/worker_crashes.rs
@@ -42,7 +42,7 @@
         for listed in after {
             match find(before, &listed.id).map(|index| &before[index]) {
                 None => added.push(listed),
-                Some(known) if listed.incarnation.is_after(known.incarnation) => {
+                Some(known) if listed.incarnation.has_higher_start(known.incarnation) => {
                     self.add_crash(known, now);
                 }
                 Some(_) => {}
@@ -98,6 +98,6 @@
 ///
 /// Without incarnations, the id of a worker changes with its process.
 fn precedes(known: &ListedWorker, successor: &ListedWorker) -> bool {
-    let is_later = successor.incarnation.is_after(known.incarnation);
+    let is_later = successor.incarnation.has_higher_start(known.incarnation);
     is_later || known.id != successor.id && !known.incarnation.is_known()
 }
--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -189,6 +189,9 @@
 fn restart_workers(world: &mut World, rng: &mut fastrand::Rng) {
     if rng.u32(0..200) < 4 {
         let worker = rng.usize(0..world.workers.len());
+        // A separate generator, so that the other faults of a seed stay the same.
+        let mut clocks = fastrand::Rng::with_seed(rng.clone().u64(..));
+        world.workers[worker].set_back = if clocks.bool() { 500_000 } else { 0 };
         let down = *rng.choice(&[0, 2, 20, 200, 2_000]).expect("some");
         world.restart_worker(worker, down, rng.bool());
     }
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -19,6 +19,9 @@
 const CLOCK: u64 = 5_000_000;
 const FIRST: Incarnation = Incarnation::new(1_000);
 const SECOND: Incarnation = Incarnation::new(2_000);
+/// A later incarnation whose machine has had its time of day set back.
+const SET_BACK: Incarnation = Incarnation::new(500);
+const THIRD: Incarnation = Incarnation::new(1_500);
 
 /// An owner of one worker.
 struct Fixture {
@@ -286,15 +289,104 @@
 
 #[test]
 fn newer_list_entry_triggers_a_poll() {
+    for second in [SECOND, SET_BACK] {
+        let mut fixture = Fixture::new();
+        fixture.token();
+        fixture.wait(100);
+        assert!(fixture.send_poll(&status(FIRST, &[], &[])).is_none(), "no poll is due");
+        let mut newer = listed("w", "a", 32_000);
+        newer.incarnation = second;
+        fixture.listing.replace(vec![newer], fixture.now);
+        fixture.owner.update_listed(&fixture.listing);
+        assert!(fixture.send_poll(&status(second, &[], &[])).is_some(), "{second:?}");
+    }
+}
+
+#[test]
+fn runs_of_an_incarnation_with_a_lower_start_time_are_kept() {
+    let mut fixture = Fixture::new();
+    let token = fixture.token();
+    let (before, _) = fixture.start(0, token);
+    fixture.respond(&before, StartResponse::Started, Some((CLOCK, FIRST)));
+    fixture.wait(20);
+    let mut out = Output::default();
+    fixture.poll(&status(SET_BACK, &[], &[]), &mut out);
+    assert_eq!(reported_ends(&out, &before), [How::Crashed], "it ended with its incarnation");
+    let sent = fixture.poll(&status(SET_BACK, &[], &[]), &mut Output::default());
+    let sent = sent.expect("a poll with a new token is sent at once");
+    assert!(sent.token > token && sent.acked == 0, "{sent:?}");
+    let (run, lease) = fixture.start(1, sent.token);
+    assert!(lease.expect("a start") <= 50 + LEASE.as_ms(), "{lease:?}");
+    let out = fixture.respond(&run, StartResponse::Started, Some((60, SET_BACK)));
+    assert_eq!(reported_ends(&out, &run), [], "it is running");
+    fixture.wait(20);
+    let mut out = Output::default();
+    fixture.poll(&status(SET_BACK, &[], &[(1, &run)]), &mut out);
+    assert_eq!(reported_ends(&out, &run), [How::Done]);
+}
+
+#[test]
+fn response_to_a_start_shows_a_restart_with_a_lower_start_time() {
+    let mut fixture = Fixture::new();
+    let token = fixture.token();
+    let (running, _) = fixture.start(0, token);
+    fixture.respond(&running, StartResponse::Started, Some((CLOCK, FIRST)));
+    let (run, _) = fixture.start(1, token);
+    fixture.wait(20);
+    let (_, late) = fixture.send_poll(&status(FIRST, &[&running], &[])).expect("a poll");
+    let mut out = fixture.respond(&run, StartResponse::Started, Some((40, SET_BACK)));
+    assert_eq!(reported_ends(&out, &running), [How::Crashed], "it ended with its incarnation");
+    fixture.owner.handle_poll_result(late, &fixture.members, fixture.now, &mut out);
+    let sent = fixture.poll(&status(SET_BACK, &[&run], &[]), &mut out).expect("a poll");
+    assert!(sent.token > token, "the delayed response is not of a later incarnation");
+    assert_eq!(reported_ends(&out, &run), [], "it is running");
+    fixture.poll_after_claims(&status(SET_BACK, &[], &[(1, &run)]), &mut out);
+    assert_eq!(reported_ends(&out, &run), [How::Done]);
+}
+
+#[test]
+fn run_started_before_a_restart_with_a_lower_start_time_has_ended() {
     let mut fixture = Fixture::new();
-    fixture.token();
-    fixture.wait(100);
-    assert!(fixture.send_poll(&status(FIRST, &[], &[])).is_none(), "no poll is due");
-    let mut newer = listed("w", "a", 32_000);
-    newer.incarnation = SECOND;
-    fixture.listing.replace(vec![newer], fixture.now);
-    fixture.owner.update_listed(&fixture.listing);
-    assert!(fixture.send_poll(&status(SECOND, &[], &[])).is_some());
+    let token = fixture.token();
+    let (run, _) = fixture.start(0, token);
+    fixture.wait(20);
+    fixture.poll(&status(SET_BACK, &[], &[]), &mut Output::default());
+    let out = fixture.respond(&run, StartResponse::Started, Some((CLOCK, FIRST)));
+    assert_eq!(reported_ends(&out, &run), [How::Crashed], "it is not reported as never run");
+}
+
+#[test]
+fn poll_settles_a_start_whose_incarnation_is_neither_the_first_nor_the_last() {
+    struct Case {
+        name: &'static str,
+        seen: Incarnation,
+        lists: bool,
+        end: How,
+    }
+    let cases = [
+        Case { name: "ended between both", seen: SECOND, lists: false, end: How::Lost },
+        Case { name: "later than both", seen: THIRD, lists: true, end: How::Done },
+    ];
+    for Case { name, seen, lists, end } in cases {
+        let mut fixture = Fixture::new();
+        let token = fixture.token();
+        let (run, _) = fixture.start(0, token);
+        fixture.wait(20);
+        fixture.poll(&status(SECOND, &[], &[]), &mut Output::default());
+        let out = fixture.respond(&run, StartResponse::Started, Some((60, THIRD)));
+        assert_eq!(reported_ends(&out, &run), [], "{name}: not known yet");
+        let listed: Vec<&RunKey> = lists.then_some(&run).into_iter().collect();
+        let mut out = Output::default();
+        for _ in 0..2 {
+            fixture.wait(1);
+            fixture.poll(&status(seen, &listed, &[]), &mut out);
+        }
+        if lists {
+            assert_eq!(reported_ends(&out, &run), [], "{name}: it is running");
+            fixture.poll_after_claims(&status(seen, &[], &[(1, &run)]), &mut out);
+        }
+        assert_eq!(reported_ends(&out, &run), [end], "{name}");
+    }
 }
 
 #[test]
@@ -335,9 +427,12 @@
             },
         },
     ];
+    // Half of the seeds set back the time of day of the machines.
     for Case { name, fault } in cases {
-        for seed in 0..20 {
+        for seed in 0..40 {
             let mut world = World::new(seed, 1, 3, 4);
+            let set_back = if seed < 20 { 0 } else { 500_000 };
+            world.workers.iter_mut().for_each(|worker| worker.set_back = set_back);
             let long: Vec<usize> =
                 (1..=4).map(|job| world.request(job, 3, 8_000, 700, false)).collect();
             world.run_until(world.now + 100 + seed * 7);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -28,7 +28,7 @@
 
 pub use crashes::Crash;
 pub use incarnations::KnownIncarnations;
-pub use worker::{FakeWorker, WorkerRun};
+pub use worker::{FIRST_BORN, FakeWorker, WorkerRun};
 pub use zones::Store;
 
 /// Interval between ticks of an instance.
@@ -350,7 +350,7 @@
                     capacity: need(32_000),
                     draining: false,
                     drained: false,
-                    incarnation: Incarnation::new(1),
+                    incarnation: Incarnation::new(FIRST_BORN),
                 };
                 FakeWorker::new(listed, rng.u64(980..=1_000))
             })
--- a/crates/fleet/tests/world/worker.rs
+++ b/crates/fleet/tests/world/worker.rs
@@ -9,6 +9,9 @@
 /// Longest lease that a worker grants, in milliseconds of its clock.
 const LEASE_MAX: u64 = 1_000;
 
+/// Start time that the first incarnation of a worker reports.
+pub const FIRST_BORN: u64 = 1_000_000;
+
 /// Time that a stop takes, in milliseconds: the platform's bound.
 const STOP_TIME: u64 = 50;
 
@@ -49,11 +52,14 @@
     pub timer_delay: u64,
     /// All runs that ended successfully.
     pub done: Vec<RunKey>,
+    /// Time by which the time of day of its machine has been set back.
+    pub set_back: u64,
     // Speed of its clock in thousandths.
     rate: u64,
     // Reading of its clock at time 0 of the simulation; a restart resets it.
     clock_offset: u64,
     started_at: u64,
+    born: u64,
     lease_until: u64,
     next_end: u64,
     tombstones: Vec<(TaskKey, u32)>,
@@ -75,9 +81,11 @@
             lease_from_arrival: false,
             timer_delay: 0,
             done: Vec::new(),
+            set_back: 0,
             rate,
             clock_offset: 7_000,
             started_at: 1,
+            born: FIRST_BORN,
             lease_until: 0,
             next_end: 1,
             tombstones: Vec::new(),
@@ -104,6 +112,7 @@
         self.up = true;
         self.clock_offset = 0;
         self.started_at = now;
+        self.born = FIRST_BORN + now - self.set_back;
         self.token = 0;
         self.lease_until = 0;
         self.next_end = 1;
@@ -117,7 +126,7 @@
     }
 
     pub const fn incarnation(&self) -> Incarnation {
-        Incarnation::new(self.started_at)
+        Incarnation::new(self.born)
     }
 
     /// Ends the runs that are due by `now`.
