fix(fleet): count a crash whose successor has a lower start time

Cause: two versions of the worker list show a crash if the entry of an id changes to an incarnation with a higher `born`. One with a lower `born` was no crash, so the loss of the task was never confirmed as one.

Ruled out: the owner's order of incarnations, which does not depend on `born` any more.

Change: an entry that changes to another incarnation shows that the earlier process has ended, unless the new entry is of a process that is known to have crashed, i.e. of an earlier version of the list. Workers with different ids at one address are still compared by `born`.

Result: job_with_a_poisoned_task_fails_after_two_crashes with clocks that are set back failed before with 4 crashes and passes.

--- a/crates/fleet/src/worker_crashes.rs
+++ b/crates/fleet/src/worker_crashes.rs
@@ -42,7 +42,10 @@
         for listed in after {
             match find(before, &listed.id).map(|index| &before[index]) {
                 None => added.push(listed),
-                Some(known) if listed.incarnation.has_higher_start(known.incarnation) => {
+                Some(known)
+                    if listed.incarnation.is_other(known.incarnation)
+                        && !self.is_outdated(listed) =>
+                {
                     self.add_crash(known, now);
                 }
                 Some(_) => {}
@@ -64,7 +67,7 @@
         let mut by_addr: Vec<&ListedWorker> = departed().chain(after).collect();
         by_addr.sort_by_key(|known| known.addr);
         let mut replaced = Vec::new();
-        for successor in added {
+        for successor in added.iter().filter(|successor| !self.is_outdated(successor)) {
             let first = by_addr.partition_point(|known| known.addr < successor.addr);
             let same_addr =
                 by_addr[first..].iter().copied().take_while(|known| known.addr == successor.addr);
@@ -75,6 +78,12 @@
         replaced
     }
 
+    /// Returns whether an entry is of a process that is known to have crashed, so that it comes from
+    /// an earlier version of the list.
+    fn is_outdated(&self, listed: &ListedWorker) -> bool {
+        listed.incarnation.is_known() && self.contains(&listed.id, listed.incarnation)
+    }
+
     fn add_crash(&mut self, ended: &ListedWorker, now: Time) {
         if ended.draining {
             return;
@@ -98,6 +107,9 @@
 ///
 /// Without incarnations, the id of a worker changes with its process.
 fn precedes(known: &ListedWorker, successor: &ListedWorker) -> bool {
+    if known.id == successor.id {
+        return successor.incarnation.is_other(known.incarnation);
+    }
     let is_later = successor.incarnation.has_higher_start(known.incarnation);
-    is_later || known.id != successor.id && !known.incarnation.is_known()
+    is_later || !known.incarnation.is_known()
 }
--- a/crates/fleet/tests/poisoned.rs
+++ b/crates/fleet/tests/poisoned.rs
@@ -34,6 +34,8 @@
     delay: u64,
     /// Whether crashed workers come back under their id.
     keeps_ids: bool,
+    /// Whether the time of day of the machines is set back before the first crash.
+    set_back: bool,
 }
 
 impl Case {
@@ -41,6 +43,8 @@
     fn play(&self, seed: u64) -> World {
         let mut world = World::new(seed, 3, INSTANCES, WORKERS);
         world.keeps_ids = self.keeps_ids;
+        let set_back = if self.set_back { 500_000 } else { 0 };
+        world.workers.iter_mut().for_each(|worker| worker.set_back = set_back);
         world.patience = 40_000;
         let request = world.poisoned_request(POISONED, 4, 14_000, 60);
         let task = poisoned_task();
@@ -93,7 +97,7 @@
     ] {
         for (crash, delay) in [(0, 30), (0, 1_200), (1, 30), (1, 1_000), (1, 2_500)] {
             for keeps_ids in [false, true] {
-                cases.push(Case { lost, crash, delay, keeps_ids });
+                cases.push(Case { lost, crash, delay, keeps_ids, set_back: false });
             }
         }
     }
@@ -106,7 +110,7 @@
         for seed in 1..=SEEDS {
             let world = case.play(seed);
             let later = world.starts_after_third_crash(&poisoned_task());
-            let Case { lost, crash, delay, keeps_ids } = case;
+            let Case { lost, crash, delay, keeps_ids, .. } = case;
             let name = format!("{lost:?} {crash} {delay} {keeps_ids} seed {seed}");
             assert!(later < 3, "{name}: {later} starts after the third crash");
             assert_eq!(world.violations, Vec::<String>::new(), "{name}");
@@ -116,14 +120,14 @@
 
 #[test]
 fn job_with_a_poisoned_task_fails_after_two_crashes() {
-    for keeps_ids in [false, true] {
+    for (keeps_ids, set_back) in [(false, false), (true, false), (true, true)] {
         for seed in 1..=SEEDS {
-            let case = Case { lost: Lost::None, crash: 0, delay: 0, keeps_ids };
+            let case = Case { lost: Lost::None, crash: 0, delay: 0, keeps_ids, set_back };
             let world = case.play(seed);
+            let name = format!("keeps ids: {keeps_ids}, set back: {set_back}, seed {seed}");
             let crashes = world.crashes.iter().filter(|c| c.task == poisoned_task()).count();
-            assert_eq!(crashes, 2, "keeps ids: {keeps_ids}, seed {seed}");
-            let outcome = world.requests[0].outcome;
-            assert_eq!(outcome, Some(Outcome::Failed), "keeps ids: {keeps_ids}, seed {seed}");
+            assert_eq!(crashes, 2, "{name}");
+            assert_eq!(world.requests[0].outcome, Some(Outcome::Failed), "{name}");
         }
     }
 }
