fix(fleet): use no labels of an earlier incarnation for a required label

Cause: the scheduler opens the worker as its owner reports the new incarnation, but takes its labels from the list, whose entry may still be of the earlier one. Nothing compared the two.

Ruled out: the owner's reports and tokens, which name the new incarnation before the first start under the new token. Refusing all starts at the owner until the entry is read also mends it, but holds up tasks that require no label.

Change: while the list entry and the owner's report name different incarnations, the worker is not suited for tasks that require a label. Tasks without one are placed as before, and so is everything where the platform reports no incarnations.

--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -164,6 +164,17 @@
         self.update_free();
     }
 
+    /// Returns whether the worker certainly has a label that a task requires; an empty label matches
+    /// every worker.
+    ///
+    /// The labels may differ between incarnations, so those of an entry of another incarnation do not
+    /// count.
+    #[must_use]
+    pub fn meets_label(&self, label: &str) -> bool {
+        let is_current = !self.listed.incarnation.is_other(self.incarnation);
+        label.is_empty() || is_current && self.listed.has_label(label)
+    }
+
     /// Returns the free capacity.
     #[must_use]
     pub const fn free(&self) -> &Need {
