fix(platform): a row that cannot be decoded no longer fails the read of its list

Symptom: one odd row of another writer in the table of the workers, of the instances or of the settings keeps every instance from reading that list for as long as the row is there. Instances that start never become ready; those that run get neither new workers nor new settings (`store-lost` with "malformed store request or response").

Cause: a page of rows was decoded as one document. A field of an unexpected type failed the page, and the decoder of `Value`, which accepts every type, buffers the value: it fails on a nesting of more than 127 levels and on a number out of range, though both are skipped without error elsewhere. Class: the unit of decoding is larger than the unit of failure.

Ruled out: the end of a process. Skipped values are not decoded recursively, and the decoder limits the nesting of others. Odd entries inside the base64 value cost only their own row before.

Change: the rows of a page are decoded one by one. Fields other than the key fall back to a default.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -9,7 +9,7 @@
 use smol::Timer;
 
 use crate::{
-    Edge, List, Metrics, Platform, Row, Rows, StoreError,
+    CauseLabel, Edge, List, Metrics, Platform, Row, Rows, StoreError,
     worker_cache::{WorkerChange, WorkerEntry},
 };
 
@@ -78,9 +78,24 @@
     after: Option<u64>,
     wait: Span,
 ) -> Result<Rows, StoreError> {
-    match after {
+    let rows = match after {
         None => edge.platform().read(list).await,
         Some(version) => edge.platform().changes(list, version, wait).await,
+    }?;
+    record_unreadable(edge, list, rows.unreadable);
+    Ok(rows)
+}
+
+/// Counts rows that were left out of a read, and logs the first of each list: the same rows are read
+/// again and again.
+fn record_unreadable<P: Platform>(edge: &Edge<P>, list: List, count: usize) {
+    let label = CauseLabel { cause: list.to_string() };
+    if count == 0 {
+        return;
+    }
+    let count = u64::try_from(count).unwrap_or(u64::MAX);
+    if edge.metrics().unreadable_rows.get_or_create(&label).inc_by(count) == 0 {
+        log::warn!(list = label.cause, rows = count; "rows-unreadable");
     }
 }
 
@@ -214,7 +229,7 @@
     // Keys of malformed rows that were logged.
     let mut known_malformed = Vec::new();
     loop {
-        match edge.platform().read(List::Instances).await {
+        match fetch(&edge, List::Instances, None, Span::ZERO).await {
             Ok(rows) => {
                 backoff.succeeded(List::Instances);
                 let instances = apply_instance_rows(&edge, rows, &mut known_malformed);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -76,6 +76,9 @@
     pub written_lines: Gauge<u64, AtomicU64>,
     /// Failed calls to the platform's store, by list.
     pub store_failures: Family<CauseLabel, Counter>,
+    /// Rows left out of reads of the platform's store because their key could not be decoded, by
+    /// list.
+    pub unreadable_rows: Family<CauseLabel, Counter>,
     /// Time from the arrival of a job to its answer.
     pub answer_time: KindHistograms,
     /// Time from the arrival of a job to the start of its first task.
@@ -148,6 +151,7 @@
             offered_lines: Gauge::default(),
             written_lines: Gauge::default(),
             store_failures: Family::default(),
+            unreadable_rows: Family::default(),
             answer_time: Family::new_with_constructor(new_histogram),
             queue_time: Family::new_with_constructor(new_histogram),
             run_time: new_histogram(),
@@ -206,6 +210,7 @@
         r.register("offered_lines", "Log lines to be written", self.offered_lines.clone());
         r.register("written_lines", "Log lines written", self.written_lines.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
+        r.register("unreadable_rows", "Rows without a usable key", self.unreadable_rows.clone());
         r.register("answer_seconds", "Arrival to answer", self.answer_time.clone());
         r.register("queue_seconds", "Arrival to first start", self.queue_time.clone());
         r.register("run_seconds", "Run time of tasks", self.run_time.clone());
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -39,6 +39,8 @@
     pub rows: Vec<Row>,
     /// Store version up to which the rows are complete.
     pub version: u64,
+    /// Number of rows that were left out because not even their key could be decoded.
+    pub unreadable: usize,
 }
 
 /// Error of a call to the platform's store.
