fix(edge): a row cannot replace the address of an instance under another key

Symptom: a row that another writer left in the table of the instances, valid in itself but naming a running instance under another key, separates the instances. They have no link to each other, each elects itself scheduler and takes the workers from the other in turn (`worker-dropped` with `fenced` every few seconds).

Cause: the name in the row was trusted without a comparison with its key, and the row with the largest incarnation replaces the known address. An address with port 0 or one that cannot be parsed was taken for a reachable instance as well.

Ruled out: numbers. A row with the largest incarnation and processor share under a name of its own separates nobody.

Change: a row counts only under the key of the instance that it names and with an address to which a connection can be opened; others are logged as `instance-unreadable`.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -274,8 +274,10 @@
     let mut malformed = Vec::new();
     for Row { key, value, .. } in rows.rows {
         let Some(value) = value else { continue };
-        let hello = Hello::decode(value).ok();
-        // A row of another writer may decode and still not be a valid instance.
+        // A row of another writer may decode and still not be a valid instance. Under another key it
+        // would replace the address of the instance that it names.
+        let hello = Hello::decode(value).ok().filter(|hello| hello.instance == key);
+        let hello = hello.filter(|hello| crate::links::is_connectable(&hello.addr));
         let member = hello.as_ref().and_then(crate::links::member_from_hello);
         if let Some((hello, member)) = hello.zip(member) {
             instances.push(InstanceInfo::from(&member));
--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -470,6 +470,12 @@
     })
 }
 
+/// Returns whether a text is an address to which a connection can be opened.
+pub(crate) fn is_connectable(addr: &str) -> bool {
+    let addr = addr.parse::<SocketAddr>();
+    addr.is_ok_and(|addr| addr.port() != 0 && !addr.ip().is_unspecified())
+}
+
 /// Runs an I/O operation and fails if it takes longer than `limit`.
 async fn with_timeout<T>(
     limit: Duration,
