fix(fleet): compare incarnations by the number of the start request

The order of incarnations looked the run of a response up by its key, while responses are matched by the number of their request.

--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -222,7 +222,7 @@
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
         let incarnation = from.map_or(Incarnation::UNKNOWN, |(_, incarnation)| incarnation);
         let order = if incarnation.is_known() {
-            self.compare_started(id, run, incarnation, now)
+            self.compare_started(id, number, incarnation, now)
         } else {
             IncarnationOrder::Current
         };
@@ -235,7 +235,7 @@
                 return run.into_iter().for_each(|run| self.end(id, &run, how, now, out));
             }
             IncarnationOrder::Unordered if response == StartResponse::Started => {
-                return self.hold_unordered(id, run, now, out);
+                return self.hold_unordered(id, number, now, out);
             }
             IncarnationOrder::Earlier | IncarnationOrder::Unordered => {}
             IncarnationOrder::Later => self.handle_restart(id, &WorkerStatus::default(), now, out),
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -63,17 +63,17 @@
         IncarnationOrder::Later
     }
 
-    /// Compares the incarnation that responded to the start request of a run with the latest known
-    /// one, and records it if it is newer.
+    /// Compares the incarnation that responded to the start request with this number with the latest
+    /// known one, and records it if it is newer.
     pub(super) fn compare_started(
         &mut self,
         id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         incarnation: Incarnation,
         now: Time,
     ) -> IncarnationOrder {
         let Some(worker) = self.workers.get_mut(id) else { return IncarnationOrder::Current };
-        let assigned = worker.runs.iter().find(|assigned| assigned.run == *run);
+        let assigned = worker.run_of_request(number);
         let sent_to = assigned.map(|assigned| (assigned.incarnation, assigned.stage));
         if !incarnation.is_other(worker.incarnation) {
             // A request of an earlier ownership may have reached an earlier incarnation.
@@ -98,16 +98,17 @@
     pub(super) fn hold_unordered(
         &mut self,
         id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         now: Time,
         out: &mut Output,
     ) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let last_poll = worker.polls_sent;
         let is_starting = |assigned: &&mut AssignedRun| {
-            assigned.run == *run && assigned.stage == RunStage::Starting
+            assigned.request == Some(number) && assigned.stage == RunStage::Starting
         };
         let Some(assigned) = worker.runs.iter_mut().find(is_starting) else { return };
+        let run = assigned.run.clone();
         assigned.stage = RunStage::Unconfirmed { last_poll, stop_accepted: None };
         assigned.mark_restarted();
         let unwanted = assigned.stop_requested.is_some();
@@ -116,7 +117,7 @@
         }
         worker.needs_status = true;
         if unwanted {
-            push_stop(worker, run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
     }
 
