test(fleet): build the tests of earlier reports with numbered starts

Two tests named all fields of messages that have got a start number since, and did not compile. They leave the number open now, as an earlier version of an instance does.

--- a/crates/fleet/tests/earlier_reports.rs
+++ b/crates/fleet/tests/earlier_reports.rs
@@ -151,7 +151,7 @@
         front.submit(1, job(), NOW, &mut out);
         assert_eq!(grant(&mut front, 7).starts.len(), 1);
         let run = Some(Run { job: "j".to_owned(), step: 0, task: 0, run: 1 });
-        let ended = Ended { run, worker: "w".to_owned(), how: how.into(), took_ms: 9 };
+        let ended = Ended { run, worker: "w".to_owned(), how: how.into(), ..Ended::default() };
         let mut out = Output::default();
         front.ended(&id("o"), &ended, NOW, &mut out);
         assert_eq!(sent(out).asks, 1, "{how:?}");
@@ -166,7 +166,7 @@
 fn run_on_a_worker_that_is_not_open_is_not_reported_as_stopped() {
     let (mut owner, members, result) = unopened();
     let run = Run { job: "j".to_owned(), step: 0, task: 0, run: 1 };
-    let stop = Stop { run: Some(run), worker: "w".to_owned() };
+    let stop = Stop { run: Some(run), worker: "w".to_owned(), ..Stop::default() };
     let ends = |owner: &mut Owner| {
         let mut out = Output::default();
         owner.stop(&id("me"), &stop, NOW, &mut out);
