test(fleet): an end that a new owner finds after the run expired is ignored

Symptom: a task that has ended successfully runs again.

Cause: an owner is lost, its fronts give up their runs after RUN_EXPIRY, and the new owner opens the worker after that. Its report lists the end `done` of the run.

--- a/crates/fleet/tests/late_ends.rs
+++ b/crates/fleet/tests/late_ends.rs
@@ -97,3 +97,30 @@
     }
     assert!(failed.is_empty(), "{}", failed.join("; "));
 }
+
+#[test]
+fn task_whose_end_a_new_owner_finds_after_its_expiry_is_not_started_again() {
+    let mut out = Output::default();
+    let mut front = Front::new(id("me"), "a".to_owned());
+    front.set_scheduler(Some(id("s")), NOW, &mut out);
+    let job = Job {
+        name: "j".to_owned(),
+        settings: Arc::new(kind_settings()),
+        payload: "x".into(),
+        steps: vec![Step { tasks: 1, need: need(14_000), ..Step::default() }],
+        arrived: NOW,
+        deadline: NOW + Span::from_ms(60_000),
+    };
+    front.submit(1, job, NOW, &mut out);
+    assert_eq!(grant(&mut front, "w", NOW, &mut out), 1, "the first run");
+    let now = expire(&mut front, &mut out);
+    let run = Some(Run { job: "j".to_owned(), step: 0, task: 0, run: 1 });
+    let (worker, how) = ("w".to_owned(), How::Done.into());
+    let ended = vec![Ended { run, worker: worker.clone(), how, ..Ended::default() }];
+    let found = Takeover { worker, token: TOKEN + 1, ended, ..Takeover::default() };
+    front.takeover(&id("p"), &found, now, now, &mut out);
+    assert_eq!(grant(&mut front, "v", now, &mut out), 0, "the task is started again");
+    let is_completed =
+        |command: &Command| matches!(command, Command::Answer { outcome: Outcome::Completed, .. });
+    assert!(out.commands.iter().any(is_completed), "the job is not answered");
+}
