fix(fleet): accept a successful end that a new owner finds late

Symptom: a task that has ended successfully runs again.

Cause: a front that had given up a run, since its owner was lost for longer than any lease, ignored its end `done` in the new owner's report of the worker: it looked at placed runs only.

Change: such an end counts like one that an owner reports late.

task_whose_end_a_new_owner_finds_after_its_expiry_is_not_started_again failed before (one further start) and passes.

--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -149,5 +149,9 @@
         for (run, end) in ends {
             self.end_run(&run, end, now, out);
         }
+        for ended in &found.ended {
+            let Some(run) = ended.run.as_ref().map(RunKey::from) else { continue };
+            self.ended_late(from, &run, ended, now, out);
+        }
     }
 }
