test(fleet): workers of the model carry out requests of one millisecond in any order

The model did not find that a status of the same millisecond ended a run: its workers carried out one request at a time, checked held polls every 10 ms, and carried out an unanswered start either at once or seconds later. So two polls and a start almost never met in one millisecond.

Change: where a seed asks for it, workers carry out the requests of 4 to 32 ms together, in any order and by one reading of their clocks, and some starts shortly after their owner has stopped waiting. In all seeds, a run that its owner takes for gone while its worker runs it is a violation. The new decisions are drawn from a generator of their own, so that existing seeds play as before.

--- a/crates/fleet/tests/fuzz.rs
+++ b/crates/fleet/tests/fuzz.rs
@@ -1,6 +1,7 @@
 //! Guards against tasks that run twice at a time, untrue answers and callers without an answer,
 //! under random kills, power losses, pauses, clock jumps, network cuts, lost responses, late
-//! requests, worker restarts and zone drains; and against start requests that an instance with
+//! requests, requests that a worker carries out in any order, worker restarts and zone drains; and
+//! against start requests that an instance with
 //! access to the store sends to a zone long after its drain.
 
 mod world;
@@ -79,6 +80,23 @@
     run_with_rates(world, rng, odds, zones, instances, FaultSet::Full)
 }
 
+/// The same where workers carry out several requests within one millisecond, in any order, and
+/// some starts that get no response within a fraction of a second.
+fn run_batch_seed(seed: u64) -> Vec<String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (zones, instances) = (rng.usize(1..4), rng.usize(1..7));
+    // Enough workers that most jobs run at once.
+    let world = World::new(seed, zones, instances, rng.usize(4..24));
+    let odds = FaultRates {
+        answer_lost: *rng.choice(&[0, 20, 100]).expect("some"),
+        caller_leaves: *rng.choice(&[0, 100]).expect("some"),
+        start_slow: *rng.choice(&[100, 300, 600]).expect("some"),
+        batch_ms: *rng.choice(&[4, 8, 16, 32]).expect("some"),
+        ..FaultRates::default()
+    };
+    run_with_rates(world, rng, odds, zones, instances, FaultSet::Full)
+}
+
 /// Injects the faults of [`run_seed`] where connections also break on the caller's side only.
 fn run_unaware_seed(seed: u64) -> Vec<String> {
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -260,6 +278,12 @@
         .quickcheck(property as fn(Seed) -> bool);
 }
 
+/// Other seeds by hand: `FUZZ_BATCH_SEEDS=1..2000`.
+#[test]
+fn nothing_breaks_while_workers_carry_out_requests_of_one_millisecond_in_any_order() {
+    run_seeds(&range_of("FUZZ_BATCH_SEEDS").unwrap_or_else(|| "1..41".to_owned()), run_batch_seed);
+}
+
 /// Many seeds in a row, to be run by hand: `FUZZ_SEEDS=1..2000 cargo test -p cranberryhatch-fleet`.
 #[test]
 fn nothing_breaks_from_a_range_of_seeds() {
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -45,6 +45,9 @@
 const RESUME_STEP: u64 = 4;
 /// Interval at which a worker checks a poll that it holds open.
 const POLL_STEP: u64 = 10;
+/// Longest time from the timeout of a slow start until it is carried out; the first poll that its
+/// owner sends then takes up to 8 ms.
+const SLOW_START: u64 = 32;
 /// Time after which a request to a worker counts as lost.
 const RESPONSE_TIMEOUT: u64 = 200;
 
@@ -268,6 +271,12 @@
     pub caller_leaves: u32,
     /// Share of submissions whose connection breaks on the caller's side only.
     pub half_open: u32,
+    /// Share of starts that are carried out within [`SLOW_START`] after their owner counts them as
+    /// unanswered.
+    pub start_slow: u32,
+    /// Interval at which workers carry out the requests that have arrived, in any order and within
+    /// one millisecond of their clocks; 0 if each is carried out when it arrives.
+    pub batch_ms: u64,
 }
 
 /// The simulated system.
@@ -277,6 +286,9 @@
     // Delays of replicated submissions, so that the other delays of a seed do not depend on their
     // number.
     replication_rng: fastrand::Rng,
+    // Order of the requests of a batch and delays of slow starts, so that the other faults of a seed
+    // stay the same.
+    batch_rng: fastrand::Rng,
     pub instances: Vec<Instance>,
     pub workers: Vec<FakeWorker>,
     pub cut_workers: Vec<usize>,
@@ -381,6 +393,7 @@
         let mut world = Self {
             now: 1_000,
             replication_rng: fastrand::Rng::with_seed(rng.clone().u64(..)),
+            batch_rng: fastrand::Rng::with_seed(seed.rotate_left(32)),
             rng,
             instances: members.collect(),
             workers,
@@ -417,7 +430,18 @@
 
     fn schedule(&mut self, at: u64, kind: EventKind) {
         self.order += 1;
-        self.events.push(Reverse(Event { at, order: self.order, kind }));
+        let is_request = matches!(
+            kind,
+            EventKind::PollRequest { .. } | EventKind::Start { .. } | EventKind::Stop { .. }
+        );
+        let batch = self.fault_rates.batch_ms;
+        let (at, order) = if is_request && batch > 0 {
+            // After all other events of that millisecond.
+            (at.next_multiple_of(batch), self.batch_rng.u64(self.order..))
+        } else {
+            (at, self.order)
+        };
+        self.events.push(Reverse(Event { at, order, kind }));
     }
 
     fn schedule_soon(&mut self, kind: EventKind) {
@@ -459,6 +483,18 @@
         }
     }
 
+    /// Checks that a worker does not have a run that its owner takes for gone.
+    fn check_missing(&mut self, node: usize, run: &RunKey, worker: &WorkerId) {
+        let has_run = |known: &FakeWorker| {
+            known.up && known.listed.id == *worker && known.runs.iter().any(|own| own.run == *run)
+        };
+        if self.workers.iter().any(has_run) {
+            let violation =
+                format!("{}: e-{node} takes {run:?} for gone, which {worker} runs", self.now);
+            self.violations.push(violation);
+        }
+    }
+
     fn dispatch(&mut self, kind: EventKind) {
         if let Some(node) = self.paused_receiver(&kind) {
             if self.is_deliverable(&kind) {
@@ -733,7 +769,9 @@
                     self.check_incarnation(node, place, Some(lease), None);
                 }
                 let late = self.chance(self.fault_rates.request_late);
-                let lost = late || self.loses_response(node, &worker);
+                let slow = self.fault_rates.start_slow > 0
+                    && self.batch_rng.u32(0..1_000) < self.fault_rates.start_slow;
+                let lost = late || self.loses_response(node, &worker) || slow;
                 let event = EventKind::Start {
                     node,
                     generation,
@@ -757,6 +795,9 @@
                 if late {
                     let delay = self.rng.u64(2_000..12_000);
                     self.schedule(self.now + delay, event);
+                } else if slow {
+                    let delay = timeout.as_ms() + self.batch_rng.u64(0..SLOW_START);
+                    self.schedule(self.now + delay, event);
                 } else {
                     self.schedule_soon(event);
                 }
@@ -815,6 +856,9 @@
                 if matches!(event, LogEvent::WorkerDropped { cause: DropCause::Fenced, .. }) {
                     self.fences.push(self.now);
                 }
+                if let LogEvent::RunMissing { run, worker, .. } = &event {
+                    self.check_missing(node, run, worker);
+                }
                 if let LogEvent::WorkerOpened { worker, .. } = &event {
                     self.opened.push((self.now, worker.clone()));
                 }
