fix(fleet): the largest clock of a worker does not overflow the end of a lease

Symptom: a worker that reports the largest number as its clock ends the process of its owner in builds with overflow checks. In release builds the leases on it end in the past, which costs only that worker.

Cause: the end of a lease was added without saturation.

Change: the sum saturates.

Measured: the test panics with "attempt to add with overflow" without the fix and passes with it.

--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -348,7 +348,7 @@
     fn record_lease(&mut self, length: Span, now: Time) -> Option<Lease> {
         let (clock, at) = self.clock?;
         // The response took some time to arrive, so the worker's clock is ahead of this value.
-        let until = clock + now.since(at).as_ms() + length.as_ms();
+        let until = clock.saturating_add(now.since(at).as_ms()).saturating_add(length.as_ms());
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
         self.leased_at = now;
         Some(Lease { until })
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -884,3 +884,19 @@
     fixture.respond(status(&[&run_a], Vec::new()), t3, START + Span::from_ms(35), &mut out);
     assert_eq!(how(&out), [How::Done], "the second run goes on");
 }
+
+#[test]
+fn largest_clock_of_a_worker_does_not_overflow_the_end_of_a_lease() {
+    let mut fixture = Fixture::new();
+    let (clock, incarnation) = (u64::MAX, Incarnation::UNKNOWN);
+    let seen = WorkerStatus { clock, incarnation, running: Vec::new(), ended: Vec::new() };
+    fixture.poll_with(&PollResponse::Status(Box::new(seen)), START, &mut Output::default());
+    let now = START + Span::from_ms(50);
+    let mut out = Output::default();
+    fixture.owner.start(&"e-2".parse().expect("a name"), start(fixture.token, now), now, &mut out);
+    let until = out.commands.iter().find_map(|command| match command {
+        Command::StartRun { lease, .. } => Some(lease.until),
+        _ => None,
+    });
+    assert_eq!(until, Some(u64::MAX));
+}
