fix(edge): a listed address does not cut off a peer that is reachable

Symptom: a row of a running instance that another writer replaces, with another address and a large incarnation, cuts that instance off: its peers drop the link, dial the wrong address and ignore its own greetings; it and they take the workers from each other in turn.

Cause: the row with the largest incarnation replaced the address even of a linked peer, and the greeting of the peer itself, with a lower incarnation, was ignored although there was no link.

Change: the list no longer changes the address of a linked peer. The greeting of a peer without a link counts whatever its incarnation is.

--- a/crates/edge/src/links.rs
+++ b/crates/edge/src/links.rs
@@ -182,16 +182,39 @@
         }
     }
 
-    /// Adds a peer or updates its address; a link to it is kept open if either side wants one.
+    /// Adds a listed peer or updates its address; a link to it is kept open if either side wants one.
+    ///
+    /// The address of a linked peer stays: the list may be wrong, and a peer at another address
+    /// connects by itself.
     pub fn add_peer<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, hello: Hello) {
+        self.update_peer(events, hello, |peer, hello| {
+            peer.connection.is_none() && hello.incarnation >= peer.hello.incarnation
+        });
+    }
+
+    /// Adds a peer that has connected, or updates its address.
+    ///
+    /// Without a link its address counts whatever its incarnation is, since the list may be wrong.
+    fn add_connected_peer<E: LinkEvents>(self: &Arc<Self>, events: &Arc<E>, hello: Hello) {
+        self.update_peer(events, hello, |peer, hello| {
+            peer.connection.is_none() || hello.incarnation >= peer.hello.incarnation
+        });
+    }
+
+    fn update_peer<E: LinkEvents>(
+        self: &Arc<Self>,
+        events: &Arc<E>,
+        hello: Hello,
+        may_replace: impl Fn(&Peer, &Hello) -> bool,
+    ) {
         let Ok(addr) = hello.addr.parse::<SocketAddr>() else { return };
         let Ok(id) = hello.instance.parse::<InstanceId>() else { return };
         if hello.instance == self.me.instance {
             return;
         }
         let mut peers = self.peers();
-        if let Some(peer) = peers.get_mut(&id)
-            && (hello.incarnation < peer.hello.incarnation || peer.addr == addr)
+        if let Some(peer) = peers.get(&id)
+            && (peer.addr == addr || !may_replace(peer, &hello))
         {
             return;
         }
@@ -329,7 +352,7 @@
     ) {
         let Ok((hello, peer_stream)) = PeerStream::open(stream.clone()).await else { return };
         let Ok(id) = hello.instance.parse::<InstanceId>() else { return };
-        self.add_peer(&events, hello.clone());
+        self.add_connected_peer(&events, hello.clone());
         let answer = encode(Body::Hello(self.me.clone()));
         let nodelay = stream.set_nodelay(true);
         let answered = with_timeout(WRITE_TIMEOUT, stream.write_all(&answer)).await;
--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -290,3 +290,23 @@
         assert!(each <= INSTANCE_MEMORY / LINKED, "{each} bytes for each end of a link");
     });
 }
+
+#[test]
+fn listed_address_does_not_cut_a_peer_off() {
+    run_test(async |executor| {
+        let all = instances(&executor, 2).await;
+        wait_until("the link is up", || all_up(&all)).await;
+        let (id, peer): (InstanceId, InstanceId) =
+            ("e-0".parse().expect("a name"), "e-1".parse().expect("a name"));
+        all[0].links.set_wanted(vec![peer]);
+        // Nothing listens at port 1.
+        let (incarnation, addr) = (u64::MAX, "127.0.0.1:1".to_owned());
+        let listed = Hello { incarnation, addr, ..all[0].links.me().clone() };
+        all[1].links.add_peer(&all[1].log, listed.clone());
+        assert!(all_up(&all), "the link stays up");
+        all[1].links.reset(&all[1].log, &id);
+        all[1].links.add_peer(&all[1].log, listed);
+        wait_until("the link is down", || !all_up(&all)).await;
+        wait_until("the link is back", || all_up(&all)).await;
+    });
+}
