fix(fleet): a late end of another run does not release a reported reservation

Symptom: a task is granted while its run is on a worker, and the capacity of that run is given to other tasks until its owner reports it again.

Cause: the scheduler released reservations by the task alone. The refusal or the end of an earlier run, which a former owner of the worker reports late, released the run that the current owner has reported, and so did a front's notice that its start there was refused.

Ruled out: reports of one owner, which arrive in order on a link.

Change: a reservation remembers the number of the run that its owner has reported. An end of another run does not release it, nor does a grant that counts as unused. Grants that no owner has reported yet have no number and are released as before, and so are equal numbers of two submissions.

--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -268,7 +268,7 @@
             probes.finish(worker, None, now);
         }
         let known = self.workers.update(worker, |worker| {
-            worker.release(task);
+            worker.release_grant(task);
             if refused {
                 worker.learn(How::NoRoom, Span::ZERO, Span::ZERO, false, now);
             }
@@ -323,7 +323,7 @@
                 if span > Span::ZERO {
                     left.push((key.task.clone(), span));
                 }
-                Some((key.task, Need::from(&held.need?)))
+                Some((key, Need::from(&held.need?)))
             });
             let held: Vec<_> = held.collect();
             self.workers.update(&id, |worker| {
@@ -384,7 +384,10 @@
     pub fn run_ended(&mut self, freed: &Freed, now: Time) {
         let Some(run) = freed.run.as_ref().map(RunKey::from) else { return };
         let Ok(worker) = freed.worker.parse::<WorkerId>() else { return };
-        self.orphans.retain(|orphan| orphan.worker != worker || orphan.task != run.task);
+        let has_other = self.workers.get(&worker).is_some_and(|worker| worker.has_other_run(&run));
+        if !has_other {
+            self.orphans.retain(|orphan| orphan.worker != worker || orphan.task != run.task);
+        }
         let how = freed.how();
         let took = Span::from_ms(freed.took_ms.into());
         let is_timed = !freed.kind.is_empty();
@@ -409,7 +412,9 @@
         let expected = Span::from_ms(freed.expected_ms.into());
         let known = self.workers.update(&worker, |worker| {
             let was_slow = worker.is_known_slow(now);
-            worker.release(&run.task);
+            if !has_other {
+                worker.release(&run.task);
+            }
             if how == How::Done && is_timed && !tells {
                 worker.clear_failures();
             } else if is_timed {
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{Cores, InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Incarnation, ListedWorker, Need, PEER_TIMEOUT, RUN_LIFETIME, TaskKey,
+    Incarnation, ListedWorker, Need, PEER_TIMEOUT, RUN_LIFETIME, RunKey, TaskKey,
     members::text_hash,
     run_stats::WorkerStats,
     speed::{ClassSpeeds, SlownessLevel, SpeedEstimate},
@@ -57,8 +57,8 @@
     // Expected end and the run time from which it was derived; `None` if unknown.
     end: Option<(Time, Span)>,
     run: Option<GrantedRun>,
-    // Whether the owner has reported it.
-    reported: bool,
+    // Number of the run that the owner has reported, if it has.
+    reported: Option<u32>,
 }
 
 /// A run that this scheduler granted.
@@ -334,7 +334,7 @@
 
     /// Reserves capacity for a task.
     pub fn grant(&mut self, task: TaskKey, need: Need, now: Time) {
-        let reported = false;
+        let reported = None;
         self.reservations.push(Reservation { task, need, at: now, end: None, run: None, reported });
         self.update_free();
     }
@@ -347,7 +347,7 @@
             at: run.since,
             end: None,
             run: Some(run),
-            reported: false,
+            reported: None,
         });
         self.update_free();
     }
@@ -363,7 +363,7 @@
     #[must_use]
     pub fn holds(&self, task: &TaskKey, grants: bool) -> bool {
         let holds = |reservation: &Reservation| {
-            (grants || reservation.reported) && reservation.task == *task
+            (grants || reservation.reported.is_some()) && reservation.task == *task
         };
         self.reservations.iter().any(holds)
             || grants && self.unused.iter().any(|(unused, _)| unused == task)
@@ -383,29 +383,49 @@
         self.update_free();
     }
 
+    /// Returns whether the owner has reported another run of the same task, so that an end of this
+    /// one is one that a former owner reports late.
+    #[must_use]
+    pub fn has_other_run(&self, run: &RunKey) -> bool {
+        let is_other = |reservation: &Reservation| {
+            reservation.task == run.task && reservation.reported.is_some_and(|own| own != run.run)
+        };
+        self.reservations.iter().any(is_other)
+    }
+
+    /// Releases the capacity that was granted to a task and not used, unless the owner has reported
+    /// a run of it.
+    pub fn release_grant(&mut self, task: &TaskKey) {
+        if !self.holds(task, false) {
+            self.release(task);
+        }
+    }
+
     /// Applies the owner's report of the runs on the worker, and keeps recent grants that have not
     /// reached the owner yet.
-    pub fn apply_report(&mut self, held: Vec<(TaskKey, Need)>, now: Time) {
+    pub fn apply_report(&mut self, held: Vec<(RunKey, Need)>, now: Time) {
         // The report includes the capacity that is free since the last refusal.
         self.paused_until = if self.pause_count == 0 { Time::ZERO } else { self.paused_until };
         let old = now - UNUSED_AFTER;
         let before = std::mem::take(&mut self.reservations);
         let on_way = |reservation: &&Reservation| {
             now.since(reservation.at) < UNUSED_AFTER
-                && !held.iter().any(|(task, _)| *task == reservation.task)
+                && !held.iter().any(|(run, _)| run.task == reservation.task)
         };
         self.reservations = before.iter().filter(on_way).cloned().collect();
-        let unused =
-            before.iter().filter(|reservation| !reservation.reported && !on_way(reservation));
+        let unused = before
+            .iter()
+            .filter(|reservation| reservation.reported.is_none() && !on_way(reservation));
         self.unused.extend(unused.map(|reservation| (reservation.task.clone(), reservation.at)));
         self.unused.retain(|(task, granted_at)| {
-            now.since(*granted_at) < START_EXPIRY && !held.iter().any(|(held, _)| held == task)
+            now.since(*granted_at) < START_EXPIRY
+                && !held.iter().any(|(held, _)| held.task == *task)
         });
-        self.reservations.extend(held.into_iter().map(|(task, need)| {
+        self.reservations.extend(held.into_iter().map(|(RunKey { task, run: number }, need)| {
             let known = before.iter().find(|reservation| reservation.task == task);
             let (end, run) =
                 known.map_or((None, None), |reservation| (reservation.end, reservation.run));
-            Reservation { task, need, at: old, end, run, reported: true }
+            Reservation { task, need, at: old, end, run, reported: Some(number) }
         }));
         self.update_free();
     }
--- a/crates/fleet/tests/withheld.rs
+++ b/crates/fleet/tests/withheld.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{listed, need};
-use cranberryhatch_fleet::{Command, Message, Output, Scheduler, WorkerList};
+use cranberryhatch_fleet::{Command, Message, Output, RunKey, Scheduler, WorkerList};
 use cranberryhatch_schema::fleet::{Ask, Freed, Held, How, LostRun, Room, Rooms, Run};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -69,6 +69,12 @@
     out.commands.iter().filter(is_grant).count()
 }
 
+/// Returns the end of a run of the task on the busy worker.
+fn freed(number: u32, how: How) -> Freed {
+    let (run, worker) = (Some(Run { run: number, ..run() }), "busy".to_owned());
+    Freed { run, worker, how: how.into(), ..Freed::default() }
+}
+
 /// Returns the losses that a front was told.
 fn losses(out: &Output, front: &str) -> usize {
     let losses = out.commands.iter().filter_map(|command| match command {
@@ -144,3 +150,54 @@
         }
     }
 }
+
+#[test]
+fn late_report_of_another_run_does_not_release_a_run_that_its_owner_has_reported() {
+    // Guards against a second run of a task whose reservation a former owner's refusal releases.
+    struct Case {
+        name: &'static str,
+        report: fn(&mut Scheduler),
+        grants: usize,
+    }
+    let cases = [
+        Case {
+            name: "refusal of an earlier run",
+            report: |scheduler| scheduler.run_ended(&freed(1, How::NoRoom), NOW),
+            grants: 0,
+        },
+        Case {
+            name: "end of an earlier run",
+            report: |scheduler| scheduler.run_ended(&freed(1, How::Stopped), NOW),
+            grants: 0,
+        },
+        Case {
+            name: "refused start",
+            report: |scheduler| {
+                let (worker, task) = ("busy".parse().expect("an id"), RunKey::from(&run()).task);
+                scheduler.release_unused(&worker, &task, true, NOW);
+            },
+            grants: 0,
+        },
+        Case {
+            name: "end of the run",
+            report: |scheduler| scheduler.run_ended(&freed(2, How::Stopped), NOW),
+            grants: 1,
+        },
+    ];
+    for Case { name, report: send, grants: expected } in cases {
+        let mut scheduler = Scheduler::default();
+        let mut out = Output::default();
+        let held = Held {
+            run: Some(Run { run: 2, ..run() }),
+            need: Some((&need(14_000)).into()),
+            left_ms: 3_000,
+            front: "e-1".to_owned(),
+            age_ms: None,
+        };
+        report(&mut scheduler, vec![held], Vec::new(), NOW);
+        scheduler.handle_ask(&id("e-1"), Ask { begun: true, ..ask(0) }, NOW, &mut out);
+        send(&mut scheduler);
+        scheduler.schedule(NOW, true, &mut out);
+        assert_eq!(grants(&out), expected, "{name}");
+    }
+}
