fix(fleet): a run does not count as gone while a worker has further ends to list

Symptom: a task that is done counts as stopped and is run again.

Cause: a worker lists at most 500 ends at a time. A run whose end is not among them is neither listed as running nor as ended, which counts as gone.

Change: no run counts as gone by a status with that many ends. The next poll acknowledges them and gets the rest.

Ruled out for ordinary load: a worker has tens of runs and is polled when one ends, so no status of the model had that many. A new owner that finds so many ends when it opens a worker still takes the runs of the rest for gone; that is not covered.

run_whose_end_is_not_listed_yet_does_not_count_as_gone failed ([Stopped]) and passes, as do the other tests of owner, late_responses and incarnations.

--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -15,6 +15,9 @@
     worker::{Ownership, likely_cause, loss_of},
 };
 
+/// Maximum number of ends in a status; a worker lists further ones once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 impl Owner {
     /// Handles the result of a poll.
     pub fn handle_poll_result(
@@ -140,8 +143,9 @@
             |assigned: &&AssignedRun| assigned.predates_restart && !is_listed(&assigned.run);
         let cause = likely_cause(worker.runs.iter().filter(ended_before));
         let draining = worker.listed.draining;
+        let may_list_more = status.ended.len() >= MAX_LISTED_ENDS;
         for assigned in &mut worker.runs {
-            if is_listed(&assigned.run) {
+            if may_list_more || is_listed(&assigned.run) {
                 continue;
             }
             if assigned.is_gone(poll) {
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -744,6 +744,25 @@
     }
 }
 
+#[test]
+fn run_whose_end_is_not_listed_yet_does_not_count_as_gone() {
+    // Guards against a run that is done and counts as stopped: a worker lists 500 ends at a time.
+    let mut out = Output::default();
+    let (mut fixture, run) = Fixture::with_run(StartResponse::Started, &mut out);
+    let at = |ms: u64| START + Span::from_ms(ms);
+    let other = RunKey::from(&Run { job: "k".to_owned(), step: 0, task: 0, run: 1 });
+    let status = |clock: Time, ended: Vec<End>| {
+        let status = WorkerStatus { clock: clock.as_ms(), ended, ..WorkerStatus::default() };
+        PollResponse::Status(Box::new(status))
+    };
+    let end = |number: u64, run: &RunKey| End { number, run: run.clone(), how: RunEnd::Done };
+    let first = (1..=500).map(|number| end(number, &other)).collect();
+    fixture.poll_with(&status(at(10), first), at(10), &mut out);
+    assert_eq!(how(&out), [], "further ends may follow");
+    fixture.poll_with(&status(at(20), vec![end(501, &run)]), at(20), &mut out);
+    assert_eq!(how(&out), [How::Done]);
+}
+
 #[test]
 fn unconfirmed_start_is_kept_until_the_last_lease_cannot_take_effect() {
     // Guards against a second run where a delayed poll renews the lease of a run that started late.
