--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -144,7 +144,7 @@
                 let options = PollOptions { acked, lease, wait, new_connection };
                 self.spawn_poll(WorkerRequest { worker, token, timeout }, options, now);
             }
-            Command::StartRun { worker, token, timeout, run, payload, lease } => {
+            Command::StartRun { number, worker, token, timeout, run, payload, lease } => {
                 let edge = Arc::clone(self);
                 let start = async move {
                     let id = worker.id.clone();
@@ -156,19 +156,19 @@
                             edge.platform.start(request, &run, &payload, lease).await
                         };
                     edge.with_node(|node, now, out| {
-                        node.handle_start_response_from(&id, &run, response, responder, now, out);
+                        node.handle_start_response_from(&id, number, response, responder, now, out);
                     });
                 };
                 self.executor.spawn(start).detach();
             }
-            Command::StopRun { worker, token, timeout, run } => {
+            Command::StopRun { number, worker, token, timeout, run } => {
                 let edge = Arc::clone(self);
                 let stop = async move {
                     let id = worker.id.clone();
                     let accepted =
                         edge.platform.stop(WorkerRequest { worker, token, timeout }, &run).await;
                     edge.with_node(|node, now, out| {
-                        node.handle_stop_response(&id, &run, accepted, now, out);
+                        node.handle_stop_response_to(&id, &run, number, accepted, now, out);
                     });
                 };
                 self.executor.spawn(stop).detach();
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -49,6 +49,8 @@
     losses: LossLedger,
     // Jobs with tasks for which capacity is requested again at the next review of the losses.
     requeued: Vec<String>,
+    // Number of starts that were sent.
+    starts_sent: u64,
 }
 
 impl Front {
@@ -56,7 +58,16 @@
     #[must_use]
     pub fn new(me: InstanceId, zone: String) -> Self {
         let (jobs, losses) = (VecMap::default(), LossLedger::default());
-        Self { me, zone, jobs, scheduler: None, heard: None, losses, requeued: Vec::new() }
+        Self {
+            me,
+            zone,
+            jobs,
+            scheduler: None,
+            heard: None,
+            losses,
+            requeued: Vec::new(),
+            starts_sent: 0,
+        }
     }
 
     /// Submits a job. A job that is already known gets the new caller, and the previous one an
@@ -204,6 +215,7 @@
                     lost_since,
                     claimed,
                     incarnation: Incarnation::new(place.born_ms),
+                    start_number: self.starts_sent + 1,
                 };
                 self.start(&key, placed, seen, now, out)
             });
@@ -253,6 +265,7 @@
             let run = RunKey { task: key.clone(), run: state.run + 1 };
             out.log(restart_event(run, &placed, previous, now));
         }
+        self.starts_sent = placed.start_number;
         state.place(placed);
         let state = state.clone();
         let start = start_message(&active.job, key, &state, seen, now);
@@ -294,10 +307,13 @@
         let Some(run) = ended.run.as_ref().map(RunKey::from) else { return };
         let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
         let Some(state) = active.task(&run.task) else { return };
-        let Phase::Placed(place) = &state.phase else { return };
+        let Phase::Placed(place) = &state.phase else {
+            return self.ended_late(from, &run, ended, now, out);
+        };
         // Run numbers start anew with each submission, so an earlier submission may have had a run
-        // of the same number on another worker.
-        if place.worker.as_str() != ended.worker {
+        // of the same number.
+        let is_start = ended.start_number == 0 || ended.start_number == place.start_number;
+        if place.worker.as_str() != ended.worker || !is_start {
             return;
         }
         // A previous owner may consider a run ended whose lease the current owner has extended.
@@ -311,6 +327,40 @@
         self.end_run(&run, EndReport { cause, how, reporter, worker }, now, out);
     }
 
+    /// Handles the successful end of a run that had counted as ended, if its task has not been
+    /// started again.
+    fn ended_late(
+        &mut self,
+        from: &InstanceId,
+        run: &RunKey,
+        ended: &Ended,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(active) = self.jobs.get_mut(&run.task.job) else { return };
+        if active.closing_since.is_some() || ended.how() != How::Done {
+            return;
+        }
+        let Some(state) = active.task(&run.task) else { return };
+        let is_waiting = matches!(state.phase, Phase::Ready | Phase::Requested);
+        let Some(previous) =
+            state.previous.take_if(|previous| is_waiting && previous.is_of(run, ended))
+        else {
+            return;
+        };
+        out.log(LogEvent::EndedLate {
+            run: run.clone(),
+            worker: previous.worker,
+            reporter: from.clone(),
+            cause: previous.end.cause,
+            since: now.since(previous.ended_at),
+        });
+        // Capacity that was requested is returned when it is granted.
+        state.phase = Phase::Done;
+        self.request_capacity(&run.task.job, now, out);
+        self.finish(&run.task.job, now, out);
+    }
+
     fn end_run(&mut self, run: &RunKey, end: EndReport, now: Time, out: &mut Output) {
         let name = &run.task.job;
         let Some(active) = self.jobs.get_mut(name) else { return };
@@ -326,7 +376,9 @@
         let worker = end.worker.clone();
         if let (Phase::Placed(place), true) = (&phase, how != How::Done) {
             let (worker, owner) = (place.worker.clone(), place.owner.clone());
-            let previous = PreviousRun { run: run.run, worker, owner, end, ended_at: now };
+            let start_number = place.start_number;
+            let previous =
+                PreviousRun { run: run.run, worker, start_number, owner, end, ended_at: now };
             state.previous = Some(Box::new(previous));
         }
         match how {
@@ -703,6 +755,7 @@
         seen_ms: seen.as_ms(),
         due_ms: place.due.map_or(0, |due| to_u32(due.since(place.requested_at).as_ms())),
         age_ms: Some(to_u32(now.since(job.arrived).as_ms())),
+        start_number: place.start_number,
     })
 }
 
@@ -719,7 +772,8 @@
 fn stop(key: &TaskKey, state: &TaskState, out: &mut Output) {
     let Phase::Placed(place) = &state.phase else { return };
     let run = RunKey { task: key.clone(), run: state.run };
-    let stop = Stop { run: Some((&run).into()), worker: place.worker.to_string() };
+    let (worker, start_number) = (place.worker.to_string(), place.start_number);
+    let stop = Stop { run: Some((&run).into()), worker, start_number };
     out.send(&place.owner, Message::Stop(stop));
 }
 
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -61,6 +61,7 @@
                 }
                 let said = relinked.ended.iter().find(|ended| {
                     ended.worker == place.worker.as_str()
+                        && (ended.start_number == 0 || ended.start_number == place.start_number)
                         && ended.run.as_ref().is_some_and(|known| RunKey::from(known) == run)
                 });
                 // The run may still be running if the claim of a run that the owner found was lost,
@@ -130,7 +131,7 @@
                 // The worker accepts requests of the new owner only, so a run that is not there
                 // cannot start any more. It may have run and ended without its report reaching this
                 // front.
-                let has_restarted = Incarnation::new(found.born_ms).is_after(place.incarnation);
+                let has_restarted = Incarnation::new(found.born_ms).is_other(place.incarnation);
                 // The worker may have restarted after the run had ended.
                 let loss = if has_restarted { How::Lost } else { How::Stopped };
                 let (cause, how) = match said {
@@ -148,5 +149,9 @@
         for (run, end) in ends {
             self.end_run(&run, end, now, out);
         }
+        for ended in &found.ended {
+            let Some(run) = ended.run.as_ref().map(RunKey::from) else { continue };
+            self.ended_late(from, &run, ended, now, out);
+        }
     }
 }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -81,6 +81,8 @@
     wall_ms: u64,
     // Workers that another instance has taken over, with the time.
     fenced_at: VecMap<WorkerId, Time>,
+    // Number of start and stop requests that were sent, which identifies their responses.
+    requests_sent: u64,
     // Start requests that were in flight when their worker was dropped.
     abandoned_starts: Vec<(WorkerId, AssignedRun)>,
     // Opened workers without runs that have not been announced to the fronts.
@@ -114,6 +116,7 @@
             last_token_ms: 0,
             wall_ms: 0,
             fenced_at: VecMap::default(),
+            requests_sent: 0,
             abandoned_starts: Vec::new(),
             opened_idle: Vec::new(),
             reconnects: Reconnects::default(),
@@ -169,10 +172,11 @@
                 continue;
             };
             if worker.listed != *listed {
-                if listed.incarnation.is_after(worker.incarnation) {
+                let is_new = listed.incarnation != worker.listed.incarnation;
+                if is_new && listed.incarnation.is_other(worker.incarnation) {
                     // The worker may have restarted, so it is polled at once.
                     worker.polled_at = Time::ZERO;
-                    worker.poll = None;
+                    worker.forget_poll();
                 }
                 worker.listed = listed.clone();
                 self.unreported.push(id.clone());
@@ -215,7 +219,7 @@
     ) {
         if !assigned.is_claimed() {
             for peer in &self.peers {
-                out.send(peer, Message::Ended(ended_message(&assigned.run, worker, how, took)));
+                out.send(peer, Message::Ended(end_of(assigned, worker, how, took)));
             }
         }
         send_end(assigned, worker, how, took, out);
@@ -257,7 +261,7 @@
         self.record_loss(id, &assigned, how, now);
         self.reconnects.record_end(
             &assigned.front,
-            &ended_message(&assigned.run, id.as_str(), how, took),
+            &end_of(&assigned, id.as_str(), how, took),
             now,
         );
         self.notify_end(&assigned, id.as_str(), how, took, out);
@@ -345,13 +349,20 @@
 }
 
 fn push_stop(
-    worker: &Worker,
+    worker: &mut Worker,
     run: &RunKey,
     response_times: &ResponseTimes,
+    requests_sent: &mut u64,
     now: Time,
     out: &mut Output,
 ) {
+    *requests_sent += 1;
+    let number = *requests_sent;
+    if let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == *run) {
+        assigned.first_stop.get_or_insert(number);
+    }
     out.commands.push(Command::StopRun {
+        number,
         worker: Box::new(ListedWorker::clone(&worker.listed)),
         token: worker.token,
         timeout: worker.request_timeout(response_times, now),
@@ -367,17 +378,18 @@
     }
 }
 
-fn ended_message(run: &RunKey, worker: &str, how: How, took: Span) -> Ended {
+fn end_of(assigned: &AssignedRun, worker: &str, how: How, took: Span) -> Ended {
     Ended {
-        run: Some(run.into()),
+        run: Some((&assigned.run).into()),
         worker: worker.to_owned(),
         how: how.into(),
         took_ms: to_u32(took),
+        start_number: assigned.start_number,
     }
 }
 
 fn send_end(assigned: &AssignedRun, worker: &str, how: How, took: Span, out: &mut Output) {
-    out.send(&assigned.front, Message::Ended(ended_message(&assigned.run, worker, how, took)));
+    out.send(&assigned.front, Message::Ended(end_of(assigned, worker, how, took)));
 }
 
 fn to_u32(span: Span) -> u32 {
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -35,18 +35,19 @@
         }
         // A late response to an earlier poll can show as well that the worker has restarted.
         let order = match &response {
-            PollResponse::Status(status) => self.compare_incarnation(id, status.incarnation),
+            PollResponse::Status(status) => self.compare_polled(id, status.incarnation, at, now),
             _ => IncarnationOrder::Current,
         };
         if let (IncarnationOrder::Later, PollResponse::Status(status)) = (order, &response) {
             self.handle_restart(id, status, now, out);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let Some(poll) =
-            poll.filter(|_| worker.token == token && order != IncarnationOrder::Earlier)
-        else {
+        if order == IncarnationOrder::Unordered {
+            // A poll that is sent from now on tells which incarnation is the later one.
+            worker.polled_at = Time::ZERO;
             return;
-        };
+        }
+        let Some(poll) = poll.filter(|_| worker.token == token) else { return };
         if matches!(worker.ownership, Ownership::Probing { .. }) {
             return self.handle_probe_response(id, poll, &response, now, out);
         }
@@ -176,7 +177,7 @@
             assigned.duration_unknown |= gap && ends.iter().any(|(run, _)| *run == assigned.run);
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         for (run, how) in ends {
             self.end(id, &run, how, now, out);
@@ -202,7 +203,7 @@
             stops.push(assigned.run.clone());
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         self.run_stats.forget(id);
         self.unreported.push(id.clone());
@@ -243,7 +244,7 @@
             }
         }
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
     }
 
@@ -326,7 +327,8 @@
                     busy || worker.unresponsive || worker.missed_polls > 0 || idle
                 }
             };
-            let same = worker.extra_poll.is_some_and(|poll| poll.sent_at == now);
+            let same = worker.extra_poll.is_some_and(|poll| poll.sent_at == now)
+                || worker.forgotten_poll == Some(now);
             if !due
                 || same
                 || (worker.unresponsive && now.since(worker.polled_at) < UNRESPONSIVE_POLL_INTERVAL)
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -1,11 +1,10 @@
 //! Start and stop requests of the fronts, and the responses of workers to them.
 
-use cranberryhatch_schema::fleet::{How, Start, Stop};
+use cranberryhatch_schema::fleet::{Ended, How, Start, Stop};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
-    LOST_STOP_RETRY_DELAY, Owner, STOP_RETRY_DELAY, ended_message, push_stop,
-    restart::IncarnationOrder, send_end,
+    LOST_STOP_RETRY_DELAY, Owner, STOP_RETRY_DELAY, push_stop, restart::IncarnationOrder, send_end,
 };
 use crate::{
     AssignedRun, Command, DeferredStart, Incarnation, Output, ResponseTimes, RunKey, StartResponse,
@@ -40,7 +39,11 @@
         };
         // Run numbers start anew with each submission, so another front may have an equal run.
         let is_known = |worker: &Worker| {
-            worker.all_runs().any(|known| known.run == assigned.run && known.is_of(front))
+            worker.all_runs().any(|known| {
+                known.run == assigned.run
+                    && known.is_of(front)
+                    && known.start_number == assigned.start_number
+            })
         };
         if self.workers.get(&id).is_some_and(is_known) {
             return;
@@ -59,6 +62,8 @@
         out: &mut Output,
     ) -> Option<DeferredStart> {
         let response_times = self.response_times;
+        self.requests_sent += 1;
+        let number = self.requests_sent;
         let DeferredStart { mut assigned, start } = deferred;
         let (lease, worker) = match self.reserve(id, &assigned, &start, now) {
             Ok(placed) => placed,
@@ -69,6 +74,7 @@
             }
         };
         out.commands.push(Command::StartRun {
+            number,
             worker: Box::new(worker.listed.clone()),
             token: worker.token,
             timeout: worker.request_timeout(&response_times, now),
@@ -77,6 +83,7 @@
             lease,
         });
         assigned.incarnation = worker.incarnation;
+        assigned.request = Some(number);
         assigned.sent_at = now;
         worker.runs.push(assigned);
         self.restarts.earn();
@@ -165,7 +172,8 @@
         }
     }
 
-    /// Handles the response to a start request of a worker whose incarnation is unknown.
+    /// Handles the response to the earliest unanswered start request for a run on a worker whose
+    /// incarnation is unknown.
     pub fn handle_start_response(
         &mut self,
         id: &WorkerId,
@@ -175,9 +183,18 @@
         now: Time,
         out: &mut Output,
     ) {
+        let abandoned = self.abandoned_starts.iter().filter(|(worker, _)| worker == id);
+        let worker = self.workers.get(id);
+        let kept = worker.into_iter().flat_map(|worker| &worker.runs);
+        let mut sent = abandoned.map(|(_, assigned)| assigned).chain(kept);
+        let Some(number) =
+            sent.find(|assigned| assigned.run == *run).and_then(|assigned| assigned.request)
+        else {
+            return;
+        };
         self.handle_start_response_from(
             id,
-            run,
+            number,
             response,
             clock.map(|clock| (clock, Incarnation::UNKNOWN)),
             now,
@@ -185,25 +202,27 @@
         );
     }
 
-    /// Handles the response to a start request; `from` is the clock and the incarnation of the
-    /// worker.
+    /// Handles the response to the start request with this number; `from` is the clock and the
+    /// incarnation of the worker.
     pub fn handle_start_response_from(
         &mut self,
         id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         response: StartResponse,
         from: Option<(u64, Incarnation)>,
         now: Time,
         out: &mut Output,
     ) {
-        if self.handle_abandoned_response(id, run, response, out) {
+        if self.handle_abandoned_response(number, response, out) {
             return;
         }
-        let sent = self.workers.get(id).and_then(|worker| worker.start_sent_at(run));
+        let started = self.workers.get(id).and_then(|worker| worker.run_of_request(number));
+        let run = started.map(|assigned| assigned.run.clone());
+        let sent = started.map(|assigned| assigned.sent_at);
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
         let incarnation = from.map_or(Incarnation::UNKNOWN, |(_, incarnation)| incarnation);
         let order = if incarnation.is_known() {
-            self.compare_incarnation(id, incarnation)
+            self.compare_started(id, number, incarnation, now)
         } else {
             IncarnationOrder::Current
         };
@@ -213,19 +232,22 @@
                 // The run ended with that incarnation.
                 let draining = self.workers.get(id).is_some_and(|worker| worker.listed.draining);
                 let how = if draining { How::Stopped } else { How::Crashed };
-                return self.end(id, run, how, now, out);
+                return run.into_iter().for_each(|run| self.end(id, &run, how, now, out));
+            }
+            IncarnationOrder::Unordered if response == StartResponse::Started => {
+                return self.hold_unordered(id, number, now, out);
             }
-            IncarnationOrder::Earlier => {}
+            IncarnationOrder::Earlier | IncarnationOrder::Unordered => {}
             IncarnationOrder::Later => self.handle_restart(id, &WorkerStatus::default(), now, out),
         }
         let worker = self.workers.get(id);
         if response == StartResponse::Fenced && worker.is_some_and(Worker::is_unopened) {
             // The worker has restarted and already accepts the token under which it is opened
             // again.
-            return self.end(id, run, How::NoRoom, now, out);
+            return run.into_iter().for_each(|run| self.end(id, &run, How::NoRoom, now, out));
         }
         // Leases would be too long by the clock of an earlier incarnation.
-        let is_current = order != IncarnationOrder::Earlier
+        let is_current = matches!(order, IncarnationOrder::Current | IncarnationOrder::Later)
             && (incarnation.is_known()
                 || worker.is_none_or(|worker| !worker.incarnation.is_known()));
         let clock = from.filter(|_| is_current).map(|(clock, _)| clock);
@@ -234,7 +256,7 @@
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
         let predates_restart =
-            worker.runs.iter().any(|assigned| assigned.run == *run && assigned.predates_restart);
+            worker.run_of_request(number).is_some_and(|assigned| assigned.predates_restart);
         // The response to a request that was sent before a restart may come from either
         // incarnation. If this response is what shows the restart, no other clock is known.
         if let Some(clock) = clock.filter(|_| !predates_restart || !worker.has_clock()) {
@@ -244,9 +266,9 @@
             self.response_times
                 .record_response(sent.filter(|_| !was_paused).map(|sent| now.since(sent)));
         }
-        let Some(index) = worker.runs.iter().position(|assigned| assigned.run == *run) else {
-            return;
-        };
+        let is_started = |assigned: &AssignedRun| assigned.request == Some(number);
+        let Some(index) = worker.runs.iter().position(is_started) else { return };
+        let run = &worker.runs[index].run.clone();
         match response {
             StartResponse::Started => {
                 let last_poll = worker.polls_sent;
@@ -255,7 +277,7 @@
                 assigned.duration_unknown = was_paused;
                 if assigned.stop_requested.is_some() {
                     assigned.stop_requested = Some(now);
-                    push_stop(worker, run, &self.response_times, now, out);
+                    push_stop(worker, run, &self.response_times, &mut self.requests_sent, now, out);
                 }
             }
             StartResponse::NoResponse => {
@@ -294,7 +316,14 @@
                 worker.needs_status = true;
                 if let (true, Some(run)) = (unwanted, run) {
                     worker.runs[index].stop_requested = Some(now);
-                    push_stop(worker, &run, &self.response_times, now, out);
+                    push_stop(
+                        worker,
+                        &run,
+                        &self.response_times,
+                        &mut self.requests_sent,
+                        now,
+                        out,
+                    );
                 }
             }
             StartResponse::Fenced => {
@@ -333,7 +362,13 @@
             if worker.ownership == Ownership::Open || is_of_another {
                 // Start requests arrive in order on a link, so either this run's start request or
                 // the report of its end was lost with an earlier link.
-                let ended = ended_message(&run, &stop.worker, How::Stopped, Span::ZERO);
+                let ended = Ended {
+                    run: Some((&run).into()),
+                    worker: stop.worker.clone(),
+                    how: How::Stopped.into(),
+                    took_ms: 0,
+                    start_number: stop.start_number,
+                };
                 out.send(front, Message::Ended(ended));
             }
             return;
@@ -342,7 +377,7 @@
         if assigned.stop_requested.is_none() {
             assigned.stop_requested = Some(now);
             if assigned.stage != RunStage::Starting {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
     }
@@ -368,12 +403,12 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
     }
 
-    /// Handles the response to a stop request.
+    /// Handles the response to a stop request for a run that a worker has now.
     pub fn handle_stop_response(
         &mut self,
         id: &WorkerId,
@@ -381,6 +416,23 @@
         accepted: bool,
         now: Time,
         out: &mut Output,
+    ) {
+        let runs = self.workers.get(id).map(|worker| worker.runs.as_slice()).unwrap_or_default();
+        let sent = runs.iter().find(|assigned| assigned.run == *run);
+        if let Some(number) = sent.and_then(|assigned| assigned.first_stop) {
+            self.handle_stop_response_to(id, run, number, accepted, now, out);
+        }
+    }
+
+    /// Handles the response to the stop request with this number.
+    pub fn handle_stop_response_to(
+        &mut self,
+        id: &WorkerId,
+        run: &RunKey,
+        number: u64,
+        accepted: bool,
+        now: Time,
+        out: &mut Output,
     ) {
         let sent = self.workers.get(id).and_then(|worker| worker.stop_sent_at(run));
         let was_paused = sent.is_some_and(|sent| self.paused_since(sent, now));
@@ -392,9 +444,11 @@
             worker.timed_out_at = Some(now);
         }
         let last_poll = worker.polls_sent;
-        let Some(assigned) = worker.runs.iter_mut().find(|assigned| assigned.run == *run) else {
-            return;
+        // An equal run of another submission, or the worker before a restart, may have been stopped.
+        let is_stopped = |assigned: &&mut AssignedRun| {
+            assigned.run == *run && assigned.first_stop.is_some_and(|first| number >= first)
         };
+        let Some(assigned) = worker.runs.iter_mut().find(is_stopped) else { return };
         let (worker_id, request) = (id.clone(), RequestKind::Stop);
         if !accepted {
             let waited = sent.map_or(Span::ZERO, |sent| now.since(sent));
@@ -449,7 +503,7 @@
                 }
             }
             for run in stops {
-                push_stop(worker, &run, &self.response_times, now, out);
+                push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
             }
         }
         if stopped > 0 {
@@ -464,15 +518,13 @@
     /// If the worker rejected the run, no one else reports that it never started.
     pub(super) fn handle_abandoned_response(
         &mut self,
-        id: &WorkerId,
-        run: &RunKey,
+        number: u64,
         response: StartResponse,
         out: &mut Output,
     ) -> bool {
-        let same =
-            |(worker, assigned): &(WorkerId, AssignedRun)| worker == id && assigned.run == *run;
-        let Some(index) = self.abandoned_starts.iter().position(same) else { return false };
-        let (_, assigned) = self.abandoned_starts.swap_remove(index);
+        let is_started = |(_, assigned): &(WorkerId, AssignedRun)| assigned.request == Some(number);
+        let Some(index) = self.abandoned_starts.iter().position(is_started) else { return false };
+        let (id, assigned) = self.abandoned_starts.swap_remove(index);
         if !matches!(response, StartResponse::Started | StartResponse::NoResponse) {
             send_end(&assigned, id.as_str(), How::NoRoom, Span::ZERO, out);
         }
--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -5,13 +5,17 @@
 //! opens the worker again under a new token. Once the new incarnation has accepted it, start
 //! requests with the earlier token can no longer take effect, and the status of the worker is
 //! complete.
+//!
+//! Start times do not order incarnations, because the time of day of a machine may be set back. A
+//! response of another incarnation comes from a later one if its request was sent after the first
+//! response of the latest known incarnation had been read.
 
 use cranberryhatch_schema::fleet::{Held as HeldMessage, Room};
 use cranberryhatch_types::{Span, Time, WorkerId};
 
-use super::{Owner, wire_end};
+use super::{Owner, push_stop, wire_end};
 use crate::{
-    Incarnation, Output, RunKey, WorkerStatus,
+    AssignedRun, Incarnation, Output, RunKey, WorkerStatus,
     assigned_run::RunStage,
     log_event::LogEvent,
     run_lease::{LEASE, LEASE_SLACK},
@@ -28,27 +32,93 @@
     Current,
     /// An earlier incarnation; its response was delayed.
     Earlier,
+    /// Another incarnation, either an earlier or a later one: the request was in flight when the
+    /// latest known incarnation first responded.
+    Unordered,
     /// A new incarnation: the worker has restarted since the last response.
     Later,
 }
 
 impl Owner {
-    /// Compares the incarnation that sent a response with the latest known one, and records it if
-    /// it is newer.
-    pub(super) fn compare_incarnation(
+    /// Compares the incarnation that responded to a poll, which was sent at `sent`, with the latest
+    /// known one, and records it if it is newer.
+    pub(super) fn compare_polled(
+        &mut self,
+        id: &WorkerId,
+        incarnation: Incarnation,
+        sent: Time,
+        now: Time,
+    ) -> IncarnationOrder {
+        let Some(worker) = self.workers.get_mut(id) else { return IncarnationOrder::Current };
+        if !incarnation.is_other(worker.incarnation) {
+            if incarnation.is_known() && !worker.incarnation.is_known() {
+                worker.set_incarnation(incarnation, now);
+            }
+            return IncarnationOrder::Current;
+        }
+        if sent <= worker.incarnation_since {
+            return IncarnationOrder::Unordered;
+        }
+        worker.set_incarnation(incarnation, now);
+        IncarnationOrder::Later
+    }
+
+    /// Compares the incarnation that responded to the start request with this number with the latest
+    /// known one, and records it if it is newer.
+    pub(super) fn compare_started(
         &mut self,
         id: &WorkerId,
+        number: u64,
         incarnation: Incarnation,
+        now: Time,
     ) -> IncarnationOrder {
         let Some(worker) = self.workers.get_mut(id) else { return IncarnationOrder::Current };
-        if worker.incarnation.is_after(incarnation) {
-            return IncarnationOrder::Earlier;
+        let assigned = worker.run_of_request(number);
+        let sent_to = assigned.map(|assigned| (assigned.incarnation, assigned.stage));
+        if !incarnation.is_other(worker.incarnation) {
+            // A request of an earlier ownership may have reached an earlier incarnation.
+            if incarnation.is_known() && !worker.incarnation.is_known() && sent_to.is_some() {
+                worker.set_incarnation(incarnation, now);
+            }
+            return IncarnationOrder::Current;
+        }
+        match sent_to {
+            // A run in another stage was found by a poll of the latest incarnation.
+            Some((latest, RunStage::Starting)) if latest == worker.incarnation => {
+                worker.set_incarnation(incarnation, now);
+                IncarnationOrder::Later
+            }
+            Some((earlier, _)) if earlier == incarnation => IncarnationOrder::Earlier,
+            _ => IncarnationOrder::Unordered,
+        }
+    }
+
+    /// Keeps a run whose start request was carried out by an incarnation that may have ended, until
+    /// a poll settles whether it runs.
+    pub(super) fn hold_unordered(
+        &mut self,
+        id: &WorkerId,
+        number: u64,
+        now: Time,
+        out: &mut Output,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let last_poll = worker.polls_sent;
+        let is_starting = |assigned: &&mut AssignedRun| {
+            assigned.request == Some(number) && assigned.stage == RunStage::Starting
+        };
+        let Some(assigned) = worker.runs.iter_mut().find(is_starting) else { return };
+        let run = assigned.run.clone();
+        assigned.stage = RunStage::Unconfirmed { last_poll, stop_accepted: None };
+        assigned.mark_restarted();
+        let unwanted = assigned.stop_requested.is_some();
+        if unwanted {
+            assigned.stop_requested = Some(now);
         }
-        let later = incarnation.is_after(worker.incarnation);
-        if incarnation.is_known() {
-            worker.incarnation = incarnation;
+        worker.needs_status = true;
+        if unwanted {
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
-        if later { IncarnationOrder::Later } else { IncarnationOrder::Current }
     }
 
     /// Handles a restart of the worker: reports the runs that ended with the earlier incarnation
@@ -64,6 +134,9 @@
         if worker.is_unopened() && worker.runs.is_empty() {
             return;
         }
+        // A run whose lease has ended, or whose end this paused process may have missed, may have
+        // ended before the restart.
+        let may_have_ended = now >= worker.lease_end || self.paused_since(worker.responded_at, now);
         let (incarnation, runs) = (worker.incarnation, worker.runs.len());
         out.log(LogEvent::IncarnationEnded { worker: id.clone(), incarnation, runs });
         let token = self.next_token(0);
@@ -75,11 +148,13 @@
         // poll in flight, whose lease is by the earlier clock, can extend that run until the poll
         // times out.
         worker.lease_end = worker.lease_end.max(now + IN_FLIGHT_LIMIT + LEASE + LEASE_SLACK);
-        let (cause, draining) = (worker.likely_cause(), worker.listed.draining);
+        let cause = worker.likely_cause().filter(|_| !may_have_ended);
+        let draining = worker.listed.draining;
         let last_poll = worker.polls_sent;
         let mut ends = Vec::new();
         for assigned in &mut worker.runs {
             assigned.duration_unknown = true;
+            assigned.forget_stops();
             let is_run = |run: &RunKey| *run == assigned.run;
             let ended = status.ended.iter().find(|end| is_run(&end.run));
             let runs = status.running.iter().any(|running| is_run(&running.run));
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{
-    ABANDONED_START_TIMEOUT, CLAIM_TIMEOUT, FENCED_RETRY_DELAY, Owner, REOPEN_DELAY, ended_message,
+    ABANDONED_START_TIMEOUT, CLAIM_TIMEOUT, FENCED_RETRY_DELAY, Owner, REOPEN_DELAY, end_of,
     push_stop, wire_end,
 };
 use crate::{
@@ -126,12 +126,13 @@
             {
                 if assigned.is_claimed() && assigned.front != *front {
                     // The start of an equal run was refused, and the refusal was lost.
-                    let ended =
-                        ended_message(&claimed.run, &claim.worker, How::Stopped, Span::ZERO);
+                    let ended = end_of(&claimed, &claim.worker, How::Stopped, Span::ZERO);
                     out.send(front, Message::Ended(ended));
                     continue;
                 }
                 claimed.stage = assigned.stage;
+                claimed.request = assigned.request;
+                claimed.first_stop = assigned.first_stop;
                 claimed.percent = assigned.percent;
                 claimed.incarnation = assigned.incarnation;
                 claimed.duration_unknown = true;
@@ -163,7 +164,7 @@
         worker.ownership = Ownership::Open;
         let token = worker.token;
         for run in stops {
-            push_stop(worker, &run, &self.response_times, now, out);
+            push_stop(worker, &run, &self.response_times, &mut self.requests_sent, now, out);
         }
         out.log(LogEvent::WorkerOpened { worker: id.clone(), token, found, kept });
         self.unreported.push(id.clone());
@@ -239,12 +240,15 @@
         pace: 0,
         due: None,
         stalls: 0,
+        start_number: 0,
+        request: None,
         sent_at: now,
         seen_heartbeat: Time::ZERO,
         submitted: None,
         wanted: false,
         stage: RunStage::Running { since: now, last_poll },
         stop_requested: None,
+        first_stop: None,
         restart_cause: None,
         stop_lost_at: None,
         percent: 0,
@@ -256,5 +260,10 @@
 }
 
 fn takeover_end(worker: &WorkerId, end: &End) -> Ended {
-    ended_message(&end.run, worker.as_str(), wire_end(end.how), Span::ZERO)
+    Ended {
+        run: Some((&end.run).into()),
+        worker: worker.to_string(),
+        how: wire_end(end.how).into(),
+        ..Ended::default()
+    }
 }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -88,6 +88,9 @@
     pub poll: Option<PendingPoll>,
     /// A second poll, sent while the worker may be holding `poll` open.
     pub extra_poll: Option<PendingPoll>,
+    /// Time at which the last poll was sent whose response no longer counts, although the token
+    /// does. Polls are identified by the time, so the next one is sent later.
+    pub forgotten_poll: Option<Time>,
     /// Whether a poll should be sent that the worker does not hold open.
     pub needs_status: bool,
     /// Number of polls that were sent.
@@ -108,8 +111,10 @@
     pub timed_out_at: Option<Time>,
     /// Latest end of all leases that this instance or an earlier owner may have given.
     pub lease_end: Time,
-    /// Incarnation that sent the last response.
+    /// Latest incarnation that has sent a response.
     pub incarnation: Incarnation,
+    /// Time at which its first response was read.
+    pub incarnation_since: Time,
     /// Time at which the last request with a lease was sent.
     pub leased_at: Time,
     /// Number of consecutive polls that the worker rejected because it knows a higher token.
@@ -133,6 +138,7 @@
             deferred: Vec::new(),
             poll: None,
             extra_poll: None,
+            forgotten_poll: None,
             needs_status: false,
             polls_sent: 0,
             missed_polls: 0,
@@ -144,6 +150,7 @@
             timed_out_at: None,
             lease_end: Time::ZERO,
             incarnation: Incarnation::UNKNOWN,
+            incarnation_since: Time::ZERO,
             leased_at: Time::ZERO,
             fenced_polls: 0,
             latest_clock: 0,
@@ -183,11 +190,14 @@
         self.ownership = Ownership::Opening { at: now };
         self.unresponsive = false;
         self.reset_incarnation();
+        self.forgotten_poll = None;
     }
 
     fn reset_incarnation(&mut self) {
         self.acked = 0;
-        (self.poll, self.extra_poll) = (None, None);
+        self.forget_poll();
+        self.poll = self.extra_poll.take();
+        self.forget_poll();
         self.missed_polls = 0;
         self.missed_since = None;
         self.timed_out_at = None;
@@ -225,6 +235,12 @@
         self.runs.iter_mut().for_each(AssignedRun::mark_restarted);
     }
 
+    /// Sets the incarnation, whose first response is read now.
+    pub const fn set_incarnation(&mut self, incarnation: Incarnation, now: Time) {
+        self.incarnation = incarnation;
+        self.incarnation_since = now;
+    }
+
     /// Counts a poll that is sent now and returns it.
     pub fn begin_poll(&mut self, wait: Span, now: Time) -> PendingPoll {
         self.polls_sent += 1;
@@ -233,16 +249,24 @@
         PendingPoll { sent_at: now, number: self.polls_sent, wait }
     }
 
+    /// Forgets the pending poll, so that another one is sent.
+    pub fn forget_poll(&mut self) {
+        let sent = self.poll.take().map(|poll| poll.sent_at);
+        self.forgotten_poll = self.forgotten_poll.max(sent);
+    }
+
     /// Removes and returns the pending poll that was sent at `at`, if there is one.
     pub fn take_poll(&mut self, at: Time) -> Option<PendingPoll> {
         let is_sent = |poll: &mut PendingPoll| poll.sent_at == at;
         self.poll.take_if(is_sent).or_else(|| self.extra_poll.take_if(is_sent))
     }
 
-    /// Returns when the start request of a run was sent.
+    /// Returns the run whose start request has this number.
+    ///
+    /// Runs of several submissions of a job may be equal, so a run does not identify its request.
     #[must_use]
-    pub fn start_sent_at(&self, run: &RunKey) -> Option<Time> {
-        self.runs.iter().find(|assigned| assigned.run == *run).map(|assigned| assigned.sent_at)
+    pub fn run_of_request(&self, number: u64) -> Option<&AssignedRun> {
+        self.runs.iter().find(|assigned| assigned.request == Some(number))
     }
 
     /// Returns when the last stop request of a run was sent.
@@ -348,7 +372,7 @@
     fn record_lease(&mut self, length: Span, now: Time) -> Option<Lease> {
         let (clock, at) = self.clock?;
         // The response took some time to arrive, so the worker's clock is ahead of this value.
-        let until = clock + now.since(at).as_ms() + length.as_ms();
+        let until = clock.saturating_add(now.since(at).as_ms()).saturating_add(length.as_ms());
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
         self.leased_at = now;
         Some(Lease { until })
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -19,6 +19,9 @@
 const CLOCK: u64 = 5_000_000;
 const FIRST: Incarnation = Incarnation::new(1_000);
 const SECOND: Incarnation = Incarnation::new(2_000);
+/// A later incarnation whose machine has had its time of day set back.
+const SET_BACK: Incarnation = Incarnation::new(500);
+const THIRD: Incarnation = Incarnation::new(1_500);
 
 /// An owner of one worker.
 struct Fixture {
@@ -27,6 +30,8 @@
     listing: WorkerList,
     worker: WorkerId,
     now: Time,
+    /// Numbers of the start requests that were sent.
+    requests: Vec<(RunKey, u64)>,
 }
 
 /// A poll that was sent.
@@ -56,7 +61,8 @@
         let mut owner = Owner::new(me.id);
         owner.assign(&listing, &members.owners(1), 0, START);
         let worker = "w".parse().expect("an id");
-        let mut fixture = Self { owner, members, listing, worker, now: START };
+        let mut fixture =
+            Self { owner, members, listing, worker, now: START, requests: Vec::new() };
         fixture.poll(&status(FIRST, &[], &[]), &mut Output::default());
         fixture
     }
@@ -78,11 +84,16 @@
         self.sent_in(polls, seen)
     }
 
+    fn tick(&mut self) -> Output {
+        let mut out = Output::default();
+        self.owner.tick(&self.listing, &self.members.owners(1), 0, self.now, &mut out);
+        out
+    }
+
     /// The same, after the time that fronts have to claim runs.
     fn poll_after_claims(&mut self, seen: &WorkerStatus, out: &mut Output) {
         self.wait(400);
-        let mut ticked = Output::default();
-        self.owner.tick(&self.listing, &self.members.owners(1), 0, self.now, &mut ticked);
+        let ticked = self.tick();
         let (_, result) = self.sent_in(ticked, seen).expect("a poll");
         self.owner.handle_poll_result(result, &self.members, self.now, out);
     }
@@ -113,9 +124,13 @@
         let mut out = Output::default();
         self.owner.start(&front(), request, self.now, &mut out);
         let lease = out.commands.iter().find_map(|command| match command {
-            Command::StartRun { lease, .. } => Some(lease.until),
+            Command::StartRun { number, lease, .. } => Some((*number, lease.until)),
             _ => None,
         });
+        let lease = lease.map(|(number, lease)| {
+            self.requests.push((run.clone(), number));
+            lease
+        });
         (run, lease)
     }
 
@@ -127,7 +142,9 @@
     ) -> Output {
         let mut out = Output::default();
         let worker = self.worker.clone();
-        self.owner.handle_start_response_from(&worker, run, response, from, self.now, &mut out);
+        let request = self.requests.iter().find(|(known, _)| known == run);
+        let (_, number) = *request.expect("a start request");
+        self.owner.handle_start_response_from(&worker, number, response, from, self.now, &mut out);
         out
     }
 
@@ -284,17 +301,140 @@
     assert_eq!(fixture.owner.worker_counts().1, 1, "the worker is not dropped");
 }
 
+#[test]
+fn run_is_not_blamed_for_a_restart_that_may_have_come_after_its_end() {
+    struct Case {
+        name: &'static str,
+        /// Whether this instance ticks before it learns of the restart.
+        ticks: bool,
+        /// Time from the last status of the earlier incarnation to the first of the later one.
+        silence: u64,
+        how: How,
+    }
+    let cases = [
+        Case { name: "a restart", ticks: true, silence: 240, how: How::Crashed },
+        Case { name: "a pause of this instance", ticks: false, silence: 240, how: How::Lost },
+        Case { name: "a restart after the lease", ticks: true, silence: 1_100, how: How::Lost },
+    ];
+    for Case { name, ticks, silence, how } in cases {
+        let mut fixture = Fixture::new();
+        let token = fixture.token();
+        let (run, _) = fixture.start(0, token);
+        fixture.respond(&run, StartResponse::Started, Some((CLOCK, FIRST)));
+        let ticked = fixture.tick();
+        let (_, result) = fixture.sent_in(ticked, &status(SECOND, &[], &[])).expect("a poll");
+        for _ in 0..silence / 20 {
+            fixture.wait(20);
+            if ticks {
+                fixture.tick();
+            }
+        }
+        let mut out = Output::default();
+        fixture.owner.handle_poll_result(result, &fixture.members, fixture.now, &mut out);
+        assert_eq!(reported_ends(&out, &run), [how], "{name}");
+    }
+}
+
 #[test]
 fn newer_list_entry_triggers_a_poll() {
+    for second in [SECOND, SET_BACK] {
+        let mut fixture = Fixture::new();
+        fixture.token();
+        fixture.wait(100);
+        assert!(fixture.send_poll(&status(FIRST, &[], &[])).is_none(), "no poll is due");
+        let mut newer = listed("w", "a", 32_000);
+        newer.incarnation = second;
+        fixture.listing.replace(vec![newer], fixture.now);
+        fixture.owner.update_listed(&fixture.listing);
+        assert!(fixture.send_poll(&status(second, &[], &[])).is_some(), "{second:?}");
+    }
+}
+
+#[test]
+fn runs_of_an_incarnation_with_a_lower_start_time_are_kept() {
     let mut fixture = Fixture::new();
-    fixture.token();
-    fixture.wait(100);
-    assert!(fixture.send_poll(&status(FIRST, &[], &[])).is_none(), "no poll is due");
-    let mut newer = listed("w", "a", 32_000);
-    newer.incarnation = SECOND;
-    fixture.listing.replace(vec![newer], fixture.now);
-    fixture.owner.update_listed(&fixture.listing);
-    assert!(fixture.send_poll(&status(SECOND, &[], &[])).is_some());
+    let token = fixture.token();
+    let (before, _) = fixture.start(0, token);
+    fixture.respond(&before, StartResponse::Started, Some((CLOCK, FIRST)));
+    fixture.wait(20);
+    let mut out = Output::default();
+    fixture.poll(&status(SET_BACK, &[], &[]), &mut out);
+    assert_eq!(reported_ends(&out, &before), [How::Crashed], "it ended with its incarnation");
+    let sent = fixture.poll(&status(SET_BACK, &[], &[]), &mut Output::default());
+    let sent = sent.expect("a poll with a new token is sent at once");
+    assert!(sent.token > token && sent.acked == 0, "{sent:?}");
+    let (run, lease) = fixture.start(1, sent.token);
+    assert!(lease.expect("a start") <= 50 + LEASE.as_ms(), "{lease:?}");
+    let out = fixture.respond(&run, StartResponse::Started, Some((60, SET_BACK)));
+    assert_eq!(reported_ends(&out, &run), [], "it is running");
+    fixture.wait(20);
+    let mut out = Output::default();
+    fixture.poll(&status(SET_BACK, &[], &[(1, &run)]), &mut out);
+    assert_eq!(reported_ends(&out, &run), [How::Done]);
+}
+
+#[test]
+fn response_to_a_start_shows_a_restart_with_a_lower_start_time() {
+    let mut fixture = Fixture::new();
+    let token = fixture.token();
+    let (running, _) = fixture.start(0, token);
+    fixture.respond(&running, StartResponse::Started, Some((CLOCK, FIRST)));
+    let (run, _) = fixture.start(1, token);
+    fixture.wait(20);
+    let (_, late) = fixture.send_poll(&status(FIRST, &[&running], &[])).expect("a poll");
+    let mut out = fixture.respond(&run, StartResponse::Started, Some((40, SET_BACK)));
+    assert_eq!(reported_ends(&out, &running), [How::Crashed], "it ended with its incarnation");
+    fixture.owner.handle_poll_result(late, &fixture.members, fixture.now, &mut out);
+    let sent = fixture.poll(&status(SET_BACK, &[&run], &[]), &mut out).expect("a poll");
+    assert!(sent.token > token, "the delayed response is not of a later incarnation");
+    assert_eq!(reported_ends(&out, &run), [], "it is running");
+    fixture.poll_after_claims(&status(SET_BACK, &[], &[(1, &run)]), &mut out);
+    assert_eq!(reported_ends(&out, &run), [How::Done]);
+}
+
+#[test]
+fn run_started_before_a_restart_with_a_lower_start_time_has_ended() {
+    let mut fixture = Fixture::new();
+    let token = fixture.token();
+    let (run, _) = fixture.start(0, token);
+    fixture.wait(20);
+    fixture.poll(&status(SET_BACK, &[], &[]), &mut Output::default());
+    let out = fixture.respond(&run, StartResponse::Started, Some((CLOCK, FIRST)));
+    assert_eq!(reported_ends(&out, &run), [How::Crashed], "it is not reported as never run");
+}
+
+#[test]
+fn poll_settles_a_start_whose_incarnation_is_neither_the_first_nor_the_last() {
+    struct Case {
+        name: &'static str,
+        seen: Incarnation,
+        lists: bool,
+        end: How,
+    }
+    let cases = [
+        Case { name: "ended between both", seen: SECOND, lists: false, end: How::Lost },
+        Case { name: "later than both", seen: THIRD, lists: true, end: How::Done },
+    ];
+    for Case { name, seen, lists, end } in cases {
+        let mut fixture = Fixture::new();
+        let token = fixture.token();
+        let (run, _) = fixture.start(0, token);
+        fixture.wait(20);
+        fixture.poll(&status(SECOND, &[], &[]), &mut Output::default());
+        let out = fixture.respond(&run, StartResponse::Started, Some((60, THIRD)));
+        assert_eq!(reported_ends(&out, &run), [], "{name}: not known yet");
+        let listed: Vec<&RunKey> = lists.then_some(&run).into_iter().collect();
+        let mut out = Output::default();
+        for _ in 0..2 {
+            fixture.wait(1);
+            fixture.poll(&status(seen, &listed, &[]), &mut out);
+        }
+        if lists {
+            assert_eq!(reported_ends(&out, &run), [], "{name}: it is running");
+            fixture.poll_after_claims(&status(seen, &[], &[(1, &run)]), &mut out);
+        }
+        assert_eq!(reported_ends(&out, &run), [end], "{name}");
+    }
 }
 
 #[test]
@@ -335,9 +475,12 @@
             },
         },
     ];
+    // Half of the seeds set back the time of day of the machines.
     for Case { name, fault } in cases {
-        for seed in 0..20 {
+        for seed in 0..40 {
             let mut world = World::new(seed, 1, 3, 4);
+            let set_back = if seed < 20 { 0 } else { 500_000 };
+            world.workers.iter_mut().for_each(|worker| worker.set_back = set_back);
             let long: Vec<usize> =
                 (1..=4).map(|job| world.request(job, 3, 8_000, 700, false)).collect();
             world.run_until(world.now + 100 + seed * 7);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -28,7 +28,7 @@
 
 pub use crashes::Crash;
 pub use incarnations::KnownIncarnations;
-pub use worker::{FakeWorker, WorkerRun};
+pub use worker::{FIRST_BORN, FakeWorker, WorkerRun};
 pub use zones::Store;
 
 /// Interval between ticks of an instance.
@@ -45,6 +45,9 @@
 const RESUME_STEP: u64 = 4;
 /// Interval at which a worker checks a poll that it holds open.
 const POLL_STEP: u64 = 10;
+/// Longest time from the timeout of a slow start until it is carried out; the first poll that its
+/// owner sends then takes up to 8 ms.
+const SLOW_START: u64 = 32;
 /// Time after which a request to a worker counts as lost.
 const RESPONSE_TIMEOUT: u64 = 200;
 
@@ -86,6 +89,7 @@
     Start {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -99,13 +103,14 @@
         node: usize,
         generation: u64,
         worker: WorkerId,
-        run: RunKey,
+        number: u64,
         response: StartResponse,
         from: Option<(u64, Incarnation)>,
     },
     Stop {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         token: u64,
         run: RunKey,
@@ -114,6 +119,7 @@
     StopResponse {
         node: usize,
         generation: u64,
+        number: u64,
         worker: WorkerId,
         run: RunKey,
         accepted: bool,
@@ -265,6 +271,12 @@
     pub caller_leaves: u32,
     /// Share of submissions whose connection breaks on the caller's side only.
     pub half_open: u32,
+    /// Share of starts that are carried out within [`SLOW_START`] after their owner counts them as
+    /// unanswered.
+    pub start_slow: u32,
+    /// Interval at which workers carry out the requests that have arrived, in any order and within
+    /// one millisecond of their clocks; 0 if each is carried out when it arrives.
+    pub batch_ms: u64,
 }
 
 /// The simulated system.
@@ -274,6 +286,9 @@
     // Delays of replicated submissions, so that the other delays of a seed do not depend on their
     // number.
     replication_rng: fastrand::Rng,
+    // Order of the requests of a batch and delays of slow starts, so that the other faults of a seed
+    // stay the same.
+    batch_rng: fastrand::Rng,
     pub instances: Vec<Instance>,
     pub workers: Vec<FakeWorker>,
     pub cut_workers: Vec<usize>,
@@ -350,7 +365,7 @@
                     capacity: need(32_000),
                     draining: false,
                     drained: false,
-                    incarnation: Incarnation::new(1),
+                    incarnation: Incarnation::new(FIRST_BORN),
                 };
                 FakeWorker::new(listed, rng.u64(980..=1_000))
             })
@@ -378,6 +393,7 @@
         let mut world = Self {
             now: 1_000,
             replication_rng: fastrand::Rng::with_seed(rng.clone().u64(..)),
+            batch_rng: fastrand::Rng::with_seed(seed.rotate_left(32)),
             rng,
             instances: members.collect(),
             workers,
@@ -414,7 +430,18 @@
 
     fn schedule(&mut self, at: u64, kind: EventKind) {
         self.order += 1;
-        self.events.push(Reverse(Event { at, order: self.order, kind }));
+        let is_request = matches!(
+            kind,
+            EventKind::PollRequest { .. } | EventKind::Start { .. } | EventKind::Stop { .. }
+        );
+        let batch = self.fault_rates.batch_ms;
+        let (at, order) = if is_request && batch > 0 {
+            // After all other events of that millisecond.
+            (at.next_multiple_of(batch), self.batch_rng.u64(self.order..))
+        } else {
+            (at, self.order)
+        };
+        self.events.push(Reverse(Event { at, order, kind }));
     }
 
     fn schedule_soon(&mut self, kind: EventKind) {
@@ -456,6 +483,18 @@
         }
     }
 
+    /// Checks that a worker does not have a run that its owner takes for gone.
+    fn check_missing(&mut self, node: usize, run: &RunKey, worker: &WorkerId) {
+        let has_run = |known: &FakeWorker| {
+            known.up && known.listed.id == *worker && known.runs.iter().any(|own| own.run == *run)
+        };
+        if self.workers.iter().any(has_run) {
+            let violation =
+                format!("{}: e-{node} takes {run:?} for gone, which {worker} runs", self.now);
+            self.violations.push(violation);
+        }
+    }
+
     fn dispatch(&mut self, kind: EventKind) {
         if let Some(node) = self.paused_receiver(&kind) {
             if self.is_deliverable(&kind) {
@@ -519,6 +558,7 @@
             EventKind::Start {
                 node,
                 generation,
+                number,
                 worker,
                 token,
                 run,
@@ -533,32 +573,33 @@
                 }) {
                     return;
                 }
-                self.start(node, generation, &worker, token, run, lease, sent, responds);
+                self.start(node, generation, number, &worker, token, &run, lease, sent, responds);
             }
-            EventKind::StartResponse { node, generation, worker, run, response, from } => {
+            EventKind::StartResponse { node, generation, worker, number, response, from } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_start_response_from(&worker, &run, response, from, now, out);
+                        n.handle_start_response_from(&worker, number, response, from, now, out);
                     });
                 }
             }
-            EventKind::Stop { node, generation, worker, token, run, responds } => {
+            EventKind::Stop { node, generation, number, worker, token, run, responds } => {
                 let now = self.now;
                 let accepted = self.reach(node, &worker).is_some_and(|w| w.stop(token, &run, now));
                 if responds {
                     self.schedule_soon(EventKind::StopResponse {
                         node,
                         generation,
+                        number,
                         worker,
                         run,
                         accepted,
                     });
                 }
             }
-            EventKind::StopResponse { node, generation, worker, run, accepted } => {
+            EventKind::StopResponse { node, generation, number, worker, run, accepted } => {
                 if self.instances[node].generation == generation {
                     self.with_node(node, |n, now, out| {
-                        n.handle_stop_response(&worker, &run, accepted, now, out);
+                        n.handle_stop_response_to(&worker, &run, number, accepted, now, out);
                     });
                 }
             }
@@ -720,7 +761,7 @@
                     self.schedule_soon(EventKind::PollRequest { node, generation, request });
                 }
             }
-            Command::StartRun { worker, token, timeout, run, lease, .. } => {
+            Command::StartRun { number, worker, token, timeout, run, lease, .. } => {
                 let worker = worker.id;
                 let place = self.place_of(&worker).expect("a known worker");
                 self.check_zone(node, place);
@@ -728,10 +769,13 @@
                     self.check_incarnation(node, place, Some(lease), None);
                 }
                 let late = self.chance(self.fault_rates.request_late);
-                let lost = late || self.loses_response(node, &worker);
+                let slow = self.fault_rates.start_slow > 0
+                    && self.batch_rng.u32(0..1_000) < self.fault_rates.start_slow;
+                let lost = late || self.loses_response(node, &worker) || slow;
                 let event = EventKind::Start {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -751,6 +795,9 @@
                 if late {
                     let delay = self.rng.u64(2_000..12_000);
                     self.schedule(self.now + delay, event);
+                } else if slow {
+                    let delay = timeout.as_ms() + self.batch_rng.u64(0..SLOW_START);
+                    self.schedule(self.now + delay, event);
                 } else {
                     self.schedule_soon(event);
                 }
@@ -759,11 +806,18 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StartResponse { node, generation, worker, run, response, from },
+                        EventKind::StartResponse {
+                            node,
+                            generation,
+                            worker,
+                            number,
+                            response,
+                            from,
+                        },
                     );
                 }
             }
-            Command::StopRun { worker, token, timeout, run } => {
+            Command::StopRun { number, worker, token, timeout, run } => {
                 let worker = worker.id;
                 let lost = self.loses_response(node, &worker);
                 let late = self.chance(self.fault_rates.request_late);
@@ -771,6 +825,7 @@
                 let event = EventKind::Stop {
                     node,
                     generation,
+                    number,
                     worker: worker.clone(),
                     token,
                     run: run.clone(),
@@ -786,7 +841,14 @@
                     let at = self.now + timeout.as_ms();
                     self.schedule(
                         at,
-                        EventKind::StopResponse { node, generation, worker, run, accepted: false },
+                        EventKind::StopResponse {
+                            node,
+                            generation,
+                            number,
+                            worker,
+                            run,
+                            accepted: false,
+                        },
                     );
                 }
             }
@@ -794,6 +856,9 @@
                 if matches!(event, LogEvent::WorkerDropped { cause: DropCause::Fenced, .. }) {
                     self.fences.push(self.now);
                 }
+                if let LogEvent::RunMissing { run, worker, .. } = &event {
+                    self.check_missing(node, run, worker);
+                }
                 if let LogEvent::WorkerOpened { worker, .. } = &event {
                     self.opened.push((self.now, worker.clone()));
                 }
@@ -853,9 +918,10 @@
         &mut self,
         node: usize,
         generation: u64,
+        number: u64,
         worker: &WorkerId,
         token: u64,
-        run: RunKey,
+        run: &RunKey,
         lease: u64,
         sent: u64,
         responds: bool,
@@ -887,7 +953,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
@@ -899,7 +965,7 @@
                 let at = now + RESPONSE_TIMEOUT;
                 self.schedule(
                     at,
-                    EventKind::StartResponse { node, generation, worker, run, response, from },
+                    EventKind::StartResponse { node, generation, worker, number, response, from },
                 );
             }
             return;
@@ -919,7 +985,7 @@
                 node,
                 generation,
                 worker,
-                run,
+                number,
                 response,
                 from,
             });
