test(fleet): a job submitted again is not answered at its deadline

Symptom: a caller that sends its job again to the same instance gets no answer at its time limit.

Fails: no answer at the deadline.

--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -564,3 +564,16 @@
         .any(|command| matches!(command, Command::Answer { ticket: 2, outcome: Outcome::GivenUp }));
     assert!(answered, "it waits for the runs of the first submission");
 }
+
+#[test]
+fn job_resubmitted_while_its_runs_end_is_answered_at_its_deadline() {
+    let mut out = Output::default();
+    let mut front = placed(&mut out);
+    front.caller_gone(1, SENT, &mut out);
+    front.submit(2, job(3_000), SENT, &mut out);
+    front.tick(SENT + Span::from_ms(3_000), &mut out);
+    let is_answer = |command: &&Command| {
+        matches!(command, Command::Answer { ticket: 2, outcome: Outcome::GivenUp })
+    };
+    assert_eq!(out.commands.iter().filter(is_answer).count(), 1);
+}
