fix(fleet): use no attribute of an entry of another incarnation

Callers saw: a worker that restarts under its id as another service is given tasks of its earlier one for up to half a second, and runs them.

The owner compared its entry's service with the request, which are both the earlier one's. An owner that had read the new entry also started runs before the first answer of the new incarnation.

Change: an entry holds for the incarnation that it names (ListedWorker::describes). A worker whose entry is of another incarnation than the one that answered last is not usable for the scheduler and not open at its owner, which refuses starts by earlier grants ("outdated-entry"). WorkerView::meets_label, the guard for labels, is gone. Lines entry-outdated and entry-current and outdated_entry_seconds tell how long that lasts.

Tests: restarted_labels.rs asserted that a task without a label is granted by the entry of another incarnation. That is wrong, since it requires a service; it now asserts that no task is granted, and new cases cover service, capacity and draining. In the model a worker that did not write its entry at its restart never wrote it again, which the platform's pages exclude; it now writes it with the next heartbeat, and one test lasts that much longer. Failed before: start_is_refused_while_the_entry_is_of_another_incarnation, labels_of_an_earlier_incarnation_are_not_used, and the two new tests there.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -232,6 +232,9 @@
             LogEvent::IncarnationEnded { .. } => {
                 self.metrics.worker_restarts.inc();
             }
+            LogEvent::EntryCurrent { held, .. } => {
+                Metrics::observe(&self.metrics.outdated_entries, *held);
+            }
             LogEvent::AdmittedStopping { .. } => {
                 self.metrics.admitted_stopping.inc();
             }
--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -323,6 +323,13 @@
         LogEvent::IncarnationEnded { worker, incarnation, runs } => {
             log::warn!(worker = worker.as_str(), born_ms = incarnation.born_ms(), runs; "{name}");
         }
+        LogEvent::EntryOutdated { worker, incarnation, listed } => {
+            let (born_ms, listed_ms) = (incarnation.born_ms(), listed.born_ms());
+            log::warn!(worker = worker.as_str(), born_ms, listed_ms; "{name}");
+        }
+        LogEvent::EntryCurrent { worker, held } => {
+            log::info!(worker = worker.as_str(), held_ms = held.as_ms(); "{name}");
+        }
         LogEvent::WorkerUnresponsive { worker, silence, runs } => {
             log::warn!(worker = worker.as_str(), silence_ms = silence.as_ms(), runs; "{name}");
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -55,6 +55,8 @@
     pub dropped_workers: Family<CauseLabel, Counter>,
     /// Owned workers whose process restarted under the same id.
     pub worker_restarts: Counter,
+    /// Time for which an own worker got no starts because its entry was of another incarnation.
+    pub outdated_entries: Histogram,
     /// Workers that crashed under tasks of this instance's callers; a worker counts for each task.
     pub task_crashes: Counter,
     /// Jobs given up because too many workers crashed under a task.
@@ -141,6 +143,7 @@
             forecast_error: Family::new_with_constructor(new_histogram),
             dropped_workers: Family::default(),
             worker_restarts: Counter::default(),
+            outdated_entries: new_histogram(),
             task_crashes: Counter::default(),
             poisoned_jobs: Counter::default(),
             superseded_jobs: Counter::default(),
@@ -196,6 +199,11 @@
         r.register("runs", "Ends of runs", self.runs.clone());
         r.register("dropped_workers", "Workers given up", self.dropped_workers.clone());
         r.register("ended_lives", "Own workers that restarted", self.worker_restarts.clone());
+        r.register(
+            "outdated_entry_seconds",
+            "Waits for the entry of a restarted worker",
+            self.outdated_entries.clone(),
+        );
         r.register("task_crashes", "Crashes of workers under tasks", self.task_crashes.clone());
         r.register("poisoned_jobs", "Jobs given up for crashes", self.poisoned_jobs.clone());
         r.register(
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -378,6 +378,22 @@
         /// Number of runs that it had or whose starts were in flight.
         runs: usize,
     },
+    /// A worker gets no starts until the entry of its current incarnation is read.
+    EntryOutdated {
+        /// The worker.
+        worker: WorkerId,
+        /// Incarnation that responded last.
+        incarnation: Incarnation,
+        /// Incarnation that the entry names.
+        listed: Incarnation,
+    },
+    /// The entry of the current incarnation of such a worker has been read.
+    EntryCurrent {
+        /// The worker.
+        worker: WorkerId,
+        /// Time for which it got no starts.
+        held: Span,
+    },
     /// A worker does not respond.
     #[strum(serialize = "worker-dark")]
     WorkerUnresponsive {
@@ -545,6 +561,9 @@
     Closed,
     /// The worker's zone is drained.
     ZoneDrained,
+    /// The entry of the worker in the list is of another incarnation than the one that responded
+    /// last.
+    OutdatedEntry,
     /// The zone drains are unknown since the start or the last pause of this process.
     DrainsUnknown,
     /// The capacity was granted under another fencing token.
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -105,6 +105,9 @@
         if !self.starts_allowed {
             return Err(StartRefusal::DrainsUnknown.into());
         }
+        if !worker.is_described() {
+            return Err(StartRefusal::OutdatedEntry.into());
+        }
         if !worker.is_open() {
             return Err(StartRefusal::Closed.into());
         }
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -7,7 +7,9 @@
     LATE_REQUEST_LIMIT, Owner, PAUSE_THRESHOLD, REPORT_INTERVAL, STOP_RETRY_DELAY, push_stop,
 };
 use crate::{
-    AssignedRun, Output, RunKey, WorkerList, assigned_run::RunStage, log_event::DropCause,
+    AssignedRun, Output, RunKey, WorkerList,
+    assigned_run::RunStage,
+    log_event::{DropCause, LogEvent},
     members::Owners,
 };
 
@@ -28,6 +30,7 @@
         self.last_tick = Some(now);
         let ids: Vec<WorkerId> = self.workers.iter().map(|(id, _)| id.clone()).collect();
         for id in &ids {
+            self.log_entry_change(id, now, out);
             self.resolve_claims(id, now, out);
             self.resend_stops(id, now, out);
             self.end_expired_runs(id, now, out);
@@ -40,6 +43,26 @@
         self.report(now, out);
     }
 
+    /// Logs when the entry of a worker becomes outdated or current.
+    fn log_entry_change(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        match (worker.outdated_since, worker.is_described()) {
+            (None, false) => {
+                worker.outdated_since = Some(now);
+                out.log(LogEvent::EntryOutdated {
+                    worker: id.clone(),
+                    incarnation: worker.incarnation,
+                    listed: worker.listed.incarnation,
+                });
+            }
+            (Some(since), true) => {
+                worker.outdated_since = None;
+                out.log(LogEvent::EntryCurrent { worker: id.clone(), held: now.since(since) });
+            }
+            _ => {}
+        }
+    }
+
     pub(super) fn resend_stops(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let mut stops = Vec::new();
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -195,7 +195,7 @@
 }
 
 fn is_suited(worker: &WorkerView, queued: &QueuedTasks) -> bool {
-    worker.listed.service == queued.service && worker.meets_label(&queued.label)
+    worker.listed.service == queued.service && worker.listed.has_label(&queued.label)
 }
 
 fn is_avoided(worker: &WorkerView, queued: &QueuedTasks) -> bool {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -115,6 +115,8 @@
     pub incarnation: Incarnation,
     /// Time at which its first response was read.
     pub incarnation_since: Time,
+    /// Time since which the entry is known to be of another incarnation.
+    pub outdated_since: Option<Time>,
     /// Time at which the last request with a lease was sent.
     pub leased_at: Time,
     /// Number of consecutive polls that the worker rejected because it knows a higher token.
@@ -151,6 +153,7 @@
             lease_end: Time::ZERO,
             incarnation: Incarnation::UNKNOWN,
             incarnation_since: Time::ZERO,
+            outdated_since: None,
             leased_at: Time::ZERO,
             fenced_polls: 0,
             latest_clock: 0,
@@ -167,7 +170,16 @@
     /// Returns whether the worker takes new runs.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        self.ownership == Ownership::Open && !self.unresponsive && !self.listed.draining
+        self.ownership == Ownership::Open
+            && !self.unresponsive
+            && !self.listed.draining
+            && self.is_described()
+    }
+
+    /// Returns whether the listed attributes are those of the incarnation that responded last.
+    #[must_use]
+    pub const fn is_described(&self) -> bool {
+        self.listed.describes(self.incarnation)
     }
 
     /// Returns the run that is the most likely cause if the worker has crashed.
--- a/crates/fleet/src/worker_list.rs
+++ b/crates/fleet/src/worker_list.rs
@@ -35,6 +35,14 @@
     pub fn has_label(&self, label: &str) -> bool {
         label.is_empty() || self.labels.iter().any(|known| known == label)
     }
+
+    /// Returns whether these are the attributes of an incarnation, as far as the platform tells.
+    ///
+    /// A worker may restart under its id with another service, other labels and another capacity.
+    #[must_use]
+    pub const fn describes(&self, incarnation: Incarnation) -> bool {
+        !self.incarnation.is_other(incarnation)
+    }
 }
 
 /// The listed workers, sorted by id.
--- a/crates/fleet/src/worker_view.rs
+++ b/crates/fleet/src/worker_view.rs
@@ -164,17 +164,6 @@
         self.update_free();
     }
 
-    /// Returns whether the worker certainly has a label that a task requires; an empty label matches
-    /// every worker.
-    ///
-    /// The labels may differ between incarnations, so those of an entry of another incarnation do not
-    /// count.
-    #[must_use]
-    pub fn meets_label(&self, label: &str) -> bool {
-        let is_current = !self.listed.incarnation.is_other(self.incarnation);
-        label.is_empty() || is_current && self.listed.has_label(label)
-    }
-
     /// Returns the free capacity.
     #[must_use]
     pub const fn free(&self) -> &Need {
@@ -274,10 +263,10 @@
         self.is_usable() && !self.silent && now >= self.paused_until
     }
 
-    /// Returns whether the worker accepts work now or after a pause.
+    /// Returns whether the worker accepts work now or after a pause, and its attributes are known.
     #[must_use]
     pub const fn is_usable(&self) -> bool {
-        self.open && !self.listed.draining
+        self.open && !self.listed.draining && self.listed.describes(self.incarnation)
     }
 
     /// Returns when the worker is expected to accept tasks.
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -12,7 +12,7 @@
 };
 use cranberryhatch_schema::fleet::{How, Run, Start};
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
-use world::World;
+use world::{WORKER_HEARTBEAT, World};
 
 const START: Time = Time::from_ms(10_000);
 /// Clock of the worker's first incarnation at `START`; the later one starts at 0.
@@ -67,6 +67,14 @@
         fixture
     }
 
+    /// Reads the entry of the worker.
+    fn list(&mut self, incarnation: Incarnation) {
+        let mut entry = listed("w", "a", 32_000);
+        entry.incarnation = incarnation;
+        self.listing.replace(vec![entry], self.now);
+        self.owner.assign(&self.listing, &self.members.owners(1), 0, self.now);
+    }
+
     fn wait(&mut self, ms: u64) {
         self.now = self.now + Span::from_ms(ms);
     }
@@ -186,6 +194,12 @@
     out.commands.iter().filter_map(reported_ends).collect()
 }
 
+/// Returns whether a line with this name is logged.
+fn logs(out: &Output, name: &str) -> bool {
+    let is_line = |command: &Command| matches!(command, Command::Log(event) if <&'static str>::from(event) == name);
+    out.commands.iter().any(is_line)
+}
+
 #[test]
 fn restart_ends_active_runs_and_new_incarnation_resolves_starts_in_flight() {
     let mut fixture = Fixture::new();
@@ -487,7 +501,7 @@
             let late = world.request(9, 4, 8_000, 100, false);
             world.run_until(world.now + seed % 8);
             fault(&mut world);
-            world.run_until(world.now + 12_000);
+            world.run_until(world.now + WORKER_HEARTBEAT + 12_000);
             world.check_end();
             assert_eq!(world.violations, Vec::<String>::new(), "{name}, seed {seed}");
             for request in long.into_iter().chain([late]) {
@@ -498,3 +512,41 @@
         }
     }
 }
+
+#[test]
+fn start_is_refused_while_the_entry_is_of_another_incarnation() {
+    struct Case {
+        name: &'static str,
+        listed: Incarnation,
+        responds: Incarnation,
+        sent: bool,
+    }
+    let cases = [
+        Case { name: "same incarnation", listed: FIRST, responds: FIRST, sent: true },
+        Case { name: "restarted", listed: FIRST, responds: SECOND, sent: false },
+        Case { name: "entry read before the answer", listed: SECOND, responds: FIRST, sent: false },
+        Case { name: "both of the later one", listed: SECOND, responds: SECOND, sent: true },
+        Case { name: "not listed", listed: Incarnation::UNKNOWN, responds: FIRST, sent: true },
+    ];
+    for Case { name, listed, responds, sent } in cases {
+        let mut fixture = Fixture::new();
+        fixture.wait(3_000);
+        fixture.list(listed);
+        let mut out = Output::default();
+        let mut token = 0;
+        while let Some(poll) = fixture.poll(&status(responds, &[], &[]), &mut out) {
+            token = poll.token;
+            fixture.wait(20);
+        }
+        let (_, lease) = fixture.start(0, token);
+        assert_eq!(lease.is_some(), sent, "{name}");
+        let outdated = fixture.tick();
+        fixture.list(responds);
+        let (_, lease) = fixture.start(1, token);
+        assert!(lease.is_some(), "{name}: once the entry is read");
+        fixture.wait(20);
+        let current = fixture.tick();
+        assert_eq!(logs(&outdated, "entry-outdated"), !sent, "{name}");
+        assert_eq!(logs(&current, "entry-current"), !sent, "{name}");
+    }
+}
--- a/crates/fleet/tests/restarted_labels.rs
+++ b/crates/fleet/tests/restarted_labels.rs
@@ -1,10 +1,12 @@
-//! Guards against tasks that are granted on a restarted worker for a label of its earlier
-//! incarnation.
+//! Guards against tasks that are granted on a restarted worker by the entry of its earlier
+//! incarnation, which tells another service, other labels or another capacity.
 
 mod common;
 
 use common::{listed, need};
-use cranberryhatch_fleet::{Command, Incarnation, Message, Output, Scheduler, WorkerList};
+use cranberryhatch_fleet::{
+    Command, Incarnation, ListedWorker, Message, Output, Scheduler, WorkerList,
+};
 use cranberryhatch_schema::fleet::{Ask, Room, Rooms};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -38,6 +40,10 @@
         let mut worker = listed("w", "a", 64_000);
         worker.incarnation = incarnation;
         worker.labels = labels.iter().map(|label| (*label).to_owned()).collect();
+        self.list_entry(worker);
+    }
+
+    fn list_entry(&mut self, worker: ListedWorker) {
         self.list.replace(vec![worker], self.now);
         self.scheduler.update_listing(&self.list);
     }
@@ -102,7 +108,7 @@
         let mut fixture = Fixture::new(listed, &["k1"]);
         fixture.report(reported);
         assert_eq!(fixture.grants("k1"), granted, "{name}");
-        assert!(fixture.grants(""), "{name}: a task that requires no label");
+        assert_eq!(fixture.grants(""), granted, "{name}: a task that requires no label");
     }
 }
 
@@ -130,3 +136,38 @@
     let is_grant = |c: &Command| matches!(c, Command::Send { message: Message::Grant(_), .. });
     assert!(out.commands.iter().any(is_grant));
 }
+
+#[test]
+fn no_attribute_of_an_earlier_incarnation_is_used() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut ListedWorker),
+    }
+    let cases = [
+        Case { name: "service", change: |entry| entry.service = "other".to_owned() },
+        Case { name: "capacity", change: |entry| entry.capacity = need(500) },
+        Case { name: "draining", change: |entry| entry.draining = true },
+    ];
+    for Case { name, change } in cases {
+        let mut entry = listed("w", "a", 64_000);
+        entry.incarnation = FIRST;
+        let mut fixture = Fixture::new(FIRST, &[]);
+        fixture.report(FIRST);
+        assert!(fixture.grants(""), "{name}: before the restart");
+        fixture.report(SECOND);
+        assert!(!fixture.grants(""), "{name}: by the entry of the earlier incarnation");
+        entry.incarnation = SECOND;
+        change(&mut entry);
+        fixture.list_entry(entry);
+        assert!(!fixture.grants(""), "{name}: by the entry of the later incarnation");
+    }
+}
+
+#[test]
+fn new_scheduler_uses_no_entry_of_an_earlier_incarnation() {
+    let mut fixture = Fixture::new(FIRST, &["k1"]);
+    fixture.report(SECOND);
+    assert!(!fixture.grants(""));
+    fixture.list(SECOND, &["k1"]);
+    assert!(fixture.grants(""));
+}
--- a/crates/fleet/tests/world/incarnations.rs
+++ b/crates/fleet/tests/world/incarnations.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_fleet::{Incarnation, Lease, PollResponse, PollResult};
 
-use super::{EventKind, World};
+use super::{EventKind, WORKER_HEARTBEAT, World};
 
 /// Longest lease that an owner gives, plus the error of its estimate of the worker's clock.
 const LEASE_LIMIT: u64 = 1_000 + 50;
@@ -14,7 +14,8 @@
 }
 
 impl World {
-    /// Restarts a worker under its id after a while; its entry in the list is updated if `listed`.
+    /// Restarts a worker under its id after a while. It writes its entry in the list at once if
+    /// `listed`, and with its next heartbeat otherwise.
     pub fn restart_worker(&mut self, worker: usize, down: u64, listed: bool) {
         if self.workers[worker].up {
             let now = self.now;
@@ -27,14 +28,20 @@
 
     pub(super) fn restart_process(&mut self, worker: usize, listed: bool) {
         let now = self.now;
-        let worker = &mut self.workers[worker];
-        worker.restart_process(now);
+        self.workers[worker].restart_process(now);
         if listed {
-            worker.listed.incarnation = worker.incarnation();
-            self.publish_workers();
+            self.write_entry(worker);
+        } else {
+            self.schedule(now + WORKER_HEARTBEAT, EventKind::WriteEntry { worker });
         }
     }
 
+    pub(super) fn write_entry(&mut self, worker: usize) {
+        let worker = &mut self.workers[worker];
+        worker.listed.incarnation = worker.incarnation();
+        self.publish_workers();
+    }
+
     /// Records which incarnation responded to an instance.
     pub(super) fn note_incarnation(&mut self, node: usize, result: &PollResult) {
         let PollResponse::Status(status) = &result.response else { return };
@@ -45,6 +52,25 @@
         entries.push((node, process, worker, status.incarnation));
     }
 
+    /// Checks that an owner that knows the current incarnation of a worker starts no run by the entry
+    /// of another one.
+    pub(super) fn check_entry(&mut self, node: usize, worker: usize, listed: Incarnation) {
+        let current = self.workers[worker].incarnation();
+        if listed != current && self.knows_incarnation(node, worker) {
+            let now = self.now;
+            self.violations.push(format!(
+                "{now}: e-{node} starts a run by the entry of another incarnation of w-{worker}"
+            ));
+        }
+    }
+
+    /// Returns whether a worker runs in the incarnation that last responded to an instance.
+    fn knows_incarnation(&self, node: usize, worker: usize) -> bool {
+        let fake = &self.workers[worker];
+        let current = (node, self.instances[node].generation, worker, fake.incarnation());
+        fake.up && self.known_incarnations.entries.contains(&current)
+    }
+
     /// Checks a request of an owner to a worker whose current incarnation it knows.
     pub(super) fn check_incarnation(
         &mut self,
@@ -53,9 +79,7 @@
         lease: Option<Lease>,
         acked: Option<u64>,
     ) {
-        let present =
-            (node, self.instances[node].generation, worker, self.workers[worker].incarnation());
-        if !self.known_incarnations.entries.contains(&present) || !self.workers[worker].up {
+        if !self.knows_incarnation(node, worker) {
             return;
         }
         let (now, fake) = (self.now, &self.workers[worker]);
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -48,6 +48,8 @@
 /// Longest time from the timeout of a slow start until it is carried out; the first poll that its
 /// owner sends then takes up to 8 ms.
 const SLOW_START: u64 = 32;
+/// Interval at which a worker writes its entry in the list.
+pub const WORKER_HEARTBEAT: u64 = 1_500;
 /// Time after which a request to a worker counts as lost.
 const RESPONSE_TIMEOUT: u64 = 200;
 
@@ -160,6 +162,10 @@
         worker: usize,
         listed: bool,
     },
+    /// A worker writes its entry in the list.
+    WriteEntry {
+        worker: usize,
+    },
     ReplaceWorker {
         worker: usize,
     },
@@ -629,6 +635,7 @@
             EventKind::StartInstance { node } => self.start_instance(node),
             EventKind::ResumeInstance { node } => self.resume(node),
             EventKind::RestartWorker { worker, listed } => self.restart_process(worker, listed),
+            EventKind::WriteEntry { worker } => self.write_entry(worker),
             EventKind::ReplaceWorker { worker } => self.replace_worker(worker),
             EventKind::HealWorker { worker } => self.cut_workers.retain(|cut| *cut != worker),
             EventKind::HealZone { zone } => self.cut_zones.retain(|cut| *cut != zone),
@@ -762,10 +769,11 @@
                 }
             }
             Command::StartRun { number, worker, token, timeout, run, lease, .. } => {
-                let worker = worker.id;
+                let (worker, entry) = (worker.id, worker.incarnation);
                 let place = self.place_of(&worker).expect("a known worker");
                 self.check_zone(node, place);
                 if self.workers[place].listed.id == worker {
+                    self.check_entry(node, place, entry);
                     self.check_incarnation(node, place, Some(lease), None);
                 }
                 let late = self.chance(self.fault_rates.request_late);
