fix(platform): send a start only to the incarnation that the entry names

Callers saw: a worker that restarts under its id as another kind or service runs a task of its earlier one, sent before its owner has heard of the restart.

Cause: an idle worker is polled every 3 s, so its owner learns of a restart from its entry, up to 0.5 s later, or from the next start. That start names the worker's id and the owner's token. Both incarnations have the id, and the new one has seen no token and accepts any.

Change: a connection ends with the process that accepted it. The HTTP client remembers which process a response on a connection has shown, and a start is sent only on a connection of the incarnation in the entry. Where no response has shown it, on new connections above all, a poll without a lease goes first. If that shows another incarnation, the start is not sent and reported so, and the owner opens the worker again.

Ruled out: to poll idle workers more often, or as soon as a connection breaks: a start may leave before the answer.

Cost: one round trip and one look at the worker for each new connection."

--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -60,7 +60,7 @@
         /// Whether to use a new connection, because an open one may be dead.
         new_connection: bool,
     },
-    /// Start a run on a worker.
+    /// Start a run on a worker, but not on another incarnation than its entry names.
     StartRun {
         /// Number of the request, which its response is to name.
         number: u64,
--- a/crates/fleet/tests/incarnations.rs
+++ b/crates/fleet/tests/incarnations.rs
@@ -550,3 +550,14 @@
         assert_eq!(logs(&current, "entry-current"), !sent, "{name}");
     }
 }
+
+#[test]
+fn start_that_is_not_sent_to_a_new_incarnation_shows_the_restart() {
+    let mut fixture = Fixture::new();
+    let token = fixture.token();
+    let (run, _) = fixture.start(0, token);
+    let out = fixture.respond(&run, StartResponse::Unsent, Some((50, SECOND)));
+    assert_eq!(reported_ends(&out, &run), [How::NotStarted]);
+    let sent = fixture.poll(&status(SECOND, &[], &[]), &mut Output::default());
+    assert!(sent.expect("a poll at once").token > token, "it is opened again");
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -13,11 +13,30 @@
 use smol::{Executor, Task, Timer, future::FutureExt, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 
-use crate::ClientError;
+use crate::{ClientError, PeerIdentity};
 
 /// Timeout for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a request needs to know of the process that receives it.
+#[derive(Debug)]
+pub struct PeerCheck {
+    /// Identity that the process must have.
+    pub identity: PeerIdentity,
+    /// Request that is sent first on a connection whose process is unknown. It must have no effect
+    /// that another process must not see.
+    pub probe: Request<Bytes>,
+}
+
+/// Result of a request that only one process may receive.
+#[derive(Debug)]
+pub enum Delivery {
+    /// The process has responded.
+    Answered(Response<Bytes>),
+    /// The request was not sent: this response to the probe does not show the identity.
+    OtherPeer(Response<Bytes>),
+}
+
 /// An HTTP client that reuses idle connections and never sends a request twice.
 #[derive(Clone)]
 pub struct Client {
@@ -47,10 +66,20 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    // Process at the other end, if a response has told it.
+    identity: Option<PeerIdentity>,
     // Dropping the task closes the connection.
     _task: Task<()>,
 }
 
+/// Result of the check of a connection.
+enum Verified {
+    /// The connection leads to the process.
+    Peer(Connection),
+    /// The response to the probe does not show its identity.
+    Other(Response<Bytes>),
+}
+
 /// Counts against the pool's connection limit until it is dropped.
 struct Permit<'a>(&'a Pool);
 
@@ -85,6 +114,28 @@
         }
         Ok((Permit(self), None))
     }
+
+    /// Returns a permit, and an idle connection to a process with this identity or, if there is none,
+    /// to an unknown one.
+    ///
+    /// Closes idle connections to other processes: they have ended.
+    fn acquire_to(
+        &self,
+        identity: PeerIdentity,
+        limit: usize,
+    ) -> Result<(Permit<'_>, Option<Connection>), ClientError> {
+        let mut state = self.state();
+        let is_of = |connection: &Connection| connection.identity == Some(identity);
+        state
+            .idle
+            .retain(|known| known.sender.is_ready() && (is_of(known) || known.identity.is_none()));
+        if let Some(index) = state.idle.iter().rposition(is_of) {
+            let last = state.idle.len() - 1;
+            state.idle.swap(index, last);
+        }
+        drop(state);
+        self.acquire(limit)
+    }
 }
 
 impl Client {
@@ -155,7 +206,60 @@
         request: Request<Bytes>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, ClientError> {
-        self.exchange(addr, request).or(expire_after(addr, timeout)).await
+        self.send_identified(addr, request, timeout, |_| None).await
+    }
+
+    /// Sends a request as [`Client::send_within`] does; `identify` returns the identity of the
+    /// process, if its response tells it.
+    ///
+    /// # Errors
+    /// See [`Client::send_within`].
+    pub async fn send_identified(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        timeout: Duration,
+        identify: impl FnOnce(&Response<Bytes>) -> Option<PeerIdentity>,
+    ) -> Result<Response<Bytes>, ClientError> {
+        self.exchange(addr, request, identify).or(expire_after(addr, timeout)).await
+    }
+
+    /// Sends a request only to the process that `check` names, and waits at most `timeout` for the
+    /// whole response.
+    ///
+    /// A connection ends with its process. The request is therefore sent on a connection on which
+    /// a response has shown the identity, after the probe if there is none. `identify` returns the
+    /// identity that a response shows.
+    ///
+    /// # Errors
+    /// [`ClientError`]; [`ClientError::is_unsent`] is true if the peer cannot have received the
+    /// request, also if the probe got no response.
+    pub async fn send_to_peer(
+        &self,
+        addr: SocketAddr,
+        request: Request<Bytes>,
+        check: PeerCheck,
+        timeout: Duration,
+        identify: impl Fn(&Response<Bytes>) -> Option<PeerIdentity>,
+    ) -> Result<Delivery, ClientError> {
+        let deadline = Instant::now() + timeout;
+        let pool = self.inner.pool(addr);
+        let (permit, idle) = pool.acquire_to(check.identity, self.inner.connections)?;
+        let verify = self.inner.verify(&pool, idle, &check, identify);
+        let expiry = async {
+            Timer::at(deadline).await;
+            Err(ClientError::NotSent { addr })
+        };
+        let mut connection = match verify.or(expiry).await? {
+            Verified::Peer(connection) => connection,
+            Verified::Other(response) => return Ok(Delivery::OtherPeer(response)),
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        let sent = self.inner.send_on(&pool, &mut connection, request);
+        let response = sent.or(expire_after(addr, left)).await?;
+        pool.state().idle.push(connection);
+        drop(permit);
+        Ok(Delivery::Answered(response))
     }
 
     /// Sends a request once on a new connection that does not count against the connection limit.
@@ -187,6 +291,7 @@
         &self,
         addr: SocketAddr,
         request: Request<Bytes>,
+        identify: impl FnOnce(&Response<Bytes>) -> Option<PeerIdentity>,
     ) -> Result<Response<Bytes>, ClientError> {
         let pool = self.inner.pool(addr);
         let (permit, idle) = pool.acquire(self.inner.connections)?;
@@ -195,6 +300,7 @@
             None => self.inner.connect(addr).await?,
         };
         let response = self.inner.send_on(&pool, &mut connection, request).await?;
+        connection.identity = identify(&response).or(connection.identity);
         pool.state().idle.push(connection);
         drop(permit);
         Ok(response)
@@ -246,6 +352,31 @@
         }
     }
 
+    /// Checks an idle connection, or a new one, with a probe unless its process is known.
+    async fn verify(
+        &self,
+        pool: &Pool,
+        idle: Option<Connection>,
+        check: &PeerCheck,
+        identify: impl Fn(&Response<Bytes>) -> Option<PeerIdentity>,
+    ) -> Result<Verified, ClientError> {
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.connect(pool.addr).await?,
+        };
+        if connection.identity == Some(check.identity) {
+            return Ok(Verified::Peer(connection));
+        }
+        let probe = self.send_on(pool, &mut connection, check.probe.clone()).await;
+        let response = probe.map_err(|_| ClientError::NotSent { addr: pool.addr })?;
+        connection.identity = identify(&response);
+        if connection.identity == Some(check.identity) {
+            return Ok(Verified::Peer(connection));
+        }
+        pool.state().idle.push(connection);
+        Ok(Verified::Other(response))
+    }
+
     async fn connect(&self, addr: SocketAddr) -> Result<Connection, ClientError> {
         let expiry = async {
             Timer::after(CONNECT_TIMEOUT).await;
@@ -261,7 +392,7 @@
             // The request that uses the connection reports the error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, _task: task })
+        Ok(Connection { sender, identity: None, _task: task })
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -24,14 +24,16 @@
 mod budget;
 mod client;
 mod client_error;
+mod peer_identity;
 mod peer_liveness;
 mod problem;
 mod runtime;
 mod server;
 mod write_timeout_stream;
 
-pub use client::Client;
+pub use client::{Client, Delivery, PeerCheck};
 pub use client_error::ClientError;
+pub use peer_identity::PeerIdentity;
 pub use problem::{Problem, reply_json};
 pub use runtime::Runtime;
 pub use server::{Handler, Server};
--- a/crates/http/tests/client.rs
+++ b/crates/http/tests/client.rs
@@ -1,5 +1,5 @@
-//! Tests of the client: no request is sent twice, no response reaches another request, and no
-//! connection stays in use after its request.
+//! Tests of the client: no request is sent twice or to another process, no response reaches another
+//! request, and no connection stays in use after its request.
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
@@ -13,8 +13,8 @@
 };
 
 use bytes::Bytes;
-use cranberryhatch_http::{Client, ClientError, Runtime};
-use http::Request;
+use cranberryhatch_http::{Client, ClientError, Delivery, PeerCheck, PeerIdentity, Runtime};
+use http::{Request, Response};
 use socket2::SockRef;
 
 /// Upper bound for operations that are expected to complete.
@@ -487,3 +487,105 @@
         assert!(read.iter().all(|path| path != "/other"), "{name}: a redirect was followed");
     }
 }
+
+/// Returns a request whose path tells what the peer received.
+fn get_path(path: &str) -> Request<Bytes> {
+    Request::get(path).body(Bytes::new()).expect("a request")
+}
+
+/// Reads a request and returns its path; `None` if the client has closed the connection.
+fn read_path(stream: &mut TcpStream) -> Option<String> {
+    let mut line = String::new();
+    let mut reader = BufReader::new(stream);
+    reader.read_line(&mut line).ok()?;
+    while reader.read_line(&mut String::new()).ok()? > 2 {}
+    line.split(' ').nth(1).map(str::to_owned)
+}
+
+/// Starts a peer whose process `identities[number]` accepts connection `number`; returns the paths
+/// that each of them received.
+fn spawn_processes(identities: &'static [&str]) -> (SocketAddr, Arc<Mutex<Vec<Vec<String>>>>) {
+    let paths = Arc::new(Mutex::new(vec![Vec::new(); identities.len()]));
+    let received = Arc::clone(&paths);
+    let (addr, _) = spawn_peer(identities.len(), move |number, mut stream| {
+        let received = Arc::clone(&received);
+        std::thread::spawn(move || {
+            while let Some(path) = read_path(&mut stream) {
+                let is_end = path == "/end";
+                received.lock().expect("paths")[number].push(path);
+                if is_end {
+                    return;
+                }
+                write_response(&mut stream, identities[number]);
+            }
+        });
+    });
+    (addr, paths)
+}
+
+fn identify(response: &Response<Bytes>) -> Option<PeerIdentity> {
+    std::str::from_utf8(response.body()).ok()?.parse().ok()
+}
+
+async fn send_to(
+    client: &Client,
+    addr: SocketAddr,
+    identity: u64,
+) -> Result<Delivery, ClientError> {
+    let check = PeerCheck { identity: PeerIdentity::new(identity), probe: get_path("/probe") };
+    client.send_to_peer(addr, get_path("/request"), check, TEST_TIMEOUT, identify).await
+}
+
+/// Guards against a request that reaches the process which has taken the place of its addressee.
+#[test]
+fn request_to_a_peer_reaches_no_later_process() {
+    let (addr, paths) = spawn_processes(&["1", "2"]);
+    let runtime = Runtime::new(1);
+    let client = Client::new(runtime.executor());
+    runtime.block_on(async {
+        let first = send_to(&client, addr, 1).await;
+        assert!(matches!(first, Ok(Delivery::Answered(_))), "{first:?}");
+        let second = send_to(&client, addr, 1).await;
+        assert!(matches!(second, Ok(Delivery::Answered(_))), "{second:?}");
+        let ended = client.send_within(addr, get_path("/end"), TEST_TIMEOUT).await;
+        assert!(ended.is_err(), "{ended:?}");
+        let third = send_to(&client, addr, 1).await;
+        assert!(matches!(&third, Ok(Delivery::OtherPeer(found)) if identify(found) == Some(PeerIdentity::new(2))), "{third:?}");
+        let fourth = send_to(&client, addr, 2).await;
+        assert!(matches!(fourth, Ok(Delivery::Answered(_))), "{fourth:?}");
+    });
+    let paths = paths.lock().expect("paths").clone();
+    assert_eq!(paths, [vec!["/probe", "/request", "/request", "/end"], vec!["/probe", "/request"]]);
+}
+
+/// Guards against a second probe on a connection whose process an earlier response has shown.
+#[test]
+fn identified_connection_needs_no_probe() {
+    let (addr, paths) = spawn_processes(&["1"]);
+    let runtime = Runtime::new(1);
+    let client = Client::new(runtime.executor());
+    runtime.block_on(async {
+        let first = client.send_identified(addr, get_path("/poll"), TEST_TIMEOUT, identify).await;
+        assert!(first.is_ok(), "{first:?}");
+        let second = send_to(&client, addr, 1).await;
+        assert!(matches!(second, Ok(Delivery::Answered(_))), "{second:?}");
+    });
+    assert_eq!(*paths.lock().expect("paths"), [vec!["/poll", "/request"]]);
+}
+
+/// Guards against a request that counts as possibly received though only its probe was sent.
+#[test]
+fn request_whose_probe_gets_no_response_is_unsent() {
+    let (addr, thread) = spawn_peer(1, |_, mut stream| {
+        assert_eq!(read_path(&mut stream).as_deref(), Some("/probe"));
+        assert_eq!(read_path(&mut stream).as_deref(), None, "the client closes the connection");
+    });
+    let runtime = Runtime::new(1);
+    let client = Client::new(runtime.executor());
+    let check = PeerCheck { identity: PeerIdentity::new(1), probe: get_path("/probe") };
+    let sent = client.send_to_peer(addr, get_path("/request"), check, SHORT_TIMEOUT, identify);
+    let error = runtime.block_on(sent).expect_err("no response");
+    assert!(error.is_unsent(), "{error}");
+    drop((client, runtime));
+    thread.join().expect("peer");
+}
