fix(fleet): lease runs by the earliest time that a worker's clock may show

A run may outlast the time at which its owner reports it as over, and be started again beside itself.

Cause: the trace shows no restart, so the check's name misleads: the clock is of the same incarnation, read 5.6 s before, since an idle worker is polled every 3 s and its owner was paused for 2.9 s. The owner took it to run at its own speed. It may be 2 % slow, so that the lease could reach 113 ms too far; LEASE_SLACK covers 3 s without an answer, not a pause.

Ruled out: a restart (none in the trace), another owner's lease (the end that exceeds the bound is the owner's own).

Change: a lease counts from the earliest time that the clock may show (run_lease::earliest_clock), whatever the time since it was read. On an idle worker with an exact clock the first lease is up to 60 ms shorter; the next poll extends it.

--- a/crates/fleet/src/run_lease.rs
+++ b/crates/fleet/src/run_lease.rs
@@ -17,8 +17,9 @@
 /// The platform shortens longer leases to 1 s. With less than 800 ms, a new owner would take over
 /// too late to keep the runs of an instance that lost power.
 pub const LEASE: Span = Span::from_ms(950);
-/// Safety margin of a lease. It covers a worker's clock that is slow by 2 % (the platform's bound)
-/// over a lease and the 3 s after which an idle worker's clock is read again, and the response
+/// Percentage by which a worker's clock may be slow, the platform's bound.
+const CLOCK_ERROR_PERCENT: u64 = 2;
+/// Safety margin of a lease. It covers a worker's clock that is slow over a lease, and the response
 /// delay.
 pub(crate) const LEASE_SLACK: Span = Span::from_ms(90);
 
@@ -29,3 +30,10 @@
     let left = seen.map_or(LEASE, |seen| (seen + RUN_LIFETIME).since(now + LEASE_SLACK));
     left.min(LEASE)
 }
+
+/// Returns the lowest time that a worker's clock may show some time after it was read.
+///
+/// A lease by a higher one may outlast the time after which its owner takes the run to have ended.
+pub(crate) const fn earliest_clock(clock: u64, elapsed: Span) -> u64 {
+    clock.saturating_add(elapsed.as_ms() * (100 - CLOCK_ERROR_PERCENT) / 100)
+}
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -8,7 +8,7 @@
     RunKey,
     assigned_run::RunStage,
     output::Lease,
-    run_lease::{LEASE_SLACK, RUN_LIFETIME, lease_length},
+    run_lease::{LEASE_SLACK, RUN_LIFETIME, earliest_clock, lease_length},
 };
 
 /// Time for which a worker may hold a poll open until a run ends.
@@ -383,8 +383,7 @@
 
     fn record_lease(&mut self, length: Span, now: Time) -> Option<Lease> {
         let (clock, at) = self.clock?;
-        // The response took some time to arrive, so the worker's clock is ahead of this value.
-        let until = clock.saturating_add(now.since(at).as_ms()).saturating_add(length.as_ms());
+        let until = earliest_clock(clock, now.since(at)).saturating_add(length.as_ms());
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
         self.leased_at = now;
         Some(Lease { until })
--- a/crates/fleet/tests/slow_clocks.rs
+++ b/crates/fleet/tests/slow_clocks.rs
@@ -150,3 +150,20 @@
         );
     }
 }
+
+#[test]
+fn lease_after_a_pause_of_its_owner_is_not_longer_by_a_slow_clock() {
+    for pause in [0, 3_000, 6_000, 12_000, 30_000] {
+        let mut fixture = Fixture::new();
+        for after in 0..100 {
+            assert!(!fixture.tick(true, after));
+        }
+        // The start is read before the response to the first poll after the pause.
+        let started = 100 + pause;
+        fixture.start(started);
+        let mut ticks = started + 1..started + 3_000;
+        let reported = ticks.find(|after| fixture.tick(false, *after));
+        let (end, reported) = (end_of(fixture.leased), reported.expect("a report"));
+        assert!(reported >= end, "pause of {pause} ms: over after {reported}, ends until {end} ms");
+    }
+}
