test(fleet): a resumed instance of the model reads the list of workers

The model sent the list to running instances only, so that one that was paused meanwhile kept an entry of an earlier incarnation for good. On the platform an instance reads all changes since its last version.

--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -1036,11 +1036,15 @@
         let awake = |node: &usize| !self.instances[*node].paused;
         let awake: Vec<usize> = (0..self.instances.len()).filter(awake).collect();
         for node in awake {
-            let (listed, wall) = (self.listed(), self.wall(node));
-            self.with_node(node, |n, now, out| n.replace_worker_list(listed, wall, now, out));
+            self.send_worker_list(node);
         }
     }
 
+    fn send_worker_list(&mut self, node: usize) {
+        let (listed, wall) = (self.listed(), self.wall(node));
+        self.with_node(node, |n, now, out| n.replace_worker_list(listed, wall, now, out));
+    }
+
     fn wants(&self, node: usize, peer: usize) -> bool {
         self.instances[node].wanted_peers.binary_search(&self.instances[peer].member.id).is_ok()
     }
@@ -1170,6 +1174,7 @@
             if self.instances[node].node.is_some() {
                 // What the store would have sent during the pause is requested again.
                 self.read_store(node, self.now);
+                self.send_worker_list(node);
             }
             return;
         }
