fix(fleet): cancel a job wherever it is, and start none of its tasks later

Cause: a cancel acted on the jobs of the instance that it reached, no message carried it further, and a job was forgotten with its answer.

Change: each instance remembers cancelled jobs for 60 s. A cancel goes to the scheduler and from there to the fronts with submissions of the job and to the instances that may replace the scheduler; a new scheduler is told again. A front that asks for capacity for such a job is told instead, and answers as failed, as the job was shown before; so does an instance that knows it.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -323,6 +323,11 @@
         LogEvent::IncarnationEnded { worker, incarnation, runs } => {
             log::warn!(worker = worker.as_str(), born_ms = incarnation.born_ms(), runs; "{name}");
         }
+        LogEvent::JobCanceled { job, source, known } => {
+            let source = source.as_ref().map_or("caller", |peer| peer.as_str());
+            log::info!(job, source, known; "{name}");
+        }
+        LogEvent::CanceledBefore { job } => log::info!(job; "{name}"),
         LogEvent::EntryOutdated { worker, incarnation, listed } => {
             let (born_ms, listed_ms) = (incarnation.born_ms(), listed.born_ms());
             log::warn!(worker = worker.as_str(), born_ms, listed_ms; "{name}");
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -378,6 +378,20 @@
         /// Number of runs that it had or whose starts were in flight.
         runs: usize,
     },
+    /// A job is cancelled: no instance starts its tasks any more.
+    JobCanceled {
+        /// Name of the job.
+        job: String,
+        /// Instance that told; `None` if a caller did.
+        source: Option<InstanceId>,
+        /// Whether this instance has the job.
+        known: bool,
+    },
+    /// A request for a cancelled job was answered without a run.
+    CanceledBefore {
+        /// Name of the job.
+        job: String,
+    },
     /// A worker gets no starts until the entry of its current incarnation is read.
     EntryOutdated {
         /// The worker.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,5 +1,6 @@
 //! State machine of one instance: combines the front, the owner, and the scheduler.
 
+mod cancel;
 mod contact;
 mod drained;
 mod link;
@@ -12,10 +13,10 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    Command, DrainFreshness, Front, Incarnation, InstanceInfo, Job, ListedWorker, Member, Members,
-    NotRunCause, Outcome, Output, Owner, Owners, PollResult, RUN_EXPIRY, RunKey, Scheduler,
-    Shutdown, ShutdownProgress, StartResponse, TaskKey, Topology, VecMap, WorkerList, ZoneDrains,
-    log_event::LogEvent, version_history::VersionHistory,
+    CanceledJobs, Command, DrainFreshness, Front, Incarnation, InstanceInfo, Job, ListedWorker,
+    Member, Members, NotRunCause, Outcome, Output, Owner, Owners, PollResult, RUN_EXPIRY, RunKey,
+    Scheduler, Shutdown, ShutdownProgress, StartResponse, TaskKey, Topology, VecMap, WorkerList,
+    ZoneDrains, log_event::LogEvent, version_history::VersionHistory,
 };
 
 /// Heartbeat interval between two instances of which one runs tasks or schedules for the other.
@@ -47,6 +48,7 @@
     front: Front,
     owner: Owner,
     scheduler: Scheduler,
+    canceled: CanceledJobs,
     // The instance that schedules.
     elected: Option<InstanceId>,
     links: VecMap<InstanceId, PeerLink>,
@@ -93,6 +95,7 @@
             front,
             owner,
             scheduler,
+            canceled: CanceledJobs::default(),
             elected: None,
             links: VecMap::default(),
             broken_links: VecMap::default(),
@@ -122,6 +125,11 @@
     ///
     /// `ticket` identifies the caller's request in [`Command::Answer`].
     pub fn submit(&mut self, ticket: u64, job: Job, now: Time, out: &mut Output) {
+        if self.canceled.contains(&job.name, now) {
+            // The cancelled job was answered as failed.
+            out.log(LogEvent::CanceledBefore { job: job.name });
+            return out.answer(ticket, Outcome::Failed);
+        }
         let stopping = self.shutdown_progress(now);
         // A known job may be running: its caller has resubmitted it.
         let known = self.front.contains(&job.name);
@@ -150,13 +158,6 @@
         self.process_pending(now, false, out);
     }
 
-    /// Cancels a job, and returns whether it was known here.
-    pub fn cancel(&mut self, job: &str, now: Time, out: &mut Output) -> bool {
-        let known = self.front.cancel(job, now, out);
-        self.process_pending(now, false, out);
-        known
-    }
-
     fn update_owner_peers(&mut self) {
         let peers = self.members.peers().iter();
         self.owner.set_peers(peers.map(|peer| peer.id.clone()).collect());
@@ -191,6 +192,7 @@
                 let source = Some(from.clone());
                 self.replace_settings(settings.version, settings.body.into(), source, now, out);
             }
+            Body::Ask(ask) if self.refuse_canceled(from, &ask.job, now, out) => {}
             Body::Ask(ask) => {
                 let runs = self.scheduler.unnamed_losses(&ask, now);
                 self.scheduler.handle_ask(from, ask, now, out);
@@ -205,6 +207,7 @@
                 self.scheduler.merge_submissions(&submissions, now);
             }
             Body::Submissions(_) => {}
+            Body::Cancels(cancels) => self.handle_cancels(from, &cancels, now, out),
             Body::Losses(losses) => self.front.merge_losses(&losses, now),
             Body::Withdraw(withdraw) => self.scheduler.withdraw(from, &withdraw.job),
             Body::Unused(unused) => {
@@ -440,6 +443,7 @@
         }
         self.owner.set_scheduler(elected.clone());
         self.front.set_scheduler(elected, now, out);
+        self.send_cancels(now, out);
     }
 
     fn is_scheduler(&self) -> bool {
@@ -529,6 +533,7 @@
         self.front.review_losses(&self.listing, now, out);
         self.scheduler.review_losses(&self.listing, now);
         self.scheduler.tick(now);
+        self.canceled.remove_old(now);
         if self.is_scheduler() {
             self.scheduler.replicate(&self.members.standby_schedulers(), now, out);
         }
--- /dev/null
+++ b/crates/fleet/src/node/cancel.rs
@@ -0,0 +1,93 @@
+//! Cancels of jobs, which may reach any instance.
+
+use cranberryhatch_schema::fleet::{Cancels, frame::Body};
+use cranberryhatch_types::{InstanceId, Span, Time};
+
+use super::Node;
+use crate::{CANCEL_RETENTION, Output, log_event::LogEvent};
+
+impl Node {
+    /// Cancels a job wherever it is, and returns whether it was known here.
+    pub fn cancel(&mut self, job: &str, now: Time, out: &mut Output) -> bool {
+        let known = self.cancel_here(job, CANCEL_RETENTION, None, now, out);
+        self.tell_cancel(job, None, now, out);
+        self.process_pending(now, false, out);
+        known
+    }
+
+    /// Handles cancels that a peer has told.
+    pub(super) fn handle_cancels(
+        &mut self,
+        from: &InstanceId,
+        cancels: &Cancels,
+        now: Time,
+        out: &mut Output,
+    ) {
+        for canceled in &cancels.jobs {
+            let left = Span::from_ms(canceled.left_ms.into());
+            let is_new = !self.canceled.contains(&canceled.job, now);
+            self.cancel_here(&canceled.job, left, Some(from), now, out);
+            if is_new && self.is_scheduler() {
+                self.tell_cancel(&canceled.job, Some(from), now, out);
+            }
+        }
+    }
+
+    /// Sends all known cancels to a new scheduler, since the message to the former one may be lost.
+    pub(super) fn send_cancels(&self, now: Time, out: &mut Output) {
+        let scheduler = self.elected.as_ref().filter(|_| !self.is_scheduler());
+        if let Some(scheduler) = scheduler.filter(|_| !self.canceled.is_empty()) {
+            out.send(scheduler, Body::Cancels(self.canceled.to_message(now)));
+        }
+    }
+
+    /// Tells a front that asks for capacity that its job is cancelled; returns whether it is.
+    pub(super) fn refuse_canceled(
+        &self,
+        front: &InstanceId,
+        job: &str,
+        now: Time,
+        out: &mut Output,
+    ) -> bool {
+        let message = self.canceled.message_of(job, now);
+        let is_canceled = message.is_some();
+        if let Some(message) = message {
+            out.send(front, Body::Cancels(message));
+        }
+        is_canceled
+    }
+
+    fn cancel_here(
+        &mut self,
+        job: &str,
+        left: Span,
+        from: Option<&InstanceId>,
+        now: Time,
+        out: &mut Output,
+    ) -> bool {
+        let is_new = self.canceled.record(job, left, now);
+        let known = self.front.cancel(job, now, out);
+        if is_new || known {
+            let (job, source) = (job.to_owned(), from.cloned());
+            out.log(LogEvent::JobCanceled { job, source, known });
+        }
+        known
+    }
+
+    /// Tells the scheduler of a cancel or, as the scheduler, the fronts of the job and the instances
+    /// that may replace this one.
+    fn tell_cancel(&self, job: &str, from: Option<&InstanceId>, now: Time, out: &mut Output) {
+        let Some(message) = self.canceled.message_of(job, now) else { return };
+        let mut receivers = if self.is_scheduler() {
+            let mut receivers = self.members.standby_schedulers();
+            receivers.extend(self.scheduler.fronts_of(job).cloned());
+            receivers
+        } else {
+            self.elected.iter().cloned().collect()
+        };
+        receivers.sort();
+        receivers.dedup();
+        receivers.retain(|to| Some(to) != from && *to != self.members.me().id);
+        receivers.iter().for_each(|to| out.send(to, Body::Cancels(message.clone())));
+    }
+}
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -207,6 +207,12 @@
         unnamed
     }
 
+    /// Returns the fronts that may have runs of a job or wait for capacity for it.
+    pub fn fronts_of(&self, job: &str) -> impl Iterator<Item = &InstanceId> {
+        let latest = self.submissions.latest(job).map(|(front, _)| front);
+        latest.into_iter().chain(self.submissions.earlier(job))
+    }
+
     /// Removes the waiting tasks of a job.
     pub fn withdraw(&mut self, front: &InstanceId, job: &str) {
         self.backlog.remove(|queued| queued.job == job && queued.front == *front);
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -8,10 +8,10 @@
 use common::{kind_settings, listed, need};
 use cranberryhatch_fleet::{Job, Member, Message, Node, Output, Step, text_hash};
 use cranberryhatch_schema::fleet::{
-    Ask, Beat, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant, Held, KindTime, Listed,
-    Losses, LostRun, Need as Size, Obeying, Place, Refusal, Relinked, Room, Rooms, Run, Settings,
-    Standing, Start, Stop, Submission, Submissions, Superseded, Takeover, Takeovers, Unused,
-    Withdraw, Workers, Yielded,
+    Ask, Beat, CanceledJob, Cancels, Claim, Confirm, Drains, Ended, Entry, Frame, Freed, Grant,
+    Held, KindTime, Listed, Losses, LostRun, Need as Size, Obeying, Place, Refusal, Relinked, Room,
+    Rooms, Run, Settings, Standing, Start, Stop, Submission, Submissions, Superseded, Takeover,
+    Takeovers, Unused, Withdraw, Workers, Yielded,
 };
 use cranberryhatch_types::{InstanceId, Span, Time};
 use prost::Message as _;
@@ -191,6 +191,7 @@
         Message::Losses(Losses { runs: vec![lost] }),
         Message::Superseded(superseded),
         Message::Yielded(Yielded { job: job() }),
+        Message::Cancels(Cancels { jobs: vec![CanceledJob { job: job(), left_ms: u32::MAX }] }),
         Message::Submissions(Submissions {
             fronts: vec!["e-1".to_owned(), "e-2".to_owned()],
             submissions: vec![submission],
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -6,6 +6,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+mod cancels;
 mod capacity;
 mod crashes;
 mod incarnations;
