revert: blame no run for a restart after lost responses

A poll that times out has to be told from one whose connection breaks with the worker's process, which the interface to the platform does not do.

--- a/crates/fleet/src/owner/restart.rs
+++ b/crates/fleet/src/owner/restart.rs
@@ -134,11 +134,9 @@
         if worker.is_unopened() && worker.runs.is_empty() {
             return;
         }
-        // A run whose lease has ended, or whose end this paused process or a lost response may have
-        // hidden, may have ended before the restart.
-        let may_have_ended = now >= worker.lease_end
-            || worker.has_lost_responses()
-            || self.paused_since(worker.responded_at, now);
+        // A run whose lease has ended, or whose end this paused process may have missed, may have
+        // ended before the restart.
+        let may_have_ended = now >= worker.lease_end || self.paused_since(worker.responded_at, now);
         let (incarnation, runs) = (worker.incarnation, worker.runs.len());
         out.log(LogEvent::IncarnationEnded { worker: id.clone(), incarnation, runs });
         let token = self.next_token(0);
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -182,13 +182,6 @@
         self.listed.describes(self.incarnation)
     }
 
-    /// Returns whether responses have been lost since the last one that arrived, although the worker
-    /// has not refused connections as after a crash.
-    #[must_use]
-    pub const fn has_lost_responses(&self) -> bool {
-        self.missed_polls > 0 && !self.refuses
-    }
-
     /// Returns the run that is the most likely cause if the worker has crashed.
     #[must_use]
     pub fn likely_cause(&self) -> Option<RunKey> {
