fix(fleet): answer a resubmitted job at its deadline while earlier runs end

Cause: such a submission waits inside the job that is being closed, and the deadlines of closed jobs are not looked at.

Change: Front::tick answers it as given up at its deadline; the same code answers it where the instance ends.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -470,6 +470,23 @@
         self.finish(name, now, out);
     }
 
+    /// Answers the caller that has resubmitted a job whose earlier runs have not ended yet.
+    fn answer_resubmitted(&mut self, name: &str, outcome: Outcome, now: Time, out: &mut Output) {
+        let active = self.jobs.get_mut(name);
+        let Some((ticket, job)) = active.and_then(|active| active.resubmitted.take()) else {
+            return;
+        };
+        out.answer(ticket, outcome);
+        out.log(LogEvent::Answered {
+            job: job.name,
+            kind: job.settings.kind.clone(),
+            outcome,
+            took: now.since(job.arrived),
+            queued: None,
+            runs: 0,
+        });
+    }
+
     /// Closes the job of a caller that disconnected.
     pub fn caller_gone(&mut self, ticket: u64, now: Time, out: &mut Output) {
         let waits = |active: &ActiveJob| active.ticket == Some(ticket);
@@ -542,8 +559,12 @@
     /// long.
     pub fn tick(&mut self, now: Time, out: &mut Output) {
         let mut over = Vec::new();
+        let mut overdue = Vec::new();
         let mut gone = Vec::new();
         for (name, active) in self.jobs.iter() {
+            if active.resubmitted.as_ref().is_some_and(|(_, job)| now >= job.deadline) {
+                overdue.push(name.clone());
+            }
             if active.closing_since.is_none() && now >= active.job.deadline {
                 over.push((name.clone(), active.may_have_run()));
             }
@@ -571,6 +592,9 @@
                 }
             }
         }
+        for name in overdue {
+            self.answer_resubmitted(&name, Outcome::GivenUp, now, out);
+        }
         for (run, end) in gone {
             self.end_run(&run, end, now, out);
         }
@@ -604,19 +628,9 @@
     pub fn end_all(&mut self, now: Time, out: &mut Output) {
         let names: Vec<String> = self.jobs.iter().map(|(name, _)| name.clone()).collect();
         for name in names {
-            let Some(active) = self.jobs.get_mut(&name) else { continue };
             // Runs of its first submission may have been running.
-            if let Some((ticket, job)) = active.resubmitted.take() {
-                out.answer(ticket, Outcome::GivenUp);
-                out.log(LogEvent::Answered {
-                    job: job.name,
-                    kind: job.settings.kind.clone(),
-                    outcome: Outcome::GivenUp,
-                    took: now.since(job.arrived),
-                    queued: None,
-                    runs: 0,
-                });
-            }
+            self.answer_resubmitted(&name, Outcome::GivenUp, now, out);
+            let Some(active) = self.jobs.get(&name) else { continue };
             let outcome = if active.may_have_run() {
                 Outcome::GivenUp
             } else {
