fix(fleet): end a cancelled job that waits behind its earlier submission

Callers saw: a job that is submitted again while runs of its first submission are being stopped, and cancelled then, gets no answer and starts once these runs have ended.

Cause: the later submission waits inside the closing job, and a cancel looked at the job that is being closed only.

Change: a cancel answers the waiting submission as failed and drops it.

Result: cancelled_job_that_was_resubmitted_is_not_started_... failed before (no answer) and passes.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -550,7 +550,8 @@
     /// Cancels a job, and returns whether it was known.
     pub fn cancel(&mut self, name: &str, now: Time, out: &mut Output) -> bool {
         let known = self.jobs.get(name).is_some_and(|active| active.closing_since.is_none());
-        // A caller that waits for the job gets a failure.
+        // Callers that wait for the job get a failure.
+        self.answer_resubmitted(name, Outcome::Failed, now, out);
         self.close(name, Some(Outcome::Failed), now, out);
         known
     }
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -577,3 +577,25 @@
     };
     assert_eq!(out.commands.iter().filter(is_answer).count(), 1);
 }
+
+#[test]
+fn cancelled_job_that_was_resubmitted_is_not_started_once_its_runs_have_ended() {
+    let mut out = Output::default();
+    let mut front = placed(&mut out);
+    front.caller_gone(1, SENT, &mut out);
+    front.submit(2, job(60_000), SENT, &mut out);
+    out.commands.clear();
+    front.cancel("j", SENT, &mut out);
+    let is_answer = |command: &&Command| {
+        matches!(command, Command::Answer { ticket: 2, outcome: Outcome::Failed })
+    };
+    assert_eq!(out.commands.iter().filter(is_answer).count(), 1);
+    let ended = Ended {
+        run: Some(run()),
+        worker: "w".to_owned(),
+        how: How::Stopped.into(),
+        ..Ended::default()
+    };
+    front.ended(&id("o"), &ended, SENT, &mut out);
+    assert!(front.is_empty(), "the later submission begins");
+}
