--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -382,7 +382,7 @@
     JobCanceled {
         /// Name of the job.
         job: String,
-        /// Instance that told; `None` if a caller did.
+        /// Instance that sent the cancel; `None` if a caller did.
         source: Option<InstanceId>,
         /// Whether this instance has the job.
         known: bool,
@@ -392,7 +392,7 @@
         /// Name of the job.
         job: String,
     },
-    /// A worker gets no starts until the entry of its current incarnation is read.
+    /// A worker gets no starts, since its entry in the list is of another incarnation.
     EntryOutdated {
         /// The worker.
         worker: WorkerId,
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
 use cranberryhatch_schema::fleet::{
-    Beat, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
+    Ask, Beat, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
 };
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -192,14 +192,7 @@
                 let source = Some(from.clone());
                 self.replace_settings(settings.version, settings.body.into(), source, now, out);
             }
-            Body::Ask(ask) if self.refuse_canceled(from, &ask.job, now, out) => {}
-            Body::Ask(ask) => {
-                let runs = self.scheduler.unnamed_losses(&ask, now);
-                self.scheduler.handle_ask(from, ask, now, out);
-                if !runs.is_empty() {
-                    out.send(from, Body::Losses(Losses { runs }));
-                }
-            }
+            Body::Ask(ask) => self.handle_ask(from, ask, now, out),
             Body::Superseded(superseded) => self.handle_superseded(from, &superseded, now, out),
             Body::Yielded(yielded) => self.scheduler.handle_yielded(from, &yielded.job),
             // The ages in messages that are read after a pause do not include it.
@@ -255,6 +248,17 @@
         }
     }
 
+    fn handle_ask(&mut self, front: &InstanceId, ask: Ask, now: Time, out: &mut Output) {
+        if let Some(cancels) = self.canceled.message_of(&ask.job, now) {
+            return out.send(front, Body::Cancels(cancels));
+        }
+        let runs = self.scheduler.unnamed_losses(&ask, now);
+        self.scheduler.handle_ask(front, ask, now, out);
+        if !runs.is_empty() {
+            out.send(front, Body::Losses(Losses { runs }));
+        }
+    }
+
     fn handle_superseded(
         &mut self,
         from: &InstanceId,
--- a/crates/fleet/src/node/cancel.rs
+++ b/crates/fleet/src/node/cancel.rs
@@ -10,12 +10,12 @@
     /// Cancels a job wherever it is, and returns whether it was known here.
     pub fn cancel(&mut self, job: &str, now: Time, out: &mut Output) -> bool {
         let known = self.cancel_here(job, CANCEL_RETENTION, None, now, out);
-        self.tell_cancel(job, None, now, out);
+        self.forward_cancel(job, None, now, out);
         self.process_pending(now, false, out);
         known
     }
 
-    /// Handles cancels that a peer has told.
+    /// Handles cancels that a peer has sent.
     pub(super) fn handle_cancels(
         &mut self,
         from: &InstanceId,
@@ -28,7 +28,7 @@
             let is_new = !self.canceled.contains(&canceled.job, now);
             self.cancel_here(&canceled.job, left, Some(from), now, out);
             if is_new && self.is_scheduler() {
-                self.tell_cancel(&canceled.job, Some(from), now, out);
+                self.forward_cancel(&canceled.job, Some(from), now, out);
             }
         }
     }
@@ -41,22 +41,6 @@
         }
     }
 
-    /// Tells a front that asks for capacity that its job is cancelled; returns whether it is.
-    pub(super) fn refuse_canceled(
-        &self,
-        front: &InstanceId,
-        job: &str,
-        now: Time,
-        out: &mut Output,
-    ) -> bool {
-        let message = self.canceled.message_of(job, now);
-        let is_canceled = message.is_some();
-        if let Some(message) = message {
-            out.send(front, Body::Cancels(message));
-        }
-        is_canceled
-    }
-
     fn cancel_here(
         &mut self,
         job: &str,
@@ -74,9 +58,9 @@
         known
     }
 
-    /// Tells the scheduler of a cancel or, as the scheduler, the fronts of the job and the instances
-    /// that may replace this one.
-    fn tell_cancel(&self, job: &str, from: Option<&InstanceId>, now: Time, out: &mut Output) {
+    /// Sends a cancel to the scheduler or, as the scheduler, to the fronts of the job and to the
+    /// instances that may replace this one.
+    fn forward_cancel(&self, job: &str, from: Option<&InstanceId>, now: Time, out: &mut Output) {
         let Some(message) = self.canceled.message_of(job, now) else { return };
         let mut receivers = if self.is_scheduler() {
             let mut receivers = self.members.standby_schedulers();
