test(review): show a cancel that is lost when the scheduler freezes

The cancel is sent once to the scheduler; if that instance is frozen, the next scheduler may get it before it schedules and then never tells the fronts.

Nothing is fixed.

--- /dev/null
+++ b/review/standin-2/trials.rs
@@ -0,0 +1,270 @@
+//! The trials.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use crate::{
+    edge::{Edge, Net, SIGCONT, SIGSTOP, STORE_HOST, STORE_PORT, Spec, wait_until_ready},
+    json::{Json, map, num, text},
+    net::{Mode, call},
+    platform::{Store, Worker},
+    record::Record,
+};
+
+const ZONES: [&str; 3] = ["praha-a", "praha-b", "kladno-c"];
+/// The platform's bounds.
+const CANCEL: Duration = Duration::from_millis(3_000);
+const STOP_TIMEOUT: Duration = Duration::from_millis(50);
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Length of the cut of a machine; the site files have 12 s.
+const CUT: Duration = Duration::from_millis(11_500);
+
+/// A platform with workers, and instances.
+struct Bed {
+    net: Net,
+    record: Arc<Record>,
+    store: Arc<Store>,
+    edges: Vec<Edge>,
+    answers: Answers,
+    _workers: Vec<Arc<Worker>>,
+}
+
+/// Statuses and bodies of the answers to submissions, by job.
+type Answers = Arc<Mutex<BTreeMap<String, (u16, String)>>>;
+
+impl Bed {
+    /// Starts two instances and `workers` workers in each of three zones. The first instance has
+    /// the largest processor, so that it schedules.
+    fn start(record: &Arc<Record>, workers: u8, forwarded: &[usize]) -> Result<Self, String> {
+        let net = Net::new();
+        let store = Arc::new(Store::default());
+        store.start(net.addr(STORE_HOST, STORE_PORT));
+        let route = map(vec![
+            ("Name", text("timing")),
+            ("Host", text("nony24.example")),
+            ("PathPrefix", text("/lohu930/")),
+            ("Service", text("script-service")),
+            ("TimeoutMs", num(40_000)),
+            ("TargetLatencyMs", num(60)),
+            ("Priority", num(1)),
+            ("MaxAttempts", num(3)),
+            ("Stretch", num(2)),
+        ]);
+        let service = map(vec![
+            ("Name", text("script-service")),
+            ("EnforcesCapacity", Json::Bool(true)),
+        ]);
+        let config = map(vec![
+            ("Version", num(7)),
+            ("Routes", Json::List(vec![route])),
+            ("Services", Json::List(vec![service])),
+        ]);
+        store.put("op", "config", &config);
+        let mut all = Vec::new();
+        for number in 0..3 * workers {
+            let zone = ZONES[usize::from(number % 3)];
+            let (id, rack) = (format!("w{number:02}"), format!("r{}-1", number % 3 + 1));
+            let addr = net.addr(100 + number, 8_000);
+            all.push(Worker::start(&id, zone, &rack, addr, &store, record));
+        }
+        let mut bed = Self {
+            net,
+            record: Arc::clone(record),
+            store,
+            edges: Vec::new(),
+            answers: Arc::default(),
+            _workers: all,
+        };
+        for number in 0..6 {
+            let host = u8::try_from(number + 1).expect("small");
+            let spec = Spec {
+                name: &format!("edge-{}-{}", ZONES[number % 3], number / 3 + 1),
+                zone: ZONES[number % 3],
+                host,
+                share: if number == 0 { 0.5 } else { 0.25 },
+                forwarded: forwarded.contains(&number),
+            };
+            bed.edges.push(Edge::start(&bed.net, &spec, &[1, 2, 3], 6.0));
+        }
+        if !wait_until_ready(&bed.edges, record) {
+            return Err("the instances did not become ready".to_owned());
+        }
+        Ok(bed)
+    }
+
+    /// Submits a job of several steps, one task each, and returns the thread that waits for its
+    /// answer.
+    fn submit(&self, edge: usize, job: &str, steps: u64, ms: u64) -> JoinHandle<()> {
+        let step = |number: u64| {
+            let mut fields = vec![
+                ("Count", num(1)),
+                ("Cpu", num(14_000)),
+                ("MemMb", num(64)),
+                ("EstimateMs", num(ms)),
+            ];
+            if number > 0 {
+                fields.push(("After", Json::List(vec![num(number - 1)])));
+            }
+            map(fields)
+        };
+        let body = map(vec![
+            ("Spec", text(&format!("{ms} {job}"))),
+            ("Preemptible", Json::Bool(true)),
+            ("Steps", Json::List((0..steps).map(step).collect())),
+        ]);
+        let (addr, name) = (self.edges[edge].callers(), self.edges[edge].name.clone());
+        let (record, answers, job) =
+            (Arc::clone(&self.record), Arc::clone(&self.answers), job.to_owned());
+        thread::spawn(move || {
+            record.add("submit", &format!("{job} to {name}"));
+            let headers = [
+                ("host", "nony24.example".to_owned()),
+                ("deadline-ms", "30000".to_owned()),
+                ("content-type", "application/json".to_owned()),
+            ];
+            let path = format!("/lohu930/{job}");
+            let timeout = Duration::from_secs(30);
+            let answer = call(addr, "POST", &path, &headers, &body.write(), timeout);
+            record.add("answer", &format!("{job} from {name}: {answer:?}"));
+            if let Ok(answer) = answer {
+                answers.lock().expect("answers").insert(job, answer);
+            }
+        })
+    }
+
+    /// Cancels a job and returns when that was acknowledged, if it was.
+    fn cancel(&self, edge: usize, job: &str) -> Option<Duration> {
+        let name = &self.edges[edge].name;
+        self.record.add("cancel", &format!("{job} at {name}"));
+        let headers = [("host", "nony24.example".to_owned())];
+        let path = format!("/lohu930/{job}");
+        let addr = self.edges[edge].callers();
+        let answer = call(addr, "DELETE", &path, &headers, "", Duration::from_secs(2));
+        self.record.add("canceled", &format!("{job} at {name}: {answer:?}"));
+        let (status, _) = answer.ok()?;
+        (status == 410 || (200..300).contains(&status)).then(|| self.record.now())
+    }
+}
+
+fn job_id(number: usize) -> String {
+    format!("{:016x}", 0x5c0e_7a21_d94b_0000_u64 + number as u64)
+}
+
+fn sleep_until(record: &Record, at: Duration) {
+    thread::sleep(at.saturating_sub(record.now()));
+}
+
+/// Jobs are cancelled right after the instance that schedules has frozen. Their tasks have to be gone
+/// after a calm stretch of `cancel_ms` + `StopTimeoutMs`.
+pub fn cancel_freeze(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    let bed = Bed::start(record, 5, &[])?;
+    // All but the instance that freezes take jobs and cancels.
+    let jobs: Vec<(String, usize, usize)> =
+        (0..12).map(|n| (job_id(n), 1 + n % 5, 1 + (n + 1 + n / 5) % 5)).collect();
+    let waiting: Vec<_> =
+        jobs.iter().map(|(job, front, _)| bed.submit(*front, job, 1, 18_000)).collect();
+    thread::sleep(Duration::from_millis(1_500));
+    if record.runs().len() != jobs.len() {
+        return Err("not all jobs run".to_owned());
+    }
+    if trouble {
+        record.add("freeze", &bed.edges[0].name);
+        bed.edges[0].signal(SIGSTOP);
+        thread::sleep(Duration::from_millis(50));
+    }
+    let mut canceled = Vec::new();
+    for (job, front, at) in &jobs {
+        if front == at {
+            return Err("cancel at the front of the job".to_owned());
+        }
+        canceled.push((job.clone(), bed.cancel(*at, job)));
+    }
+    thread::sleep(Duration::from_millis(2_000));
+    if trouble {
+        bed.edges[0].signal(SIGCONT);
+        record.add("wake", &bed.edges[0].name);
+    }
+    let woken = record.now();
+    // Calm from `ContactMs` after the disruption.
+    let due = woken + CONTACT + CANCEL + STOP_TIMEOUT;
+    sleep_until(record, due + Duration::from_millis(500));
+    let mut broken = Vec::new();
+    for (job, acknowledged) in canceled {
+        let Some(acknowledged) = acknowledged else { continue };
+        let is_late = |run: &crate::record::Seen| {
+            run.task.starts_with(&job) && run.until.is_none_or(|until| until > due)
+        };
+        for run in record.runs().into_iter().filter(is_late) {
+            broken.push(format!(
+                "{} still runs on {} at {:.2} s, cancelled at {:.2} s",
+                run.task,
+                run.worker,
+                due.as_secs_f64(),
+                acknowledged.as_secs_f64()
+            ));
+        }
+    }
+    for edge in &bed.edges {
+        record.add("log", &format!("{}: {}", edge.name, edge.scheduler()));
+    }
+    drop(bed);
+    for waiting in waiting {
+        let _ = waiting.join();
+    }
+    Ok(broken)
+}
+
+/// Jobs are cancelled at an instance that is partitioned from all others. Their tasks must not be
+/// started later than `cancel_ms` after that.
+pub fn cancel_cut(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    // The first by name opens no links, so a forwarder before it cuts all.
+    let cut = 2;
+    let bed = Bed::start(record, 5, &[cut])?;
+    let forwarder = bed.edges[cut].forwarder.clone().ok_or("no forwarder")?;
+    let jobs: Vec<(String, usize)> =
+        (0..6).map(|n| (job_id(n), [0, 1, 3, 4, 5][n % 5])).collect();
+    let waiting: Vec<_> =
+        jobs.iter().map(|(job, front)| bed.submit(*front, job, 30, 700)).collect();
+    thread::sleep(Duration::from_millis(500));
+    let from = record.now();
+    if trouble {
+        record.add("cut", &bed.edges[cut].name);
+        forwarder.set(Mode::Silent);
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    let mut canceled = Vec::new();
+    for (job, _) in &jobs {
+        canceled.push((job.clone(), bed.cancel(cut, job)));
+    }
+    sleep_until(record, from + CUT);
+    if trouble {
+        forwarder.set(Mode::Pass);
+        record.add("heal", &bed.edges[cut].name);
+    }
+    sleep_until(record, from + CUT + CONTACT);
+    let mut broken = Vec::new();
+    for (job, acknowledged) in canceled {
+        let Some(acknowledged) = acknowledged else { continue };
+        let is_late = |run: &crate::record::Seen| {
+            run.task.starts_with(&job) && run.from > acknowledged + CANCEL
+        };
+        for run in record.runs().into_iter().filter(is_late) {
+            broken.push(format!(
+                "{} started on {} at {:.2} s, cancelled at {:.2} s",
+                run.task,
+                run.worker,
+                run.from.as_secs_f64(),
+                acknowledged.as_secs_f64()
+            ));
+        }
+    }
+    drop(bed);
+    for waiting in waiting {
+        let _ = waiting.join();
+    }
+    Ok(broken)
+}
