test(review): show a cancel that a returning front never learns of

A job is cancelled at another instance while its front is cut off from the others for 5.5 s. The scheduler knows the cancel, but does not send it to the front once the cut has healed, so the task runs on in a calm system (rule UNASKED).

Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -21,6 +21,7 @@
     let record = Arc::new(Record::create(&Path::new(folder).join("record.txt")));
     let result = match name.as_str() {
         "cancel-freeze" => trials::cancel_freeze(&record, trouble),
+        "cancel-return" => trials::cancel_return(&record, trouble),
         "cancel-cut" => trials::cancel_cut(&record, trouble),
         _ => Err("no such trial".to_owned()),
     };
--- a/review/standin-2/trials.rs
+++ b/review/standin-2/trials.rs
@@ -268,3 +268,50 @@
     }
     Ok(broken)
 }
+
+/// Jobs are cancelled while their front is partitioned from all other instances. Once it is back,
+/// their tasks have to be gone after a calm stretch of `cancel_ms` + `StopTimeoutMs`.
+pub fn cancel_return(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    let cut = 2;
+    let bed = Bed::start(record, 5, &[cut])?;
+    let forwarder = bed.edges[cut].forwarder.clone().ok_or("no forwarder")?;
+    let jobs: Vec<String> = (0..4).map(job_id).collect();
+    let waiting: Vec<_> = jobs.iter().map(|job| bed.submit(cut, job, 1, 22_000)).collect();
+    thread::sleep(Duration::from_millis(1_000));
+    let from = record.now();
+    if trouble {
+        record.add("cut", &bed.edges[cut].name);
+        forwarder.set(Mode::Silent);
+        thread::sleep(Duration::from_millis(2_000));
+    }
+    let canceled: Vec<_> =
+        jobs.iter().enumerate().map(|(n, job)| (job.clone(), bed.cancel([0, 1, 3, 4][n], job))).collect();
+    sleep_until(record, from + Duration::from_millis(5_500));
+    if trouble {
+        forwarder.set(Mode::Pass);
+        record.add("heal", &bed.edges[cut].name);
+    }
+    let due = record.now() + CONTACT + CANCEL + STOP_TIMEOUT;
+    sleep_until(record, due + Duration::from_millis(1_000));
+    let mut broken = Vec::new();
+    for (job, acknowledged) in canceled {
+        let Some(acknowledged) = acknowledged else { continue };
+        let is_late = |run: &crate::record::Seen| {
+            run.task.starts_with(&job) && run.until.is_none_or(|until| until > due)
+        };
+        for run in record.runs().into_iter().filter(is_late) {
+            broken.push(format!(
+                "{} still runs on {} at {:.2} s, cancelled at {:.2} s",
+                run.task,
+                run.worker,
+                due.as_secs_f64(),
+                acknowledged.as_secs_f64()
+            ));
+        }
+    }
+    drop(bed);
+    for waiting in waiting {
+        let _ = waiting.join();
+    }
+    Ok(broken)
+}
