test(review): show jobs that cannot be cancelled once their route is gone

A config removes the route of running jobs. Each DELETE at the instance that runs the job is answered with 404, and the instance goes on starting its tasks later than AckTimeoutMs + cancel_ms after the first DELETE (rule UNASKED). No fault is injected.

Nothing is fixed.

--- a/review/standin-2/edge.rs
+++ b/review/standin-2/edge.rs
@@ -18,7 +18,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGHUP: i32 = 1;
 #[cfg(target_os = "linux")]
@@ -58,9 +57,9 @@
 }
 
 /// Settings that differ between the instances of a trial.
-pub struct Spec<'a> {
-    pub name: &'a str,
-    pub zone: &'a str,
+pub struct Spec {
+    pub name: String,
+    pub zone: &'static str,
     pub host: u8,
     pub share: f64,
     /// Whether links from other instances come through a forwarder that can be cut.
@@ -71,12 +70,12 @@
 pub const STORE_PORT: u16 = 8_169;
 
 impl Edge {
-    pub fn start(net: &Net, spec: &Spec<'_>, seeds: &[u8], grace: f64) -> Self {
+    pub fn start(net: &Net, spec: &Spec, seeds: &[u8], grace: f64) -> Self {
         let forwarder = spec
             .forwarded
             .then(|| Forwarder::start(net.addr(spec.host, 7_720), net.addr(spec.host, 7_735)));
         let mut edge = Self {
-            name: spec.name.to_owned(),
+            name: spec.name.clone(),
             host: spec.host,
             net: net.clone(),
             child: None,
@@ -87,7 +86,7 @@
         edge
     }
 
-    pub fn write_settings(&self, spec: &Spec<'_>, seeds: &[u8], grace: f64) {
+    pub fn write_settings(&self, spec: &Spec, seeds: &[u8], grace: f64) {
         let ip = self.net.addr(spec.host, 1).ip();
         let seeds: Vec<String> =
             seeds.iter().map(|host| format!("\"{}\"", self.net.addr(*host, 8_166))).collect();
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -22,6 +22,8 @@
     let result = match name.as_str() {
         "cancel-freeze" => trials::cancel_freeze(&record, trouble),
         "cancel-return" => trials::cancel_return(&record, trouble),
+        "cancel-route" => trials::cancel_route(&record, trouble),
+        "stop-settings" => trials::stop_settings(&record, trouble),
         "cancel-cut" => trials::cancel_cut(&record, trouble),
         _ => Err("no such trial".to_owned()),
     };
--- a/review/standin-2/trials.rs
+++ b/review/standin-2/trials.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    edge::{Edge, Net, SIGCONT, SIGSTOP, STORE_HOST, STORE_PORT, Spec, wait_until_ready},
+    edge::{Edge, Net, SIGCONT, SIGHUP, SIGSTOP, SIGTERM, STORE_HOST, STORE_PORT, Spec, wait_until_ready},
     json::{Json, map, num, text},
     net::{Mode, call},
     platform::{Store, Worker},
@@ -19,6 +19,9 @@
 /// The platform's bounds.
 const CANCEL: Duration = Duration::from_millis(3_000);
 const STOP_TIMEOUT: Duration = Duration::from_millis(50);
+const GRACE: f64 = 6.0;
+const ACK_TIMEOUT: Duration = Duration::from_millis(4_000);
+const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// Length of the cut of a machine; the site files have 12 s.
 const CUT: Duration = Duration::from_millis(11_500);
@@ -43,27 +46,7 @@
         let net = Net::new();
         let store = Arc::new(Store::default());
         store.start(net.addr(STORE_HOST, STORE_PORT));
-        let route = map(vec![
-            ("Name", text("timing")),
-            ("Host", text("nony24.example")),
-            ("PathPrefix", text("/lohu930/")),
-            ("Service", text("script-service")),
-            ("TimeoutMs", num(40_000)),
-            ("TargetLatencyMs", num(60)),
-            ("Priority", num(1)),
-            ("MaxAttempts", num(3)),
-            ("Stretch", num(2)),
-        ]);
-        let service = map(vec![
-            ("Name", text("script-service")),
-            ("EnforcesCapacity", Json::Bool(true)),
-        ]);
-        let config = map(vec![
-            ("Version", num(7)),
-            ("Routes", Json::List(vec![route])),
-            ("Services", Json::List(vec![service])),
-        ]);
-        store.put("op", "config", &config);
+        put_config(&store, 7, &["/lohu930/"]);
         let mut all = Vec::new();
         for number in 0..3 * workers {
             let zone = ZONES[usize::from(number % 3)];
@@ -80,15 +63,8 @@
             _workers: all,
         };
         for number in 0..6 {
-            let host = u8::try_from(number + 1).expect("small");
-            let spec = Spec {
-                name: &format!("edge-{}-{}", ZONES[number % 3], number / 3 + 1),
-                zone: ZONES[number % 3],
-                host,
-                share: if number == 0 { 0.5 } else { 0.25 },
-                forwarded: forwarded.contains(&number),
-            };
-            bed.edges.push(Edge::start(&bed.net, &spec, &[1, 2, 3], 6.0));
+            let spec = bed_spec(number, forwarded);
+            bed.edges.push(Edge::start(&bed.net, &spec, &[1, 2, 3], GRACE));
         }
         if !wait_until_ready(&bed.edges, record) {
             return Err("the instances did not become ready".to_owned());
@@ -150,6 +126,47 @@
     }
 }
 
+/// Returns the settings of an instance of a bed.
+fn bed_spec(number: usize, forwarded: &[usize]) -> Spec {
+    Spec {
+        name: format!("edge-{}-{}", ZONES[number % 3], number / 3 + 1),
+        zone: ZONES[number % 3],
+        host: u8::try_from(number + 1).expect("small"),
+        share: if number == 0 { 0.5 } else { 0.25 },
+        forwarded: forwarded.contains(&number),
+    }
+}
+
+/// Writes a version of the config with these routes.
+fn put_config(store: &Store, version: u64, prefixes: &[&str]) {
+    put_config_for(store, version, prefixes, 60);
+}
+
+/// The same with a latency target in milliseconds.
+fn put_config_for(store: &Store, version: u64, prefixes: &[&str], target: u64) {
+    let route = |prefix: &&str| {
+        map(vec![
+            ("Name", text(&format!("r-{}", prefix.trim_matches('/')))),
+            ("Host", text("nony24.example")),
+            ("PathPrefix", text(prefix)),
+            ("Service", text("script-service")),
+            ("TimeoutMs", num(40_000)),
+            ("TargetLatencyMs", num(target)),
+            ("Priority", num(1)),
+            ("MaxAttempts", num(3)),
+            ("Stretch", num(2)),
+        ])
+    };
+    let service =
+        map(vec![("Name", text("script-service")), ("EnforcesCapacity", Json::Bool(true))]);
+    let config = map(vec![
+        ("Version", num(version)),
+        ("Routes", Json::List(prefixes.iter().map(route).collect())),
+        ("Services", Json::List(vec![service])),
+    ]);
+    store.put("op", "config", &config);
+}
+
 fn job_id(number: usize) -> String {
     format!("{:016x}", 0x5c0e_7a21_d94b_0000_u64 + number as u64)
 }
@@ -315,3 +332,105 @@
     }
     Ok(broken)
 }
+
+/// Jobs are cancelled at their own fronts after a config has removed their route. Their tasks must not
+/// be started later than `cancel_ms` after the cancel was acknowledged or has waited `AckTimeoutMs`.
+pub fn cancel_route(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    let bed = Bed::start(record, 5, &[])?;
+    put_config(&bed.store, 8, &["/lohu930/", "/pufi791/"]);
+    thread::sleep(Duration::from_millis(1_000));
+    let jobs: Vec<(String, usize)> = (0..6).map(|n| (job_id(n), n)).collect();
+    let waiting: Vec<_> =
+        jobs.iter().map(|(job, front)| bed.submit(*front, job, 30, 700)).collect();
+    thread::sleep(Duration::from_millis(1_000));
+    let routes: &[&str] = if trouble { &["/pufi791/"] } else { &["/lohu930/", "/pufi791/", "/pule252/"] };
+    put_config(&bed.store, 11, routes);
+    record.add("config", &format!("version 11 with {routes:?}"));
+    thread::sleep(CONFIG_APPLY + Duration::from_millis(500));
+    let first = record.now();
+    // When each cancel counts: once acknowledged, or after it has waited long enough.
+    let mut counts: Vec<Option<Duration>> = vec![None; jobs.len()];
+    while counts.iter().any(Option::is_none) && record.now() < first + ACK_TIMEOUT {
+        for (place, (job, front)) in jobs.iter().enumerate() {
+            if counts[place].is_none() {
+                counts[place] = bed.cancel(*front, job);
+            }
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    sleep_until(record, first + ACK_TIMEOUT + CANCEL + Duration::from_millis(3_000));
+    let mut broken = Vec::new();
+    for ((job, _), acknowledged) in jobs.iter().zip(counts) {
+        let from = acknowledged.unwrap_or(first + ACK_TIMEOUT) + CANCEL;
+        let is_late = |run: &crate::record::Seen| run.task.starts_with(job) && run.from > from;
+        for run in record.runs().into_iter().filter(is_late) {
+            broken.push(format!(
+                "{} started on {} at {:.2} s, cancelled from {:.2} s, acknowledged: {}",
+                run.task,
+                run.worker,
+                run.from.as_secs_f64(),
+                first.as_secs_f64(),
+                acknowledged.is_some()
+            ));
+        }
+    }
+    drop(bed);
+    for waiting in waiting {
+        let _ = waiting.join();
+    }
+    Ok(broken)
+}
+
+/// The settings file of an instance gets a shorter grace period, with SIGHUP. Later the instance is
+/// stopped by SIGTERM, and by SIGKILL at the end of the grace period. Each request that it has read
+/// must be answered.
+pub fn stop_settings(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    let stopped = 4;
+    let mut bed = Bed::start(record, 5, &[])?;
+    put_config_for(&bed.store, 8, &["/lohu930/"], 20_000);
+    thread::sleep(Duration::from_millis(1_000));
+    // All workers are busy, so that the requests wait without being passed on to one.
+    let busy: Vec<_> =
+        (0..30).map(|n| bed.submit(n % 4, &job_id(100 + n), 1, 7_700)).collect();
+    thread::sleep(Duration::from_millis(1_000));
+    let grace = if trouble { 3.0 } else { GRACE };
+    bed.edges[stopped].write_settings(&bed_spec(stopped, &[]), &[1, 2, 3], grace);
+    bed.edges[stopped].signal(SIGHUP);
+    record.add("hup", &format!("{} with GraceS = {grace}", bed.edges[stopped].name));
+    thread::sleep(CONFIG_APPLY + Duration::from_millis(500));
+    let jobs: Vec<String> = (0..4).map(job_id).collect();
+    let waiting: Vec<_> = jobs.iter().map(|job| bed.submit(stopped, job, 1, 300)).collect();
+    thread::sleep(Duration::from_millis(300));
+    if jobs.iter().any(|job| bed.answers.lock().expect("answers").contains_key(job)) {
+        return Err("a request was answered before the stop".to_owned());
+    }
+    bed.edges[stopped].signal(SIGTERM);
+    record.add("term", &bed.edges[stopped].name);
+    let killed_at = record.now() + Duration::from_secs_f64(grace);
+    while record.now() < killed_at && bed.edges[stopped].runs() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let running = bed.edges[stopped].runs();
+    record.add("kill", &format!("{}, running: {running}", bed.edges[stopped].name));
+    bed.edges[stopped].kill();
+    for waiting in waiting {
+        let _ = waiting.join();
+    }
+    let answers = bed.answers.lock().expect("answers").clone();
+    let mut broken = Vec::new();
+    for job in jobs {
+        if answers.contains_key(&job) {
+            continue;
+        }
+        if record.runs().iter().any(|run| run.task.starts_with(&job)) {
+            record.add("skipped", &format!("{job} was passed on to a worker"));
+            continue;
+        }
+        broken.push(format!("the channel of {job} ended without an answer"));
+    }
+    drop(bed);
+    for busy in busy {
+        let _ = busy.join();
+    }
+    Ok(broken)
+}
