--- a/review/standin-2/edge.rs
+++ b/review/standin-2/edge.rs
@@ -18,8 +18,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGTERM: i32 = 15;
-pub const SIGHUP: i32 = 1;
 #[cfg(target_os = "linux")]
 pub const SIGCONT: i32 = 18;
 #[cfg(target_os = "linux")]
@@ -86,7 +84,7 @@
         edge
     }
 
-    pub fn write_settings(&self, spec: &Spec, seeds: &[u8], grace: f64) {
+    fn write_settings(&self, spec: &Spec, seeds: &[u8], grace: f64) {
         let ip = self.net.addr(spec.host, 1).ip();
         let seeds: Vec<String> =
             seeds.iter().map(|host| format!("\"{}\"", self.net.addr(*host, 8_166))).collect();
@@ -113,7 +111,7 @@
         self.net.folder.join(format!("{}.toml", self.name))
     }
 
-    pub fn spawn(&mut self) {
+    fn spawn(&mut self) {
         let log = self.net.folder.join(format!("{}.log", self.name));
         let log = File::options().create(true).append(true).open(log).expect("a log");
         let mut command = Command::new("target/release/cranberryhatch-edge");
@@ -142,21 +140,25 @@
         }
     }
 
-    pub fn kill(&mut self) {
+    fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 
-    /// Returns whether the process is running.
-    pub fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     fn is_ready(&self, peers: usize) -> bool {
         let timeout = Duration::from_secs(1);
-        let get = |port, path| call(self.net.addr(self.host, port), "GET", path, &[("host", "x".to_owned())], "", timeout);
+        let get = |port, path| {
+            call(
+                self.net.addr(self.host, port),
+                "GET",
+                path,
+                &[("host", "x".to_owned())],
+                "",
+                timeout,
+            )
+        };
         let line = format!("\ncranberryhatch_peers {peers}\n");
         matches!(get(8_167, "/-/readyz"), Ok((200, _)))
             && get(9_464, "/metrics").is_ok_and(|(_, body)| body.contains(&line))
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,7 +10,12 @@
 mod record;
 mod trials;
 
-use std::{path::Path, process::ExitCode, sync::Arc};
+use std::{
+    panic::{self, AssertUnwindSafe},
+    path::Path,
+    process::ExitCode,
+    sync::Arc,
+};
 
 use record::Record;
 
@@ -19,14 +24,17 @@
     let [_, name, folder] = args.as_slice() else { return ExitCode::from(2) };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::create(&Path::new(folder).join("record.txt")));
-    let result = match name.as_str() {
-        "cancel-freeze" => trials::cancel_freeze(&record, trouble),
+    let run = || match name.as_str() {
+        "late-leases" => trials::late_leases(&record, trouble),
         "cancel-return" => trials::cancel_return(&record, trouble),
-        "cancel-route" => trials::cancel_route(&record, trouble),
-        "stop-settings" => trials::stop_settings(&record, trouble),
+        "cancel-freeze" => trials::cancel_freeze(&record, trouble),
         "cancel-cut" => trials::cancel_cut(&record, trouble),
+        "cancel-route" => trials::cancel_route(&record, trouble),
         _ => Err("no such trial".to_owned()),
     };
+    // An address that is in use, for example, ends the trial in a panic.
+    let result = panic::catch_unwind(AssertUnwindSafe(run));
+    let result = result.unwrap_or_else(|_| Err("panicked".to_owned()));
     let (line, code) = match result {
         Ok(broken) if broken.is_empty() => ("held".to_owned(), 0),
         Ok(broken) => (format!("broken: {}", broken.join("; ")), 1),
--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -9,7 +9,6 @@
 };
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -118,9 +117,8 @@
     let mut buffer = Vec::new();
     while let Some((first, headers, body)) = read_message(&mut stream, &mut buffer)? {
         let mut words = first.split(' ');
-        let method = words.next().unwrap_or("").to_owned();
-        let path = words.next().unwrap_or("").to_owned();
-        let Some((status, body)) = handler(Request { method, path, headers, body }) else {
+        let path = words.nth(1).unwrap_or("").to_owned();
+        let Some((status, body)) = handler(Request { path, headers, body }) else {
             // The caller times out.
             thread::sleep(Duration::from_secs(60));
             return Ok(());
@@ -195,7 +193,6 @@
             }
         }
     }
-
 }
 
 fn forward(client: TcpStream, target: SocketAddr, state: &Arc<Mutex<(Mode, Vec<TcpStream>)>>) {
@@ -205,7 +202,8 @@
     }
     let Ok(server) = TcpStream::connect_timeout(&target, Duration::from_secs(1)) else { return };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let Ok((client_copy, server_copy)) = client.try_clone().and_then(|c| Ok((c, server.try_clone()?)))
+    let Ok((client_copy, server_copy)) =
+        client.try_clone().and_then(|c| Ok((c, server.try_clone()?)))
     else {
         return;
     };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -141,6 +144,8 @@
 
 const MAX_LEASE_MS: u64 = 1_000;
 const STOP_DELAY_MS: u64 = 30;
+/// Time after which an order without answer is carried out; the platform has 2 to 12 s.
+const LATE_MS: u64 = 2_000;
 const CORES: u64 = 32_000;
 
 struct Run {
@@ -170,6 +175,10 @@
     state: Mutex<WorkerState>,
     changed: Condvar,
     record: Arc<Record>,
+    /// Share of the orders, in percent, that get no answer and are carried out late. The time of
+    /// their leases counts from their arrival.
+    late: AtomicU64,
+    draws: AtomicU64,
 }
 
 impl Worker {
@@ -188,9 +197,21 @@
             state: Mutex::default(),
             changed: Condvar::new(),
             record: Arc::clone(record),
+            late: AtomicU64::new(0),
+            draws: AtomicU64::new(u64::from(addr.port()) + id.bytes().map(u64::from).sum::<u64>()),
         });
         let serving = Arc::clone(&worker);
-        serve(addr, move |request| Some(serving.answer(&request)));
+        serve(addr, move |request| {
+            if !serving.draws_late() {
+                return Some(serving.answer(&request, 0));
+            }
+            let late = Arc::clone(&serving);
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(LATE_MS));
+                late.answer(&request, LATE_MS);
+            });
+            None
+        });
         let ticking = Arc::clone(&worker);
         thread::spawn(move || {
             loop {
@@ -223,11 +244,29 @@
         worker
     }
 
+    /// Sets the share of the orders that are carried out late, in percent.
+    pub fn set_late(&self, percent: u64) {
+        self.late.store(percent, Ordering::Relaxed);
+    }
+
+    fn draws_late(&self) -> bool {
+        let percent = self.late.load(Ordering::Relaxed);
+        if percent == 0 {
+            return false;
+        }
+        // SplitMix64.
+        let mut draw = self.draws.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        draw = (draw ^ (draw >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        draw = (draw ^ (draw >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (draw ^ (draw >> 31)) % 100 < percent
+    }
+
     fn clock(&self) -> u64 {
         5_000 + u64::try_from(self.born.elapsed().as_millis()).expect("a short run")
     }
 
-    fn answer(&self, request: &Request) -> (u16, String) {
+    /// Carries out an order that was on its way for `late` milliseconds longer than usual.
+    fn answer(&self, request: &Request, late: u64) -> (u16, String) {
         if request.header("target-instance") != self.id {
             return (421, "{}".to_owned());
         }
@@ -245,7 +284,7 @@
         }
         state.token = token;
         let (run, lease) = (body.get("Run").u64(), body.get("DeadlineMs").u64());
-        let lease = lease.min(clock + MAX_LEASE_MS);
+        let lease = if lease > 0 { (lease + late).min(clock + MAX_LEASE_MS) } else { 0 };
         let accepted = (200, map(vec![("ClockMs", num(clock))]).write());
         match request.route() {
             "/-/run-start" => {
@@ -266,7 +305,9 @@
                 }
                 let spec = body.get("Spec").str().to_owned();
                 let time: u64 = spec.split(' ').next().and_then(|ms| ms.parse().ok()).unwrap_or(60);
-                self.record.add("start", &format!("{task} run {run} on {} for {time} ms", self.id));
+                let how = if late > 0 { ", carried out late" } else { "" };
+                self.record
+                    .add("start", &format!("{task} run {run} on {} for {time} ms{how}", self.id));
                 self.record.started(task, &self.id);
                 state.runs.push(Run {
                     task: task.to_owned(),
@@ -297,7 +338,8 @@
                     }
                     state = self.changed.wait_timeout(state, left).expect("state").0;
                     if token < state.token {
-                        let fields = vec![("ClockMs", num(self.clock())), ("Reason", text("fence"))];
+                        let fields =
+                            vec![("ClockMs", num(self.clock())), ("Reason", text("fence"))];
                         return (409, map(fields).write());
                     }
                 }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -48,9 +48,8 @@
     pub fn ended(&self, task: &str, worker: &str) {
         let now = self.now();
         let mut runs = self.runs.lock().expect("runs");
-        let is_run = |seen: &&mut Seen| {
-            seen.task == task && seen.worker == worker && seen.until.is_none()
-        };
+        let is_run =
+            |seen: &&mut Seen| seen.task == task && seen.worker == worker && seen.until.is_none();
         if let Some(seen) = runs.iter_mut().rev().find(is_run) {
             seen.until = Some(now);
         }
--- a/review/standin-2/trials.rs
+++ b/review/standin-2/trials.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    edge::{Edge, Net, SIGCONT, SIGHUP, SIGSTOP, SIGTERM, STORE_HOST, STORE_PORT, Spec, wait_until_ready},
+    edge::{Edge, Net, SIGCONT, SIGSTOP, STORE_HOST, STORE_PORT, Spec, wait_until_ready},
     json::{Json, map, num, text},
     net::{Mode, call},
     platform::{Store, Worker},
@@ -20,6 +20,8 @@
 const CANCEL: Duration = Duration::from_millis(3_000);
 const STOP_TIMEOUT: Duration = Duration::from_millis(50);
 const GRACE: f64 = 6.0;
+/// Share of the orders that are carried out late, in percent.
+const LATE_PERCENT: u64 = 50;
 const ACK_TIMEOUT: Duration = Duration::from_millis(4_000);
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 const CONTACT: Duration = Duration::from_millis(3_000);
@@ -33,7 +35,7 @@
     store: Arc<Store>,
     edges: Vec<Edge>,
     answers: Answers,
-    _workers: Vec<Arc<Worker>>,
+    workers: Vec<Arc<Worker>>,
 }
 
 /// Statuses and bodies of the answers to submissions, by job.
@@ -60,7 +62,7 @@
             store,
             edges: Vec::new(),
             answers: Arc::default(),
-            _workers: all,
+            workers: all,
         };
         for number in 0..6 {
             let spec = bed_spec(number, forwarded);
@@ -87,10 +89,14 @@
             }
             map(fields)
         };
+        self.submit_steps(edge, job, (0..steps).map(step).collect(), ms)
+    }
+
+    fn submit_steps(&self, edge: usize, job: &str, steps: Vec<Json>, ms: u64) -> JoinHandle<()> {
         let body = map(vec![
             ("Spec", text(&format!("{ms} {job}"))),
             ("Preemptible", Json::Bool(true)),
-            ("Steps", Json::List((0..steps).map(step).collect())),
+            ("Steps", Json::List(steps)),
         ]);
         let (addr, name) = (self.edges[edge].callers(), self.edges[edge].name.clone());
         let (record, answers, job) =
@@ -112,6 +118,17 @@
         })
     }
 
+    /// Submits a job of one step and returns the thread that waits for its answer.
+    fn submit_wide(&self, edge: usize, job: &str, tasks: u64, ms: u64) -> JoinHandle<()> {
+        let step = map(vec![
+            ("Count", num(tasks)),
+            ("Cpu", num(14_000)),
+            ("MemMb", num(64)),
+            ("EstimateMs", num(ms)),
+        ]);
+        self.submit_steps(edge, job, vec![step], ms)
+    }
+
     /// Cancels a job and returns when that was acknowledged, if it was.
     fn cancel(&self, edge: usize, job: &str) -> Option<Duration> {
         let name = &self.edges[edge].name;
@@ -139,11 +156,6 @@
 
 /// Writes a version of the config with these routes.
 fn put_config(store: &Store, version: u64, prefixes: &[&str]) {
-    put_config_for(store, version, prefixes, 60);
-}
-
-/// The same with a latency target in milliseconds.
-fn put_config_for(store: &Store, version: u64, prefixes: &[&str], target: u64) {
     let route = |prefix: &&str| {
         map(vec![
             ("Name", text(&format!("r-{}", prefix.trim_matches('/')))),
@@ -151,7 +163,7 @@
             ("PathPrefix", text(prefix)),
             ("Service", text("script-service")),
             ("TimeoutMs", num(40_000)),
-            ("TargetLatencyMs", num(target)),
+            ("TargetLatencyMs", num(60)),
             ("Priority", num(1)),
             ("MaxAttempts", num(3)),
             ("Stretch", num(2)),
@@ -167,6 +179,14 @@
     store.put("op", "config", &config);
 }
 
+impl Drop for Bed {
+    fn drop(&mut self) {
+        // Ends the processes first.
+        self.edges.clear();
+        let _ = std::fs::remove_dir_all(&self.net.folder);
+    }
+}
+
 fn job_id(number: usize) -> String {
     format!("{:016x}", 0x5c0e_7a21_d94b_0000_u64 + number as u64)
 }
@@ -242,8 +262,7 @@
     let cut = 2;
     let bed = Bed::start(record, 5, &[cut])?;
     let forwarder = bed.edges[cut].forwarder.clone().ok_or("no forwarder")?;
-    let jobs: Vec<(String, usize)> =
-        (0..6).map(|n| (job_id(n), [0, 1, 3, 4, 5][n % 5])).collect();
+    let jobs: Vec<(String, usize)> = (0..6).map(|n| (job_id(n), [0, 1, 3, 4, 5][n % 5])).collect();
     let waiting: Vec<_> =
         jobs.iter().map(|(job, front)| bed.submit(*front, job, 30, 700)).collect();
     thread::sleep(Duration::from_millis(500));
@@ -301,8 +320,11 @@
         forwarder.set(Mode::Silent);
         thread::sleep(Duration::from_millis(2_000));
     }
-    let canceled: Vec<_> =
-        jobs.iter().enumerate().map(|(n, job)| (job.clone(), bed.cancel([0, 1, 3, 4][n], job))).collect();
+    let canceled: Vec<_> = jobs
+        .iter()
+        .enumerate()
+        .map(|(n, job)| (job.clone(), bed.cancel([0, 1, 3, 4][n], job)))
+        .collect();
     sleep_until(record, from + Duration::from_millis(5_500));
     if trouble {
         forwarder.set(Mode::Pass);
@@ -343,7 +365,8 @@
     let waiting: Vec<_> =
         jobs.iter().map(|(job, front)| bed.submit(*front, job, 30, 700)).collect();
     thread::sleep(Duration::from_millis(1_000));
-    let routes: &[&str] = if trouble { &["/pufi791/"] } else { &["/lohu930/", "/pufi791/", "/pule252/"] };
+    let routes: &[&str] =
+        if trouble { &["/pufi791/"] } else { &["/lohu930/", "/pufi791/", "/pule252/"] };
     put_config(&bed.store, 11, routes);
     record.add("config", &format!("version 11 with {routes:?}"));
     thread::sleep(CONFIG_APPLY + Duration::from_millis(500));
@@ -381,56 +404,53 @@
     Ok(broken)
 }
 
-/// The settings file of an instance gets a shorter grace period, with SIGHUP. Later the instance is
-/// stopped by SIGTERM, and by SIGKILL at the end of the grace period. Each request that it has read
-/// must be answered.
-pub fn stop_settings(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
-    let stopped = 4;
-    let mut bed = Bed::start(record, 5, &[])?;
-    put_config_for(&bed.store, 8, &["/lohu930/"], 20_000);
-    thread::sleep(Duration::from_millis(1_000));
-    // All workers are busy, so that the requests wait without being passed on to one.
-    let busy: Vec<_> =
-        (0..30).map(|n| bed.submit(n % 4, &job_id(100 + n), 1, 7_700)).collect();
-    thread::sleep(Duration::from_millis(1_000));
-    let grace = if trouble { 3.0 } else { GRACE };
-    bed.edges[stopped].write_settings(&bed_spec(stopped, &[]), &[1, 2, 3], grace);
-    bed.edges[stopped].signal(SIGHUP);
-    record.add("hup", &format!("{} with GraceS = {grace}", bed.edges[stopped].name));
-    thread::sleep(CONFIG_APPLY + Duration::from_millis(500));
-    let jobs: Vec<String> = (0..4).map(job_id).collect();
-    let waiting: Vec<_> = jobs.iter().map(|job| bed.submit(stopped, job, 1, 300)).collect();
-    thread::sleep(Duration::from_millis(300));
-    if jobs.iter().any(|job| bed.answers.lock().expect("answers").contains_key(job)) {
-        return Err("a request was answered before the stop".to_owned());
-    }
-    bed.edges[stopped].signal(SIGTERM);
-    record.add("term", &bed.edges[stopped].name);
-    let killed_at = record.now() + Duration::from_secs_f64(grace);
-    while record.now() < killed_at && bed.edges[stopped].runs() {
-        thread::sleep(Duration::from_millis(10));
+/// Workers leave half of the orders without answer and carry them out 2 s later, and the time of
+/// their leases counts from their arrival. No task may run twice at a time.
+pub fn late_leases(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
+    let bed = Bed::start(record, 10, &[])?;
+    let mut waiting = Vec::new();
+    for round in 0..4 {
+        if trouble {
+            bed.workers.iter().for_each(|worker| worker.set_late(LATE_PERCENT));
+            record.add("late", &format!("{LATE_PERCENT} % of the orders"));
+        }
+        thread::sleep(Duration::from_millis(200));
+        waiting.push(bed.submit_wide(1 + round, &job_id(round), 30, 5_000));
+        thread::sleep(Duration::from_millis(5_000));
+        bed.workers.iter().for_each(|worker| worker.set_late(0));
+        record.add("late", "ended");
+        // The job ends.
+        thread::sleep(Duration::from_millis(10_000));
     }
-    let running = bed.edges[stopped].runs();
-    record.add("kill", &format!("{}, running: {running}", bed.edges[stopped].name));
-    bed.edges[stopped].kill();
+    let broken = overlaps(record);
+    drop(bed);
     for waiting in waiting {
         let _ = waiting.join();
     }
-    let answers = bed.answers.lock().expect("answers").clone();
-    let mut broken = Vec::new();
-    for job in jobs {
-        if answers.contains_key(&job) {
-            continue;
-        }
-        if record.runs().iter().any(|run| run.task.starts_with(&job)) {
-            record.add("skipped", &format!("{job} was passed on to a worker"));
-            continue;
+    Ok(broken)
+}
+
+/// Returns the pairs of runs of one task that were at work at the same time on two workers.
+fn overlaps(record: &Record) -> Vec<String> {
+    let runs = record.runs();
+    let mut found = Vec::new();
+    for (place, a) in runs.iter().enumerate() {
+        for b in &runs[place + 1..] {
+            let from = a.from.max(b.from);
+            let until = a.until.unwrap_or(Duration::MAX).min(b.until.unwrap_or(Duration::MAX));
+            // Ends are seen up to some milliseconds late.
+            if a.task == b.task && a.worker != b.worker && until > from + Duration::from_millis(20)
+            {
+                found.push(format!(
+                    "{} on {} and {} at {:.3} s for {:.3} s",
+                    a.task,
+                    a.worker,
+                    b.worker,
+                    from.as_secs_f64(),
+                    (until - from).as_secs_f64()
+                ));
+            }
         }
-        broken.push(format!("the channel of {job} ended without an answer"));
     }
-    drop(bed);
-    for busy in busy {
-        let _ = busy.join();
-    }
-    Ok(broken)
+    found
 }
