fix(fleet): keep runs of a silent worker while an order may extend their lease

Cause: Owner::end_expired_runs took the runs of a worker that does not respond as over at the end of the last lease as if every request had been carried out at once. A poll that had got no response seconds before was carried out in the meantime and gave the run another lease, while its front started the task elsewhere. Only runs whose own start had no response were held.

Change: the owner keeps the requests with a lease that got no response (UnansweredLeases), for 12 s each. Runs of a silent worker are over at the latest end to which these can lead: each adds a lease if it can arrive before the end that the earlier ones lead to. A response to the request or a higher token that the worker has accepted removes it; the response to another request does not. worker-dark names their number and the time until the end.

It rests on a least delay of 2 s ("It may also be executed seconds later", PROTOCOL.md; "carried out 2 to 12 s later", kinds): the last lease of a worker that loses power without earlier losses ends 1.5 s after its first poll without response, so nothing changes there.

Ruled out: holding every run of a silent worker for 13 s, which keeps the tasks of each worker that loses power for that long.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -335,8 +335,9 @@
         LogEvent::EntryCurrent { worker, held } => {
             log::info!(worker = worker.as_str(), held_ms = held.as_ms(); "{name}");
         }
-        LogEvent::WorkerUnresponsive { worker, silence, runs } => {
-            log::warn!(worker = worker.as_str(), silence_ms = silence.as_ms(), runs; "{name}");
+        LogEvent::WorkerUnresponsive { worker, silence, runs, unanswered, over_in } => {
+            let (silence_ms, over_ms) = (silence.as_ms(), over_in.as_ms());
+            log::warn!(worker = worker.as_str(), silence_ms, runs, unanswered, over_ms; "{name}");
         }
         LogEvent::ZoneDrains { change, source } => {
             let source = source.as_ref().map_or("store", |peer| peer.as_str());
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -417,6 +417,10 @@
         silence: Span,
         /// Number of runs on it.
         runs: usize,
+        /// Number of requests without response that may extend the leases of the runs.
+        unanswered: usize,
+        /// Time until the runs count as over if it does not respond.
+        over_in: Span,
     },
     /// New settings were applied.
     Settings {
--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -8,8 +8,8 @@
     restart::IncarnationOrder, wire_end,
 };
 use crate::{
-    AssignedRun, Command, Members, Output, PendingPoll, PollResponse, PollResult, ResponseTimes,
-    RunKey, Worker, WorkerStatus,
+    AssignedRun, Command, LeasedRequest, Members, Output, PendingPoll, PollResponse, PollResult,
+    ResponseTimes, RunKey, Worker, WorkerStatus,
     assigned_run::RunStage,
     log_event::{DropCause, LogEvent, RequestKind, Resolution, RestartCause},
     worker::{Ownership, likely_cause, loss_of},
@@ -33,6 +33,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let poll = if worker.token == token { worker.take_poll(at) } else { None };
         if let Some(poll) = poll.filter(|_| !response.is_missing()) {
+            worker.unanswered.remove(LeasedRequest::Poll(poll.number));
             let took = (poll.wait == Span::ZERO && !was_paused).then(|| now.since(at));
             self.response_times.record_response(took);
         }
@@ -298,6 +299,8 @@
                 worker: id.clone(),
                 silence: now.since(worker.responded_at),
                 runs: worker.runs.len(),
+                unanswered: worker.unanswered.len(),
+                over_in: worker.runs_end().since(now),
             });
             self.unreported.push(id.clone());
         }
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -7,8 +7,8 @@
     LOST_STOP_RETRY_DELAY, Owner, STOP_RETRY_DELAY, push_stop, restart::IncarnationOrder, send_end,
 };
 use crate::{
-    AssignedRun, Command, DeferredStart, Incarnation, Output, ResponseTimes, RunKey, StartResponse,
-    WorkerStatus,
+    AssignedRun, Command, DeferredStart, Incarnation, LeasedRequest, Output, ResponseTimes, RunKey,
+    StartResponse, WorkerStatus,
     assigned_run::RunStage,
     log_event::{DropCause, LogEvent, RequestKind, Resolution, StartRefusal, StopCause},
     output::{Lease, Message},
@@ -65,7 +65,7 @@
         self.requests_sent += 1;
         let number = self.requests_sent;
         let DeferredStart { mut assigned, start } = deferred;
-        let (lease, worker) = match self.reserve(id, &assigned, &start, now) {
+        let (lease, worker) = match self.reserve(id, &assigned, &start, number, now) {
             Ok(placed) => placed,
             Err(Obstacle::Outlasted) => return Some(DeferredStart { assigned, start }),
             Err(Obstacle::Refused(cause)) => {
@@ -90,12 +90,14 @@
         None
     }
 
-    /// Checks that a run can start on a worker and returns its lease.
+    /// Checks that a run can start on a worker and returns the lease for the start request with this
+    /// number.
     fn reserve(
         &mut self,
         id: &WorkerId,
         assigned: &AssignedRun,
         start: &Start,
+        number: u64,
         now: Time,
     ) -> Result<(Lease, &mut Worker), Obstacle> {
         let worker = self.workers.get_mut(id).ok_or(StartRefusal::Closed)?;
@@ -129,7 +131,7 @@
         if worker.outlasts(assigned) {
             return Err(Obstacle::Outlasted);
         }
-        let lease = worker.lease_for_start(assigned, now).ok_or(StartRefusal::Outdated)?;
+        let lease = worker.lease_for_start(assigned, number, now).ok_or(StartRefusal::Outdated)?;
         Ok((lease, worker))
     }
 
@@ -258,6 +260,9 @@
             self.check_clock(id, clock, now, out);
         }
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if response != StartResponse::NoResponse {
+            worker.unanswered.remove(LeasedRequest::Start(number));
+        }
         let predates_restart =
             worker.run_of_request(number).is_some_and(|assigned| assigned.predates_restart);
         // The response to a request that was sent before a restart may come from either
--- a/crates/fleet/src/owner/takeover.rs
+++ b/crates/fleet/src/owner/takeover.rs
@@ -55,6 +55,7 @@
     ) {
         self.resolve_restarted(id, status, now, out);
         let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.unanswered.clear();
         worker.latest_clock = status.clock;
         worker.acked = status.ended.iter().map(|end| end.number).max().unwrap_or(0);
         let message = Takeover {
--- a/crates/fleet/src/owner/tick.rs
+++ b/crates/fleet/src/owner/tick.rs
@@ -87,12 +87,11 @@
 
     /// Reports the runs of an unresponsive worker as ended once their lease has expired.
     ///
-    /// On workers where a lease counts from its arrival, a start request without response may take
-    /// effect even later, and so may a poll that extends its lease.
+    /// A start request without response may take effect even later.
     pub(super) fn end_expired_runs(&mut self, id: &WorkerId, now: Time, out: &mut Output) {
         let Some(worker) = self.workers.get(id) else { return };
         let unresponsive = worker.unresponsive || worker.is_unopened();
-        if !unresponsive || now < worker.lease_end {
+        if !unresponsive || now < worker.runs_end() {
             return;
         }
         let is_late = now.since(worker.leased_at) >= LATE_REQUEST_LIMIT;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -4,8 +4,8 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use crate::{
-    AssignedRun, DeferredStart, Incarnation, ListedWorker, Need, PendingPoll, ResponseTimes,
-    RunKey,
+    AssignedRun, DeferredStart, Incarnation, LeasedRequest, ListedWorker, Need, PendingPoll,
+    ResponseTimes, RunKey, UnansweredLeases,
     assigned_run::RunStage,
     output::Lease,
     run_lease::{LEASE_SLACK, RUN_LIFETIME, earliest_clock, lease_length},
@@ -109,8 +109,11 @@
     pub refuses: bool,
     /// Time of the last request that got no response.
     pub timed_out_at: Option<Time>,
-    /// Latest end of all leases that this instance or an earlier owner may have given.
+    /// Latest end of all leases that this instance or an earlier owner may have given, if each
+    /// request is carried out at once or never.
     pub lease_end: Time,
+    /// Requests that may extend the lease later.
+    pub unanswered: UnansweredLeases,
     /// Latest incarnation that has sent a response.
     pub incarnation: Incarnation,
     /// Time at which its first response was read.
@@ -151,6 +154,7 @@
             refuses: false,
             timed_out_at: None,
             lease_end: Time::ZERO,
+            unanswered: UnansweredLeases::new(),
             incarnation: Incarnation::UNKNOWN,
             incarnation_since: Time::ZERO,
             outdated_since: None,
@@ -349,11 +353,12 @@
         self.all_runs().map(|assigned| assigned.seen_heartbeat).min()
     }
 
-    /// Returns a lease from now on for all runs and records its latest end, or `None` if a front
-    /// may give up its run before.
+    /// Returns a lease from now on for all runs, which the next poll carries, and records its latest
+    /// end, or `None` if a front may give up its run before.
     pub fn renew_lease(&mut self, now: Time) -> Option<Lease> {
         let length = lease_length(self.oldest_heartbeat(), now);
-        if length > Span::ZERO { self.record_lease(length, now) } else { None }
+        let request = LeasedRequest::Poll(self.polls_sent + 1);
+        if length > Span::ZERO { self.record_lease(length, request, now) } else { None }
     }
 
     /// Returns whether a lease for all runs and a new one would expire before the next poll extends
@@ -370,10 +375,16 @@
         self.lease_end > further.seen_heartbeat + RUN_LIFETIME
     }
 
-    /// Returns a lease for all runs and a new one and records its latest end, or `None` if the
-    /// worker's clock is unknown.
-    pub fn lease_for_start(&mut self, further: &AssignedRun, now: Time) -> Option<Lease> {
-        self.record_lease(self.start_lease_length(further, now), now)
+    /// Returns a lease for all runs and a new one, which the start with this number carries, and
+    /// records its latest end, or `None` if the worker's clock is unknown.
+    pub fn lease_for_start(
+        &mut self,
+        further: &AssignedRun,
+        number: u64,
+        now: Time,
+    ) -> Option<Lease> {
+        let length = self.start_lease_length(further, now);
+        self.record_lease(length, LeasedRequest::Start(number), now)
     }
 
     fn start_lease_length(&self, further: &AssignedRun, now: Time) -> Span {
@@ -381,13 +392,21 @@
         lease_length(Some(self.oldest_heartbeat().map_or(seen, |oldest| oldest.min(seen))), now)
     }
 
-    fn record_lease(&mut self, length: Span, now: Time) -> Option<Lease> {
+    fn record_lease(&mut self, length: Span, request: LeasedRequest, now: Time) -> Option<Lease> {
         let (clock, at) = self.clock?;
         let until = earliest_clock(clock, now.since(at)).saturating_add(length.as_ms());
         self.lease_end = self.lease_end.max(now + length + LEASE_SLACK);
         self.leased_at = now;
+        self.unanswered.add(request, now);
         Some(Lease { until })
     }
+
+    /// Returns the time by which the runs that the worker has now are over if it gets no further
+    /// lease.
+    #[must_use]
+    pub fn runs_end(&self) -> Time {
+        self.unanswered.latest_end(self.lease_end)
+    }
 }
 
 /// Returns how a run ended that was lost with a worker; see [`Worker::loss_of`].
--- a/crates/fleet/tests/outer_names.rs
+++ b/crates/fleet/tests/outer_names.rs
@@ -25,7 +25,16 @@
             },
             "life-ended",
         ),
-        (LogEvent::WorkerUnresponsive { worker: worker(), silence, runs: 0 }, "worker-dark"),
+        (
+            LogEvent::WorkerUnresponsive {
+                worker: worker(),
+                silence,
+                runs: 0,
+                unanswered: 0,
+                over_in: silence,
+            },
+            "worker-dark",
+        ),
     ];
     for (event, name) in events {
         assert_eq!(<&'static str>::from(&event), name, "{event:?}");
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -552,6 +552,50 @@
     assert_eq!(how(&out), [How::Lost], "no request takes effect that late");
 }
 
+#[test]
+fn run_of_a_silent_worker_outlasts_the_polls_that_may_still_extend_its_lease() {
+    // Guards against a second run while a poll that got no response is carried out late, and
+    // against runs of a worker that loses power which are kept for longer than its last lease.
+    struct Case {
+        name: &'static str,
+        /// Polls before the worker falls silent: the time in milliseconds, and whether it responds.
+        polls: &'static [(u64, bool)],
+        /// Number of leases by which the end is postponed: one for each lost poll, the last four
+        /// included, if an earlier one can arrive in time.
+        leases: u64,
+    }
+    let cases = [
+        Case { name: "power loss", polls: &[(3_000, true)], leases: 0 },
+        Case { name: "earlier loss", polls: &[(1_000, false), (3_000, true)], leases: 5 },
+        Case {
+            name: "two earlier losses",
+            polls: &[(900, false), (1_000, false), (3_000, true)],
+            leases: 6,
+        },
+        Case { name: "recent loss", polls: &[(2_900, false), (3_000, true)], leases: 0 },
+    ];
+    for case in cases {
+        let mut out = Output::default();
+        let (mut fixture, run) = Fixture::with_run(StartResponse::Started, &mut out);
+        let front: InstanceId = "e-2".parse().expect("a name");
+        let at = |ms: u64| START + Span::from_ms(ms);
+        for (sent, responds) in case.polls {
+            fixture.owner.heartbeat_seen(&front, at(*sent), at(*sent));
+            fixture.poll_runs(std::slice::from_ref(&run), *responds, at(*sent), &mut out);
+        }
+        for sent in [3_240, 3_300, 3_400, 3_500] {
+            fixture.owner.heartbeat_seen(&front, at(sent), at(sent));
+            fixture.poll_runs(&[], false, at(sent), &mut out);
+        }
+        assert_eq!(fixture.owner.worker_counts(), (0, 1), "{}: the worker is silent", case.name);
+        let end = at(3_500) + LEASE + Span::from_ms(90) + Span::from_ms(1_040 * case.leases);
+        fixture.tick(end - Span::from_ms(1), &mut out);
+        assert_eq!(ends(&out), 0, "{}", case.name);
+        fixture.tick(end, &mut out);
+        assert_eq!(how(&out), [How::Lost], "{}", case.name);
+    }
+}
+
 #[test]
 fn responses_unread_during_a_pause_do_not_count_as_lost() {
     // Guards against workers that become unresponsive because the instance itself was paused.
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -53,6 +53,8 @@
 pub const WORKER_HEARTBEAT: u64 = 1_500;
 /// Time after which a request to a worker counts as lost.
 const RESPONSE_TIMEOUT: u64 = 200;
+/// Shortest and longest delay of a late request.
+const LATE_DELAY: std::ops::Range<u64> = 2_000..12_000;
 
 /// What an event does.
 enum EventKind {
@@ -83,6 +85,8 @@
     LatePoll {
         node: usize,
         request: PollRequest,
+        // Whether it waits at the worker.
+        waits: bool,
     },
     PollResponse {
         node: usize,
@@ -101,6 +105,7 @@
         responds: bool,
         // Incarnation whose process holds a delayed request and carries it out.
         bound_to: Option<Incarnation>,
+        waits: bool,
     },
     StartResponse {
         node: usize,
@@ -118,6 +123,7 @@
         token: u64,
         run: RunKey,
         responds: bool,
+        waits: bool,
     },
     StopResponse {
         node: usize,
@@ -275,6 +281,10 @@
     pub request_late: u32,
     /// Share of polls without response that are carried out late.
     pub poll_late: u32,
+    /// Longest delay of late requests; 0 stands for the platform's bound.
+    pub late_limit: u64,
+    /// Whether late requests wait at the worker, which also carries them out while it is cut off.
+    pub late_at_worker: bool,
     pub caller_leaves: u32,
     /// Share of submissions whose connection breaks on the caller's side only.
     pub half_open: u32,
@@ -550,9 +560,9 @@
             EventKind::PollRequest { node, generation, request } => {
                 self.poll(node, generation, request);
             }
-            EventKind::LatePoll { node, request } => {
+            EventKind::LatePoll { node, request, waits } => {
                 let now = self.now;
-                if let Some(worker) = self.reach(node, &request.worker) {
+                if let Some(worker) = self.reach_late(node, &request.worker, waits) {
                     worker.poll(request.token, request.acked, request.lease, request.sent, now);
                 }
             }
@@ -573,6 +583,7 @@
                 sent,
                 responds,
                 bound_to,
+                waits,
             } => {
                 let known = self.workers.iter().find(|known| known.listed.id == worker);
                 if known.is_some_and(|known| {
@@ -580,7 +591,9 @@
                 }) {
                     return;
                 }
-                self.start(node, generation, number, &worker, token, &run, lease, sent, responds);
+                self.start(
+                    node, generation, number, &worker, token, &run, lease, sent, responds, waits,
+                );
             }
             EventKind::StartResponse { node, generation, worker, number, response, from } => {
                 if self.instances[node].generation == generation {
@@ -589,9 +602,10 @@
                     });
                 }
             }
-            EventKind::Stop { node, generation, number, worker, token, run, responds } => {
+            EventKind::Stop { node, generation, number, worker, token, run, responds, waits } => {
                 let now = self.now;
-                let accepted = self.reach(node, &worker).is_some_and(|w| w.stop(token, &run, now));
+                let reached = self.reach_late(node, &worker, waits);
+                let accepted = reached.is_some_and(|w| w.stop(token, &run, now));
                 if responds {
                     self.schedule_soon(EventKind::StopResponse {
                         node,
@@ -689,6 +703,22 @@
         Some(&mut self.workers[place])
     }
 
+    /// Returns whether a late request that is sent now is carried out if its worker is reachable
+    /// then.
+    fn arrives_late(&mut self, node: usize, id: &WorkerId) -> bool {
+        !self.fault_rates.late_at_worker || self.reach(node, id).is_some()
+    }
+
+    /// Returns the worker that carries out a late request; `waits` is whether the request has
+    /// arrived there before.
+    fn reach_late(&mut self, node: usize, id: &WorkerId, waits: bool) -> Option<&mut FakeWorker> {
+        if waits {
+            self.workers.iter_mut().find(|worker| worker.listed.id == *id && worker.up)
+        } else {
+            self.reach(node, id)
+        }
+    }
+
     fn with_node<T>(
         &mut self,
         node: usize,
@@ -758,9 +788,17 @@
                 {
                     let at = until + timeout.as_ms();
                     let (worker, sent) = (request.worker.clone(), request.sent);
-                    if self.fault_rates.poll_late > 0 && self.chance(self.fault_rates.poll_late) {
-                        let delay = self.rng.u64(2_000..12_000);
-                        self.schedule(self.now + delay, EventKind::LatePoll { node, request });
+                    let arrives = self.arrives_late(node, &request.worker);
+                    if self.fault_rates.poll_late > 0
+                        && self.chance(self.fault_rates.poll_late)
+                        && arrives
+                    {
+                        let delay = self.late_delay();
+                        let waits = self.fault_rates.late_at_worker;
+                        self.schedule(
+                            self.now + delay,
+                            EventKind::LatePoll { node, request, waits },
+                        );
                     }
                     let response = PollResponse::NoResponse;
                     let result = PollResult { worker, token, sent: Time::from_ms(sent), response };
@@ -792,7 +830,9 @@
                     sent: self.now,
                     responds: !lost,
                     bound_to: late.then(|| self.workers[place].incarnation()),
+                    waits: late && self.fault_rates.late_at_worker,
                 };
+                let arrives = self.arrives_late(node, &worker);
                 let at = self.now;
                 self.sent_starts.push(SentStart {
                     run: run.clone(),
@@ -802,8 +842,10 @@
                     lost,
                 });
                 if late {
-                    let delay = self.rng.u64(2_000..12_000);
-                    self.schedule(self.now + delay, event);
+                    let delay = self.late_delay();
+                    if arrives {
+                        self.schedule(self.now + delay, event);
+                    }
                 } else if slow {
                     let delay = timeout.as_ms() + self.batch_rng.u64(0..SLOW_START);
                     self.schedule(self.now + delay, event);
@@ -839,10 +881,13 @@
                     token,
                     run: run.clone(),
                     responds,
+                    waits: late && self.fault_rates.late_at_worker,
                 };
                 if late {
-                    let delay = self.rng.u64(2_000..12_000);
-                    self.schedule(self.now + delay, event);
+                    let delay = self.late_delay();
+                    if self.arrives_late(node, &worker) {
+                        self.schedule(self.now + delay, event);
+                    }
                 } else {
                     self.schedule_soon(event);
                 }
@@ -883,6 +928,14 @@
         self.rng.u32(0..1_000) < permille
     }
 
+    fn late_delay(&mut self) -> u64 {
+        let end = match self.fault_rates.late_limit {
+            0 => LATE_DELAY.end,
+            limit => limit,
+        };
+        self.rng.u64(LATE_DELAY.start..end)
+    }
+
     fn loses_response(&mut self, node: usize, worker: &WorkerId) -> bool {
         self.reach(node, worker).is_none() || self.chance(self.fault_rates.answer_lost)
     }
@@ -934,6 +987,7 @@
         lease: u64,
         sent: u64,
         responds: bool,
+        waits: bool,
     ) {
         let now = self.now;
         let request = self.requests.iter().find(|r| r.job.name == run.task.job);
@@ -968,7 +1022,7 @@
             });
             return;
         }
-        let Some(fake) = self.reach(node, worker) else {
+        let Some(fake) = self.reach_late(node, worker, waits) else {
             if responds {
                 let (worker, response, from) = (worker.clone(), StartResponse::NoResponse, None);
                 let at = now + RESPONSE_TIMEOUT;
