fix(fleet): keep runs of a lost owner while its orders may extend their leases

Cause: a front gives the run of a lost owner up 1.5 s after the owner's last heartbeat, since no lease outlasts that heartbeat by more. An order that the owner left without answer seconds before is carried out later and gives the run another lease, until a next owner's token has arrived. A scheduler withholds the tasks of lost fronts and owners for as long, with the same fault.

Change: heartbeats name the workers of the sender whose leases may be extended after its loss (Beat.unanswered): an order with a lease was left unanswered 0.7 s or more before. That is enough, because leases end 1.3 s after the last heartbeat that the front has read and a late order takes 2 s. If the owner is lost, fronts and the scheduler keep runs on these workers until a next owner has opened the worker, or for 14.3 s (the last lease that may be sent, 12 s, one lease). A scheduler that does not know the runs keeps jobs waiting that were submitted again after the loss of their front, also if that front is back. run-lost says whether a run may outlast its owner.

Cost: nothing where every order is answered: the list is empty then. All instances have to run the same version.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -287,8 +287,8 @@
         LogEvent::FrontRunsStopped { front, runs, cause } => {
             log::warn!(front = front.as_str(), runs, cause = cause.to_string(); "{name}");
         }
-        LogEvent::RunLost { run, owner } => {
-            log::warn!(run = run_text(run), owner = owner.as_str(); "{name}");
+        LogEvent::RunLost { run, owner, outlasts } => {
+            log::warn!(run = run_text(run), owner = owner.as_str(), outlasts; "{name}");
         }
         LogEvent::PeerUp { peer, peers } => log::info!(peer = peer.as_str(), peers; "{name}"),
         LogEvent::PeerDown { peer, silence, peers } => {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -16,12 +16,13 @@
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use crate::{
-    EndReport, Incarnation, Job, KindSettings, LossLedger, Outcome, Output, PreviousRun,
-    RunEndCause, RunKey, TaskKey, VecMap, Verdict,
+    EndReport, Incarnation, Job, KindSettings, LEASE, LossLedger, MAX_LATE_DELAY, Outcome, Output,
+    PreviousRun, RUN_LIFETIME, RunEndCause, RunKey, TaskKey, VecMap, Verdict,
     log_event::LogEvent,
     members::text_hash,
     outcome::NotRunCause,
     output::Message,
+    run_lease::LEASE_SLACK,
     task_state::{Phase, Placed, TaskState},
 };
 
@@ -30,6 +31,11 @@
 /// No lease lasts longer than `RUN_LIFETIME` after the last heartbeat of the owner that this front
 /// has echoed, and it cannot have echoed one that it had not received.
 pub const RUN_EXPIRY: Span = Span::from_ms(1_500);
+/// Time after the last heartbeat from an owner by which its runs have ended on a worker that has left
+/// requests with a lease unanswered: the last of them is sent, carried out and expires.
+pub const OUTLASTING_EXPIRY: Span = Span::from_ms(
+    RUN_LIFETIME.as_ms() + MAX_LATE_DELAY.as_ms() + LEASE.as_ms() + LEASE_SLACK.as_ms(),
+);
 /// Distance between run numbers after a worker refused one as superseded.
 const RUN_NUMBER_SKIP: u32 = 4;
 /// Time after which a caller should retry a job that was not started before its deadline.
@@ -213,6 +219,7 @@
                     due,
                     requested_at,
                     lost_since,
+                    outlasts: false,
                     claimed,
                     incarnation: Incarnation::new(place.born_ms),
                     start_number: self.starts_sent + 1,
@@ -571,7 +578,8 @@
             }
             for (key, state) in active.placed() {
                 let Phase::Placed(place) = &state.phase else { continue };
-                let lost = place.lost_since.is_some_and(|heard| now.since(heard) >= RUN_EXPIRY);
+                let expiry = if place.outlasts { OUTLASTING_EXPIRY } else { RUN_EXPIRY };
+                let lost = place.lost_since.is_some_and(|heard| now.since(heard) >= expiry);
                 let stuck = active.closing_since.is_some_and(|at| now.since(at) >= CLOSING_LIMIT);
                 if lost || stuck {
                     let run = RunKey { task: key, run: state.run };
--- a/crates/fleet/src/front/takeover.rs
+++ b/crates/fleet/src/front/takeover.rs
@@ -5,20 +5,28 @@
 
 use super::{Front, start_message};
 use crate::{
-    EndReport, Incarnation, Output, RunEndCause, RunKey, TaskKey, log_event::LogEvent,
-    output::Message, task_state::Phase,
+    EndReport, Incarnation, Output, OwnerRequests, RunEndCause, RunKey, TaskKey,
+    log_event::LogEvent, output::Message, task_state::Phase,
 };
 
 impl Front {
-    /// Marks the runs of an unreachable owner, which was last heard at `heard`.
-    pub fn owner_unreachable(&mut self, owner: &InstanceId, heard: Time, out: &mut Output) {
+    /// Marks the runs of an unreachable owner, which was last heard at `heard`. `requests` are
+    /// those that may extend its runs.
+    pub fn owner_unreachable(
+        &mut self,
+        owner: &InstanceId,
+        requests: &OwnerRequests,
+        heard: Time,
+        out: &mut Output,
+    ) {
         for (name, active) in self.jobs.iter_mut() {
             for (tasks, step) in active.steps.iter_mut().zip(0..) {
                 for (state, task) in tasks.iter_mut().zip(0..) {
-                    if state.mark_lost(owner, heard) {
+                    if state.mark_lost(owner, requests, heard) {
                         let key = TaskKey { job: name.clone(), step, task };
                         let run = RunKey { task: key, run: state.run };
-                        out.log(LogEvent::RunLost { run, owner: owner.clone() });
+                        let (owner, outlasts) = (owner.clone(), state.outlasts_owner());
+                        out.log(LogEvent::RunLost { run, owner, outlasts });
                     }
                 }
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,6 +45,7 @@
 mod outcome;
 mod output;
 mod owner;
+mod owner_requests;
 mod pending_poll;
 mod placement;
 mod placement_cache;
@@ -83,7 +84,7 @@
 pub use drains::{DrainFreshness, DrainRead, ZoneChange, ZoneDrains};
 pub use fair_share::{FairShare, OverservedZones};
 pub use forecast::Forecast;
-pub use front::{Front, RUN_EXPIRY, is_sampled};
+pub use front::{Front, OUTLASTING_EXPIRY, RUN_EXPIRY, is_sampled};
 pub use incarnation::Incarnation;
 pub use job::{Job, KindSettings, Step};
 pub use load_shedding::{ArrivalRates, RefusalCause, UnservableJob, find_unservable};
@@ -101,6 +102,7 @@
     WorkerStatus,
 };
 pub use owner::Owner;
+pub use owner_requests::OwnerRequests;
 pub use pending_poll::PendingPoll;
 pub use placement::{Placement, Timeliness};
 pub use previous_run::{EndReport, PreviousRun, RunEndCause};
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -265,6 +265,8 @@
         run: RunKey,
         /// The owner.
         owner: InstanceId,
+        /// Whether requests of the owner may keep the run alive after its leases.
+        outlasts: bool,
     },
     /// A run was started after an earlier run of its task that may have been running.
     RunRestarted {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -54,6 +54,8 @@
     links: VecMap<InstanceId, PeerLink>,
     // Members whose link broke and is not up again yet.
     broken_links: VecMap<InstanceId, BrokenLink>,
+    // Workers of each peer on which runs may outlast its leases, sorted, as of its last heartbeat.
+    unanswered: VecMap<InstanceId, Vec<WorkerId>>,
     owners: Owners,
     settings: (u64, Bytes),
     settings_history: VersionHistory,
@@ -99,6 +101,7 @@
             elected: None,
             links: VecMap::default(),
             broken_links: VecMap::default(),
+            unanswered: VecMap::default(),
             owners: Owners::default(),
             settings: (0, Bytes::new()),
             settings_history: VersionHistory::default(),
@@ -194,7 +197,7 @@
             }
             Body::Ask(ask) => self.handle_ask(from, ask, now, out),
             Body::Superseded(superseded) => self.handle_superseded(from, &superseded, now, out),
-            Body::Yielded(yielded) => self.scheduler.handle_yielded(from, &yielded.job),
+            Body::Yielded(yielded) => self.scheduler.handle_yielded(from, &yielded.job, now),
             // The ages in messages that are read after a pause do not include it.
             Body::Submissions(submissions) if !self.was_paused(now) => {
                 self.scheduler.merge_submissions(&submissions, now);
@@ -286,6 +289,10 @@
 
     fn takeover(&mut self, from: &InstanceId, found: &Takeover, now: Time, out: &mut Output) {
         self.owner.observe_token(found.token);
+        // Runs that were found there are known to the scheduler only with the owner's report.
+        if let (true, Ok(worker)) = (found.running.is_empty(), found.worker.parse::<WorkerId>()) {
+            self.scheduler.worker_opened(&worker);
+        }
         let me = &self.members.me().id;
         let seen = last_heartbeat(me, &self.links, from, now).unwrap_or(Time::ZERO);
         self.front.takeover(from, found, seen, now, out);
@@ -332,6 +339,7 @@
             link.heartbeat = Time::from_ms(beat.sent_ms);
             link.resting = beat.rests;
         }
+        self.set_unanswered_workers(from, &beat.unanswered);
         self.owner.heartbeat_seen(from, Time::from_ms(beat.seen_ms), now);
         self.retry_deferred_starts(now, out);
         if beat.echo {
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -1,7 +1,7 @@
 //! Contact with peers: heartbeats, timeouts, and admission of members.
 
 use cranberryhatch_schema::fleet::{Beat, frame::Body};
-use cranberryhatch_types::{InstanceId, Span, Time};
+use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
 use super::{HEARTBEAT_INTERVAL, Node, PEER_TIMEOUT};
 use crate::{Command, Output, log_event::LogEvent};
@@ -103,6 +103,17 @@
 }
 
 impl Node {
+    /// Records the workers of a peer on which runs may outlast its leases.
+    pub(super) fn set_unanswered_workers(&mut self, peer: &InstanceId, workers: &[String]) {
+        if workers.is_empty() {
+            self.unanswered.remove(peer);
+            return;
+        }
+        let mut workers: Vec<WorkerId> = workers.iter().filter_map(|id| id.parse().ok()).collect();
+        workers.sort();
+        self.unanswered.insert(peer.clone(), workers);
+    }
+
     /// Replaces a scheduler that is silent, and stops the scheduler from placing runs at silent
     /// owners.
     pub(super) fn check_silence(&mut self, gap: Span, now: Time, out: &mut Output) {
@@ -221,6 +232,7 @@
         let changed = std::mem::replace(&mut self.announced, state) != state;
         let (owners, fronts) = (self.front.owners(), self.owner.fronts());
         let elected = self.elected.as_ref();
+        let unanswered = self.owner.unanswered_workers(now);
         for (id, link) in self.links.iter_mut() {
             let has_runs = owners.binary_search(id).is_ok() || fronts.binary_search(id).is_ok();
             link.busy_since = has_runs.then(|| link.busy_since.unwrap_or(now));
@@ -255,6 +267,7 @@
                 core,
                 drains: self.drains.version(),
                 echo,
+                unanswered: unanswered.clone(),
             };
             out.send(id, Body::Beat(beat));
         }
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -3,7 +3,7 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use super::{BrokenLink, ISOLATION_HOLD, Node, PEER_TIMEOUT, PeerLink};
-use crate::{Command, InstanceInfo, Member, Output, log_event::LogEvent};
+use crate::{Command, InstanceInfo, Member, Output, OwnerRequests, log_event::LogEvent};
 
 /// Time after a broken link in which a peer stays a member, awaiting a reconnect.
 ///
@@ -89,9 +89,11 @@
         });
         self.broken_links
             .insert(peer.clone(), BrokenLink { broken_at: now, up_since: link.up_since });
-        self.front.owner_unreachable(peer, link.heard_at, out);
+        let unanswered = self.unanswered.remove(peer).unwrap_or_default();
+        let requests = OwnerRequests { unanswered };
+        self.front.owner_unreachable(peer, &requests, link.heard_at, out);
         self.owner.front_link_lost(peer);
-        self.scheduler.remove_instance(peer, now);
+        self.scheduler.remove_instance(peer, &requests.unanswered, now);
         self.scheduler.remove_reachable(peer, link.heard_at, now);
     }
 
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -316,6 +316,14 @@
         out.send(scheduler, Message::Rooms(Rooms { rooms, kinds, lost }));
     }
 
+    /// Returns the workers whose runs may outlast this instance's leases if it is lost now.
+    #[must_use]
+    pub fn unanswered_workers(&self, now: Time) -> Vec<String> {
+        let outlasts = |worker: &Worker| worker.unanswered.may_outlast_owner(now);
+        let workers = self.workers.iter().filter(|(_, worker)| outlasts(worker));
+        workers.map(|(id, _)| id.to_string()).collect()
+    }
+
     /// Returns the longest time since an open worker last responded, which is when its lease was
     /// last extended.
     #[must_use]
--- a/crates/fleet/src/scheduler.rs
+++ b/crates/fleet/src/scheduler.rs
@@ -8,14 +8,14 @@
 
 use crate::{
     ArrivalRates, Arrivals, Backlog, FairShare, Forecast, Incarnation, LossLedger, Need, Output,
-    OverservedZones, PlacementDecision, QueuedTasks, RUN_EXPIRY, RetrySchedule, RunBias, RunKey,
-    RunOrigin, RunTimes, Submissions, Suspects, TaskKey, UnservableJob, VecMap, WorkerList,
-    WorkerPool, WorkerView, backlog::latest_starts, load_shedding, log_event::LogEvent,
-    output::Message, placement::Placement, placement_cache::PlacementCache, probes::Probes,
-    run_stats::WorkerStats, worker_view::GrantedRun,
+    OverservedZones, PlacementDecision, QueuedTasks, RetrySchedule, RunBias, RunKey, RunOrigin,
+    RunTimes, Submissions, Suspects, TaskKey, UnservableJob, VecMap, WorkerList, WorkerPool,
+    WorkerView, backlog::latest_starts, load_shedding, log_event::LogEvent, output::Message,
+    placement::Placement, placement_cache::PlacementCache, probes::Probes, run_stats::WorkerStats,
+    worker_view::GrantedRun,
 };
 use superseded::SupersededJob;
-use withheld::WithheldTasks;
+use withheld::{WithheldTasks, expiry_on};
 
 /// Maximum number of jobs whose first failure is remembered.
 const MAX_FIRST_FAILURES: usize = 1_000;
@@ -119,7 +119,10 @@
     withheld: Vec<WithheldTasks>,
     orphans: Vec<Orphan>,
     // Tasks that workers of lost owners held, and until when their runs may continue.
-    lost_runs: Vec<(TaskKey, Time)>,
+    lost_runs: Vec<(WorkerId, TaskKey, Time)>,
+    // Workers of lost owners on which unknown runs may outlast the leases of these, until another
+    // owner opens the worker, and until when.
+    outlasting: Vec<(WorkerId, Time)>,
 }
 
 impl Scheduler {
@@ -219,18 +222,20 @@
         self.discard_withheld(front, Some(job));
     }
 
-    /// Removes the waiting tasks of an instance and the workers that it owned.
-    pub fn remove_instance(&mut self, instance: &InstanceId, now: Time) {
+    /// Removes the waiting tasks of an instance and the workers that it owned. `unanswered` are those
+    /// on which runs may outlast its leases, sorted.
+    pub fn remove_instance(&mut self, instance: &InstanceId, unanswered: &[WorkerId], now: Time) {
         self.backlog.remove(|queued| queued.front == *instance);
         self.discard_withheld(instance, None);
-        self.record_lost_runs(instance, now);
+        self.record_lost_runs(instance, unanswered, now);
         for worker in self.workers.iter().filter(|worker| worker.owner == *instance) {
             self.saved_stats.insert(worker.id().clone(), *worker.stats());
         }
         self.workers.retain(|worker| worker.owner != *instance);
         let workers = &self.workers;
         for orphan in self.orphans.iter_mut().filter(|o| workers.get(&o.worker).is_none()) {
-            orphan.until.get_or_insert(now + RUN_EXPIRY);
+            let expiry = expiry_on(&orphan.worker, unanswered);
+            orphan.until.get_or_insert(now + expiry);
         }
     }
 
@@ -312,6 +317,7 @@
             }
             let mut left = Vec::new();
             self.orphans.retain(|orphan| orphan.worker != id);
+            self.worker_opened(&id);
             let standing = room.standing.map(|s| WorkerStats::from_report(&s, room.born_ms, now));
             let held = room.held.into_iter().filter_map(|held| {
                 let span = Span::from_ms(held.left_ms.into());
--- a/crates/fleet/src/scheduler/superseded.rs
+++ b/crates/fleet/src/scheduler/superseded.rs
@@ -106,7 +106,8 @@
             return (now.since(since) >= CLOSING_LIMIT).then_some(ReleaseCause::Unanswered);
         }
         let heard = self.lost_fronts.get(front).copied().unwrap_or(since);
-        (now.since(heard) >= RUN_EXPIRY).then_some(ReleaseCause::Lost)
+        let is_over = now.since(heard) >= RUN_EXPIRY && !self.may_have_unknown_runs(now);
+        is_over.then_some(ReleaseCause::Lost)
     }
 
     fn notify(&self, job: &str, entry: &SupersededJob, now: Time, out: &mut Output) {
@@ -131,7 +132,13 @@
     }
 
     /// Handles the answer of an earlier front of a job: it has no run of it.
-    pub fn handle_yielded(&mut self, front: &InstanceId, job: &str) {
+    ///
+    /// A front that was lost lately may have restarted, and an earlier process may have left a run on
+    /// a worker that no owner has opened since. It is asked again.
+    pub fn handle_yielded(&mut self, front: &InstanceId, job: &str, now: Time) {
+        if self.lost_fronts.contains(front) && self.may_have_unknown_runs(now) {
+            return;
+        }
         self.submissions.remove_earlier(job, front);
         self.superseded_changed = true;
     }
@@ -162,7 +169,9 @@
     /// Returns whether runs of an earlier process of a front may be active, of which it does not
     /// know.
     pub(super) fn may_have_restarted(&self, front: &InstanceId, now: Time) -> bool {
-        self.lost_fronts.get(front).is_some_and(|heard| now.since(*heard) < RUN_EXPIRY)
+        self.lost_fronts
+            .get(front)
+            .is_some_and(|heard| now.since(*heard) < RUN_EXPIRY || self.may_have_unknown_runs(now))
     }
 
     /// Returns the number of jobs whose latest submission is known.
--- a/crates/fleet/src/scheduler/withheld.rs
+++ b/crates/fleet/src/scheduler/withheld.rs
@@ -9,8 +9,8 @@
 
 use super::{Scheduler, superseded::superseded_message, to_u32};
 use crate::{
-    Output, RUN_EXPIRY, Submission, SubmissionOrder, TaskKey, WorkerView, log_event::LogEvent,
-    output::Message,
+    OUTLASTING_EXPIRY, Output, RUN_EXPIRY, Submission, SubmissionOrder, TaskKey, WorkerView,
+    log_event::LogEvent, output::Message,
 };
 
 /// Tasks of a request that are withheld.
@@ -45,6 +45,12 @@
     }
 }
 
+/// Returns the time after which runs on a worker have ended whose owner was lost with these
+/// `unanswered` workers, which are sorted.
+pub(super) fn expiry_on(worker: &WorkerId, unanswered: &[WorkerId]) -> Span {
+    if unanswered.binary_search(worker).is_ok() { OUTLASTING_EXPIRY } else { RUN_EXPIRY }
+}
+
 impl Scheduler {
     /// Handles a front's request for capacity: queues its tasks, except those of which another run
     /// may be active.
@@ -135,17 +141,41 @@
     }
 
     /// Remembers the tasks that workers of a lost owner hold: their runs continue until their leases
-    /// expire.
-    pub(super) fn record_lost_runs(&mut self, owner: &InstanceId, now: Time) {
-        self.lost_runs.retain(|(_, until)| *until > now);
-        let lost = self.workers.iter().filter(|worker| worker.owner == *owner);
-        let tasks = lost.flat_map(WorkerView::tasks);
-        self.lost_runs.extend(tasks.map(|task| (task.clone(), now + RUN_EXPIRY)));
+    /// expire. Runs on its `unanswered` workers, which are sorted, may continue for longer.
+    pub(super) fn record_lost_runs(
+        &mut self,
+        owner: &InstanceId,
+        unanswered: &[WorkerId],
+        now: Time,
+    ) {
+        self.lost_runs.retain(|(.., until)| *until > now);
+        for worker in self.workers.iter().filter(|worker| worker.owner == *owner) {
+            let until = now + expiry_on(worker.id(), unanswered);
+            let lost = |task: &TaskKey| (worker.id().clone(), task.clone(), until);
+            self.lost_runs.extend(worker.tasks().map(lost));
+        }
+        self.outlasting.retain(|(_, until)| *until > now);
+        let is_of_other =
+            |id: &WorkerId| self.workers.get(id).is_some_and(|worker| worker.owner != *owner);
+        let lost = unanswered.iter().filter(|id| !is_of_other(id));
+        self.outlasting.extend(lost.map(|id| (id.clone(), now + OUTLASTING_EXPIRY)));
+    }
+
+    /// Records that an owner has opened a worker, so that requests of earlier owners are rejected and
+    /// the runs there are known.
+    pub fn worker_opened(&mut self, id: &WorkerId) {
+        self.lost_runs.retain(|(worker, ..)| worker != id);
+        self.outlasting.retain(|(worker, _)| worker != id);
+    }
+
+    /// Returns whether runs of lost instances may be active on workers that no owner has opened since.
+    pub(super) fn may_have_unknown_runs(&self, now: Time) -> bool {
+        self.outlasting.iter().any(|(_, until)| *until > now)
     }
 
     /// Returns whether a run of a task may be active; grants to its front count if `grants`.
     fn may_run(&self, task: &TaskKey, grants: bool, now: Time) -> bool {
-        let is_lost = |(lost, until): &(TaskKey, Time)| lost == task && *until > now;
+        let is_lost = |(_, lost, until): &(WorkerId, TaskKey, Time)| lost == task && *until > now;
         self.is_superseded(&task.job)
             || self.holders(task, grants).next().is_some()
             || grants && self.lost_runs.iter().any(is_lost)
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -2,7 +2,7 @@
 
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use crate::{Incarnation, PreviousRun};
+use crate::{Incarnation, OwnerRequests, PreviousRun};
 
 /// Progress of a task.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -38,6 +38,8 @@
     /// When the owner was last heard, or the start was requested if later; set while it is
     /// unreachable.
     pub lost_since: Option<Time>,
+    /// Whether requests that the unreachable owner has sent may keep the run alive after its leases.
+    pub outlasts: bool,
     /// Whether this owner found the run in a takeover and has not confirmed that it received the
     /// claim.
     pub claimed: bool,
@@ -75,13 +77,20 @@
         self.run == run && matches!(self.phase, Phase::Placed(_))
     }
 
+    /// Returns whether the run may outlast the leases of its unreachable owner.
+    #[must_use]
+    pub fn outlasts_owner(&self) -> bool {
+        matches!(&self.phase, Phase::Placed(placed) if placed.outlasts)
+    }
+
     /// Marks the run if its owner is the given unreachable one; returns whether it was not marked
-    /// before.
-    pub fn mark_lost(&mut self, owner: &InstanceId, heard: Time) -> bool {
+    /// before. `requests` are those of the owner.
+    pub fn mark_lost(&mut self, owner: &InstanceId, requests: &OwnerRequests, heard: Time) -> bool {
         match &mut self.phase {
             Phase::Placed(placed) if placed.owner == *owner && placed.lost_since.is_none() => {
                 // The owner may have received the start after it was last heard.
                 placed.lost_since = Some(heard.max(placed.requested_at));
+                placed.outlasts = requests.may_extend(placed);
                 true
             }
             _ => false,
--- a/crates/fleet/src/unanswered_leases.rs
+++ b/crates/fleet/src/unanswered_leases.rs
@@ -7,7 +7,7 @@
 
 use cranberryhatch_types::{Span, Time};
 
-use crate::run_lease::{LEASE, LEASE_SLACK};
+use crate::run_lease::{LEASE, LEASE_SLACK, RUN_LIFETIME};
 
 /// Shortest time from sending a request that got no response until it is carried out, unless it is
 /// carried out at once. The platform states that this happens seconds later.
@@ -75,6 +75,14 @@
         latest
     }
 
+    /// Returns whether one of the requests may extend the leases of runs after their lifetime, if
+    /// their owner is lost and the latest heartbeat that their fronts have read is one of `now`.
+    #[must_use]
+    pub fn may_outlast_owner(&self, now: Time) -> bool {
+        let last = self.latest_end(now + RUN_LIFETIME);
+        last > now + RUN_LIFETIME
+    }
+
     /// Returns the number of requests.
     #[must_use]
     pub const fn len(&self) -> usize {
--- a/crates/fleet/tests/earlier_submissions.rs
+++ b/crates/fleet/tests/earlier_submissions.rs
@@ -141,7 +141,7 @@
     scheduler.handle_ask(&id("e-2"), ask(0), NOW, &mut Output::default());
     report(&mut scheduler, Some(""));
     assert_eq!(granted(&mut scheduler, NOW), [], "the run is reported");
-    scheduler.remove_instance(&id("p"), NOW);
+    scheduler.remove_instance(&id("p"), &[], NOW);
     let end = NOW + RUN_EXPIRY;
     assert_eq!(granted(&mut scheduler, end - Span::from_ms(1)), [], "its owner is lost");
     assert_eq!(granted(&mut scheduler, end), [id("e-2")]);
@@ -176,7 +176,7 @@
     let mut scheduler = scheduler();
     scheduler.merge_submissions(&submissions("e-1", 1_500, &[]), NOW);
     scheduler.remove_reachable(&id("e-1"), NOW, NOW);
-    scheduler.remove_instance(&id("e-1"), NOW);
+    scheduler.remove_instance(&id("e-1"), &[], NOW);
     scheduler.add_reachable(&id("e-1"));
     report(&mut scheduler, None);
     scheduler.handle_ask(&id("e-1"), ask(0), NOW, &mut Output::default());
--- a/crates/fleet/tests/front.rs
+++ b/crates/fleet/tests/front.rs
@@ -7,7 +7,7 @@
 use common::{kind_settings, need};
 use cranberryhatch_fleet::{
     ACCEPT_PERIOD, Command, Front, Job, LogEvent, Member, Message, Node, NotRunCause, Outcome,
-    Output, RUN_EXPIRY, Step,
+    Output, OwnerRequests, RUN_EXPIRY, Step,
 };
 use cranberryhatch_schema::fleet::{
     Beat, Ended, Grant, How, Obeying, Place, Refusal, Relinked, Run, Takeover,
@@ -158,7 +158,7 @@
             };
             front.takeover(&id("o"), &found, SENT, SENT, &mut out);
         }
-        front.owner_unreachable(&id("o"), SENT, &mut out);
+        front.owner_unreachable(&id("o"), &OwnerRequests::default(), SENT, &mut out);
         out.commands.clear();
         let end = Ended {
             run: Some(run()),
@@ -196,7 +196,12 @@
     for Case { name, heard, gone } in cases {
         let mut out = Output::default();
         let mut front = placed(&mut out);
-        front.owner_unreachable(&id("o"), Time::from_ms(heard), &mut out);
+        front.owner_unreachable(
+            &id("o"),
+            &OwnerRequests::default(),
+            Time::from_ms(heard),
+            &mut out,
+        );
         front.tick(Time::from_ms(gone - 1), &mut out);
         assert_eq!(asks(&out), 0, "{name}: requested again too soon");
         front.tick(Time::from_ms(gone), &mut out);
@@ -292,7 +297,7 @@
         front.ended(&id(from), &ended, SENT, &mut out);
         assert!(out.commands.is_empty(), "{name}: {:?}", out.commands);
 
-        front.owner_unreachable(&id("o"), SENT, &mut out);
+        front.owner_unreachable(&id("o"), &OwnerRequests::default(), SENT, &mut out);
         out.commands.clear();
         let relinked = Relinked { running: Vec::new(), ended: vec![ended], obeying: Vec::new() };
         front.relinked(&id("o"), &relinked, SENT, SENT, &mut out);
--- a/crates/fleet/tests/late_ends.rs
+++ b/crates/fleet/tests/late_ends.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use common::{kind_settings, need};
-use cranberryhatch_fleet::{Command, Front, Job, Message, Outcome, Output, RUN_EXPIRY, Step};
+use cranberryhatch_fleet::{
+    Command, Front, Job, Message, Outcome, Output, OwnerRequests, RUN_EXPIRY, Step,
+};
 use cranberryhatch_schema::fleet::{Ended, Grant, How, Place, Run, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time};
 
@@ -41,7 +43,7 @@
 }
 
 fn expire(front: &mut Front, out: &mut Output) -> Time {
-    front.owner_unreachable(&id("o"), NOW, out);
+    front.owner_unreachable(&id("o"), &OwnerRequests::default(), NOW, out);
     let now = NOW + RUN_EXPIRY;
     front.tick(now, out);
     now
--- a/crates/fleet/tests/late_periods.rs
+++ b/crates/fleet/tests/late_periods.rs
@@ -25,7 +25,7 @@
     inject: fn(&mut World, &mut fastrand::Rng),
 }
 
-const CASES: [Case; 3] = [
+const CASES: [Case; 5] = [
     Case { name: "nothing", inject: |_, _| {} },
     Case {
         name: "workers are cut off and run on",
@@ -35,6 +35,22 @@
             }
         },
     },
+    Case {
+        name: "instances lose power or are killed",
+        inject: |world, rng| {
+            if rng.u32(0..100) < 3 {
+                world.kill(rng.usize(0..INSTANCES), rng.bool(), rng.u64(200..5_000));
+            }
+        },
+    },
+    Case {
+        name: "instances are paused",
+        inject: |world, rng| {
+            if rng.u32(0..100) < 4 {
+                world.pause(rng.usize(0..INSTANCES), rng.u64(300..4_000));
+            }
+        },
+    },
     Case {
         name: "callers leave",
         inject: |world, rng| {
@@ -101,6 +117,16 @@
 }
 
 #[test]
-fn late_polls_start_no_second_run_while_callers_leave() {
+fn late_polls_start_no_second_run_while_instances_are_lost() {
     play_seeds(&CASES[2]);
 }
+
+#[test]
+fn late_polls_start_no_second_run_while_instances_are_paused() {
+    play_seeds(&CASES[3]);
+}
+
+#[test]
+fn late_polls_start_no_second_run_while_callers_leave() {
+    play_seeds(&CASES[4]);
+}
--- a/crates/fleet/tests/log_events.rs
+++ b/crates/fleet/tests/log_events.rs
@@ -8,8 +8,8 @@
 use common::{kind_settings, listed, need};
 use cranberryhatch_fleet::{
     Command, EndReport, Front, Incarnation, Job, LogEvent, Member, Members, Output, Owner,
-    PollResponse, PollResult, PreviousRun, RUN_EXPIRY, RunEndCause, RunKey, Running, Scheduler,
-    StartResponse, Step, StopCause, TaskKey, WorkerList, WorkerStatus,
+    OwnerRequests, PollResponse, PollResult, PreviousRun, RUN_EXPIRY, RunEndCause, RunKey, Running,
+    Scheduler, StartResponse, Step, StopCause, TaskKey, WorkerList, WorkerStatus,
 };
 use cranberryhatch_schema::fleet::{
     Ask, Ended, Grant, Held, How, Obeying, Place, Relinked, Room, Rooms, Run, Start, Takeover,
@@ -121,7 +121,7 @@
     fn relinked(&mut self, ended: Vec<Ended>, after: u64) {
         let obeying = vec![Obeying { worker: "w".to_owned(), token: 7 }];
         let relinked = Relinked { running: Vec::new(), ended, obeying };
-        self.front.owner_unreachable(&id("o"), NOW, &mut self.out);
+        self.front.owner_unreachable(&id("o"), &OwnerRequests::default(), NOW, &mut self.out);
         let now = NOW + ms(after);
         self.front.relinked(&id("o"), &relinked, NOW, now, &mut self.out);
     }
@@ -135,7 +135,7 @@
 
     /// Lets the owner be silent until the run expires.
     fn expire(&mut self) {
-        self.front.owner_unreachable(&id("o"), NOW, &mut self.out);
+        self.front.owner_unreachable(&id("o"), &OwnerRequests::default(), NOW, &mut self.out);
         self.front.tick(NOW + RUN_EXPIRY, &mut self.out);
     }
 
--- a/crates/fleet/tests/second_start.rs
+++ b/crates/fleet/tests/second_start.rs
@@ -8,8 +8,8 @@
 use common::{kind_settings, listed, need};
 use cranberryhatch_fleet::{
     Command, Front, Incarnation, Job, LEASE, Member, Members, Message, Outcome, Output, Owner,
-    PollResponse, PollResult, RUN_EXPIRY, RUN_LIFETIME, RunKey, Running, Step, WorkerList,
-    WorkerStatus,
+    OwnerRequests, PollResponse, PollResult, RUN_EXPIRY, RUN_LIFETIME, RunKey, Running, Step,
+    WorkerList, WorkerStatus,
 };
 use cranberryhatch_schema::fleet::{Ended, Grant, How, Place, Run, Start, Takeover};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -245,7 +245,7 @@
         let mut front = placed();
         let mut out = Output::default();
         let at = NOW + Span::from_ms(after);
-        front.owner_unreachable(&id("o"), NOW, &mut out);
+        front.owner_unreachable(&id("o"), &OwnerRequests::default(), NOW, &mut out);
         front.tick(at, &mut out);
         let found = Takeover {
             worker: "w".to_owned(),
--- a/crates/fleet/tests/submissions.rs
+++ b/crates/fleet/tests/submissions.rs
@@ -87,7 +87,7 @@
     let later = NOW + Span::from_ms(600);
     scheduler.run_ended(&stopped(), later);
     assert_eq!(grants(&mut scheduler, later), 0, "the front may start another run");
-    scheduler.handle_yielded(&id("e-1"), "j");
+    scheduler.handle_yielded(&id("e-1"), "j", NOW);
     assert_eq!(grants(&mut scheduler, later), 1);
 }
 
@@ -107,7 +107,7 @@
         assert_eq!(is_told, front == "e-1", "front {front:?}");
         assert_eq!(grants(&mut scheduler, NOW), 0, "front {front:?}");
         scheduler.run_ended(&stopped(), NOW);
-        scheduler.handle_yielded(&id("e-1"), "j");
+        scheduler.handle_yielded(&id("e-1"), "j", NOW);
         assert_eq!(grants(&mut scheduler, NOW), 1, "front {front:?}");
     }
 }
@@ -162,7 +162,7 @@
         assert_eq!(grants(&mut replica(), free_at - Span::from_ms(1)), 0, "{name}");
         assert_eq!(grants(&mut replica(), free_at), 1, "{name}");
         let mut answered = replica();
-        answered.handle_yielded(&id("e-1"), "j");
+        answered.handle_yielded(&id("e-1"), "j", NOW);
         assert_eq!(grants(&mut answered, NOW), 1, "{name}");
     }
 }
@@ -212,7 +212,7 @@
     });
     assert!(is_told, "it does not learn that it is superseded");
     assert_eq!(grants(&mut scheduler, lost), 0);
-    scheduler.handle_yielded(&id("e-1"), "j");
+    scheduler.handle_yielded(&id("e-1"), "j", NOW);
     assert_eq!(grants(&mut scheduler, lost), 1);
 }
 
@@ -246,11 +246,11 @@
     for lost_first in [false, true] {
         let mut scheduler = scheduler();
         if lost_first {
-            scheduler.remove_instance(&id("p"), NOW);
+            scheduler.remove_instance(&id("p"), &[], NOW);
         }
         scheduler.handle_ask(&id("e-2"), ask(0), NOW, &mut Output::default());
         if !lost_first {
-            scheduler.remove_instance(&id("p"), NOW);
+            scheduler.remove_instance(&id("p"), &[], NOW);
         }
         let end = NOW + RUN_EXPIRY;
         assert_eq!(grants(&mut scheduler, end - Span::from_ms(1)), 0, "{lost_first}");
