fix(fleet): keep runs of a lost owner whose starts may still be carried out

Cause: a start that its owner sent shortly before it was lost gets no response and is carried out seconds later, with a lease that counts from then, when the front has given the run up. The list in the heartbeats named only workers with requests that are older than 0.7 s, which is enough for runs that are at work but not for one that has not begun.

Change: the list also names workers with a start that has no response or waits to be sent. A front keeps the run as well if the owner may not have read its start before its last heartbeat. The heartbeat's echo shows that: messages on a link keep their order.

Cost: runs that were started in the last 0.3 s before the loss of their owner wait for the next owner instead of 1.5 s. If their worker is lost too, they wait for 14.3 s or until their job's limit, as starts without response did before when only the worker was lost.

Ruled out: a message for each start that was answered (55,000 a second at the size to design for).

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -316,10 +316,15 @@
         out.send(scheduler, Message::Rooms(Rooms { rooms, kinds, lost }));
     }
 
-    /// Returns the workers whose runs may outlast this instance's leases if it is lost now.
+    /// Returns the workers on which runs may outlast this instance's leases, or start after them, if
+    /// it is lost now.
     #[must_use]
     pub fn unanswered_workers(&self, now: Time) -> Vec<String> {
-        let outlasts = |worker: &Worker| worker.unanswered.may_outlast_owner(now);
+        let outlasts = |worker: &Worker| {
+            worker.unanswered.may_outlast_owner(now)
+                || !worker.deferred.is_empty()
+                || worker.runs.iter().any(AssignedRun::may_still_start)
+        };
         let workers = self.workers.iter().filter(|(_, worker)| outlasts(worker));
         workers.map(|(id, _)| id.to_string()).collect()
     }
--- a/crates/fleet/src/owner_requests.rs
+++ b/crates/fleet/src/owner_requests.rs
@@ -1,21 +1,25 @@
 //! What is known of the requests of an owner that became unreachable.
 
-use cranberryhatch_types::WorkerId;
+use cranberryhatch_types::{Time, WorkerId};
 
 use crate::Placed;
 
 /// Requests that an owner had sent to its workers, as of its last heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OwnerRequests {
-    /// Workers that have left requests with a lease unanswered which may extend the leases of runs
-    /// after the loss of the owner, sorted.
+    /// Workers that have left requests with a lease unanswered which may start a run, or extend the
+    /// leases of runs, after the loss of the owner, sorted.
     pub unanswered: Vec<WorkerId>,
+    /// Time from which on the owner may not have read this instance's starts when it sent that
+    /// heartbeat; `None` if it has read all.
+    pub unread_since: Option<Time>,
 }
 
 impl OwnerRequests {
     /// Returns whether a run that was placed at the owner may outlast the owner's leases.
     #[must_use]
     pub fn may_extend(&self, placed: &Placed) -> bool {
-        self.unanswered.binary_search(&placed.worker).is_ok()
+        let is_unread = self.unread_since.is_some_and(|since| placed.requested_at >= since);
+        is_unread || self.unanswered.binary_search(&placed.worker).is_ok()
     }
 }
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -596,6 +596,53 @@
     }
 }
 
+#[test]
+fn workers_whose_requests_may_act_after_the_loss_of_their_owner_are_named() {
+    // Guards against fronts that start a run again while a late request of its lost owner may start
+    // it, or extend its lease.
+    struct Case {
+        name: &'static str,
+        start: Option<StartResponse>,
+        /// Time of a poll after the start that gets no response, in milliseconds.
+        lost: Option<u64>,
+        /// Time of the heartbeat.
+        at: u64,
+        named: bool,
+    }
+    let usual =
+        Case { name: "", start: Some(StartResponse::Started), lost: None, at: 100, named: false };
+    let cases = [
+        Case { name: "idle", start: None, ..usual },
+        Case { name: "start answered", ..usual },
+        Case {
+            name: "start unanswered",
+            start: Some(StartResponse::NoResponse),
+            named: true,
+            ..usual
+        },
+        Case { name: "recent poll", lost: Some(100), at: 799, ..usual },
+        Case {
+            name: "poll that may arrive in time",
+            lost: Some(100),
+            at: 800,
+            named: true,
+            ..usual
+        },
+    ];
+    for case in cases {
+        let mut out = Output::default();
+        let mut fixture = match case.start {
+            Some(response) => Fixture::with_run(response, &mut out).0,
+            None => Fixture::opened(),
+        };
+        if let Some(sent) = case.lost {
+            fixture.poll_runs(&[], false, START + Span::from_ms(sent), &mut out);
+        }
+        let named = fixture.owner.unanswered_workers(START + Span::from_ms(case.at));
+        assert_eq!(!named.is_empty(), case.named, "{}", case.name);
+    }
+}
+
 #[test]
 fn responses_unread_during_a_pause_do_not_count_as_lost() {
     // Guards against workers that become unresponsive because the instance itself was paused.
