fix(fleet): keep an answered job until late orders cannot keep its runs alive

Cause: CLOSING_LIMIT, which is there for ends whose report is lost, is older than the hold of unconfirmed starts and shorter.

Change: 15 s, longer than OUTLASTING_EXPIRY (14.3 s).

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -41,7 +41,10 @@
 /// Time after which a caller should retry a job that was not started before its deadline.
 const TIME_LIMIT_RETRY: Span = Span::from_ms(500);
 /// Longest time for which an answered job is kept, waiting for its runs to end.
-pub(crate) const CLOSING_LIMIT: Span = Span::from_secs(10);
+///
+/// This is longer than the time for which late requests may keep a run alive on a silent worker, and
+/// bounds the wait only if the report of its end is lost.
+pub(crate) const CLOSING_LIMIT: Span = Span::from_secs(15);
 
 /// Jobs of this instance's callers.
 #[derive(Debug)]
--- a/crates/fleet/tests/outlasting_runs.rs
+++ b/crates/fleet/tests/outlasting_runs.rs
@@ -97,6 +97,19 @@
     }
 }
 
+#[test]
+fn run_of_a_closed_job_is_kept_while_its_worker_may_be_silent_and_extend_it() {
+    // Guards against a job that is submitted again, and started again, while the owner still waits
+    // for late requests to the silent worker of its earlier run.
+    let mut front = front();
+    let mut out = Output::default();
+    front.caller_gone(1, NOW, &mut out);
+    front.tick(NOW + OUTLASTING_EXPIRY, &mut out);
+    assert!(front.contains("j"), "the owner has not reported the end of the run");
+    front.tick(NOW + Span::from_secs(15), &mut out);
+    assert!(!front.contains("j"), "the report was lost");
+}
+
 #[test]
 fn next_owner_ends_the_wait_for_a_run_that_may_have_been_extended() {
     let mut front = front();
