fix(fleet): count the lease of a late start from when its run is seen

Cause: the owner of a run was paused, so that its leases had ended, and the start of the run had no response. A poll showed that the run was at work: the start had been carried out late, with a lease from then. When the worker fell silent after that, the bound on the end of its runs began at the last lease as if it had been carried out at once, 2 s before.

Change: a poll that lists runs, while a request without response may have arrived, moves that beginning to a lease after the poll. A start whose run is listed has been carried out and extends nothing any more.

--- a/crates/fleet/src/owner/polls.rs
+++ b/crates/fleet/src/owner/polls.rs
@@ -118,6 +118,9 @@
         }
         let lead = Span::from_ms(status.clock.saturating_sub(worker.latest_clock));
         worker.latest_clock = status.clock;
+        if !status.running.is_empty() {
+            worker.record_late_lease(now);
+        }
         let mut ends = Vec::new();
         for end in &status.ended {
             if end.number <= worker.acked {
@@ -363,6 +366,9 @@
             stops.push(running.run.clone());
             continue;
         };
+        if let Some(number) = assigned.request {
+            worker.unanswered.remove(LeasedRequest::Start(number));
+        }
         assigned.percent = running.percent;
         assigned.progressed_at = now;
         match assigned.stage {
--- a/crates/fleet/src/unanswered_leases.rs
+++ b/crates/fleet/src/unanswered_leases.rs
@@ -75,6 +75,12 @@
         latest
     }
 
+    /// Returns whether one of the requests may have been carried out late by `now`.
+    #[must_use]
+    pub fn may_have_arrived(&self, now: Time) -> bool {
+        self.sent.first().is_some_and(|(sent, _)| *sent + MIN_LATE_DELAY <= now)
+    }
+
     /// Returns whether one of the requests may extend the leases of runs after their lifetime, if
     /// their owner is lost and the latest heartbeat that their fronts have read is one of `now`.
     #[must_use]
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -8,7 +8,7 @@
     ResponseTimes, RunKey, UnansweredLeases,
     assigned_run::RunStage,
     output::Lease,
-    run_lease::{LEASE_SLACK, RUN_LIFETIME, earliest_clock, lease_length},
+    run_lease::{LEASE, LEASE_SLACK, RUN_LIFETIME, earliest_clock, lease_length},
 };
 
 /// Time for which a worker may hold a poll open until a run ends.
@@ -401,6 +401,13 @@
         Some(Lease { until })
     }
 
+    /// Records that the worker has runs now: a late request may have just given them a lease.
+    pub fn record_late_lease(&mut self, now: Time) {
+        if self.unanswered.may_have_arrived(now) {
+            self.lease_end = self.lease_end.max(now + LEASE + LEASE_SLACK);
+        }
+    }
+
     /// Returns the time by which the runs that the worker has now are over if it gets no further
     /// lease.
     #[must_use]
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -596,6 +596,29 @@
     }
 }
 
+#[test]
+fn run_that_a_late_start_began_outlasts_the_lease_that_it_got_then() {
+    // Guards against a second run where the lease of a late start counts from its arrival, and its
+    // worker falls silent before another lease.
+    let mut out = Output::default();
+    let (mut fixture, run) = Fixture::with_run(StartResponse::NoResponse, &mut out);
+    let at = |ms: u64| START + Span::from_ms(ms);
+    fixture.poll_runs(&[], true, at(100), &mut out);
+    for sent in [2_400, 2_500, 2_600, 2_700] {
+        fixture.poll_runs(&[], false, at(sent), &mut out);
+    }
+    fixture.poll_runs(std::slice::from_ref(&run), true, at(2_800), &mut out);
+    for sent in [2_900, 3_000, 3_100, 3_200] {
+        fixture.poll_runs(&[], false, at(sent), &mut out);
+    }
+    assert_eq!(fixture.owner.worker_counts(), (0, 1), "the worker is silent");
+    let end = at(2_800) + LEASE + Span::from_ms(90);
+    fixture.tick(end - Span::from_ms(1), &mut out);
+    assert_eq!(ends(&out), 0, "the start may have been carried out just before the poll");
+    fixture.tick(end, &mut out);
+    assert_eq!(how(&out), [How::Lost]);
+}
+
 #[test]
 fn workers_whose_requests_may_act_after_the_loss_of_their_owner_are_named() {
     // Guards against fronts that start a run again while a late request of its lost owner may start
