fix(platform): cancel jobs whose route has been removed

Each DELETE is answered 404, and their tasks go on starting.

Cause: the order of two look-ups. CallerApi::route looked the route up in the settings in force before it looked at the method, so that a DELETE never reached the job. Removing a route ends no job.

Change: a version of the catalog keeps the kinds that earlier ones had, for ten minutes.

--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -3,6 +3,11 @@
 use std::sync::Arc;
 
 use cranberryhatch_fleet::KindSettings;
+use cranberryhatch_types::{Span, Time};
+
+/// Time for which jobs of a kind can be cancelled after the operator has removed it; no job waits
+/// that long for its end.
+pub const REMOVED_RETENTION: Span = Span::from_secs(600);
 
 /// A kind of job and where callers submit it.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,6 +29,9 @@
     pub version: u64,
     // Sorted by host and path.
     entries: Vec<CatalogEntry>,
+    // Kinds of earlier versions that this one lacks, and until when their jobs can be cancelled;
+    // sorted by host and path.
+    removed: Vec<(CatalogEntry, Time)>,
 }
 
 impl Catalog {
@@ -31,7 +39,7 @@
     #[must_use]
     pub fn new(version: u64, mut entries: Vec<CatalogEntry>) -> Self {
         entries.sort_by(|a, b| (&a.host, &a.path).cmp(&(&b.host, &b.path)));
-        Self { version, entries }
+        Self { version, entries, removed: Vec::new() }
     }
 
     /// Returns the kind with the longest path prefix that matches, or `None`.
@@ -41,4 +49,30 @@
         let same_host = self.entries[first..].iter().take_while(|entry| entry.host == host);
         same_host.filter(|entry| path.starts_with(&entry.path)).max_by_key(|e| e.path.len())
     }
+
+    /// Returns the removed kind with the longest path prefix that matches, or `None`. Its jobs may
+    /// still be running.
+    #[must_use]
+    pub fn find_removed(&self, host: &str, path: &str) -> Option<&CatalogEntry> {
+        let first = self.removed.partition_point(|(entry, _)| entry.host.as_str() < host);
+        let removed = self.removed[first..].iter().map(|(entry, _)| entry);
+        let same_host = removed.take_while(|entry| entry.host == host);
+        same_host.filter(|entry| path.starts_with(&entry.path)).max_by_key(|e| e.path.len())
+    }
+
+    /// Remembers the kinds that the former version had and this one lacks.
+    pub fn keep_removed(&mut self, former: &Self, now: Time) {
+        let until = now + REMOVED_RETENTION;
+        let earlier = former.removed.iter().filter(|(_, until)| now < *until).cloned();
+        let latest = former.entries.iter().map(|entry| (entry.clone(), until));
+        let mut removed: Vec<(CatalogEntry, Time)> = latest.chain(earlier).collect();
+        let key = |entry: &CatalogEntry| (entry.host.clone(), entry.path.clone());
+        removed.retain(|(entry, _)| {
+            let place = self.entries.binary_search_by_key(&key(entry), key);
+            place.is_err()
+        });
+        removed.sort_by_key(|(entry, _)| key(entry));
+        removed.dedup_by_key(|(entry, _)| key(entry));
+        self.removed = removed;
+    }
 }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -191,8 +191,11 @@
 
     fn install_catalog(&self, version: u64, body: &Bytes) {
         match self.platform.decode_settings(body) {
-            Ok(catalog) => {
+            Ok(mut catalog) => {
                 let mut current = self.catalog.write().unwrap_or_else(PoisonError::into_inner);
+                if let Some(former) = current.as_ref() {
+                    catalog.keep_removed(former, self.clock().now());
+                }
                 *current = Some(Arc::new(catalog));
                 self.metrics.settings_version.set(version);
             }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,7 +22,7 @@
 mod platform;
 mod worker_cache;
 
-pub use catalog::{Catalog, CatalogEntry};
+pub use catalog::{Catalog, CatalogEntry, REMOVED_RETENTION};
 pub use clock::Clock;
 pub use cranberryhatch_schema::fleet::Hello;
 pub use edge::Edge;
