fix(fleet): tell cancels to peers whose link returns, and all to a new scheduler

Cause: a cancel was a message that is sent once. Only a front that asked for capacity again was told.

Change: cancels are state that instances exchange, for the 60 s for which each remembers them. Both sides of a link send all that they know when it comes up, and a new scheduler sends them to all its peers, whether or not it knows which of them have the job.

Cost: nothing where nothing is cancelled.

--- a/crates/fleet/src/node/cancel.rs
+++ b/crates/fleet/src/node/cancel.rs
@@ -33,11 +33,27 @@
         }
     }
 
-    /// Sends all known cancels to a new scheduler, since the message to the former one may be lost.
+    /// Sends all known cancels to a new scheduler, since the message to the former one may be lost. A
+    /// new scheduler sends those that it was told before it scheduled to all peers, since it does not
+    /// know which of them have a job.
     pub(super) fn send_cancels(&self, now: Time, out: &mut Output) {
-        let scheduler = self.elected.as_ref().filter(|_| !self.is_scheduler());
-        if let Some(scheduler) = scheduler.filter(|_| !self.canceled.is_empty()) {
-            out.send(scheduler, Body::Cancels(self.canceled.to_message(now)));
+        if self.canceled.is_empty() {
+            return;
+        }
+        let message = self.canceled.to_message(now);
+        let peers = self.links.iter().map(|(peer, _)| peer);
+        let is_receiver = |peer: &&InstanceId| {
+            self.is_scheduler() || self.elected.as_ref().is_some_and(|elected| elected == *peer)
+        };
+        for peer in peers.filter(is_receiver) {
+            out.send(peer, Body::Cancels(message.clone()));
+        }
+    }
+
+    /// Sends all known cancels to a peer whose link has come up, which may have missed some.
+    pub(super) fn send_cancels_to(&self, peer: &InstanceId, now: Time, out: &mut Output) {
+        if !self.canceled.is_empty() {
+            out.send(peer, Body::Cancels(self.canceled.to_message(now)));
         }
     }
 
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -49,8 +49,9 @@
             self.members.add_peer(peer, now);
             self.update_owner_peers();
         }
-        out.log(LogEvent::PeerUp { peer: id, peers: self.members.peers().len() });
+        out.log(LogEvent::PeerUp { peer: id.clone(), peers: self.members.peers().len() });
         self.send_heartbeats(now, out);
+        self.send_cancels_to(&id, now, out);
         self.update_roles(now, out);
         self.process_pending(now, false, out);
     }
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -10,6 +10,8 @@
 const INSTANCES: usize = 4;
 /// Run time of each task in milliseconds.
 const RUN_TIME: u64 = 300;
+/// Run time of a long task; it may take half as long.
+const LONG_TIME: u64 = 30_000;
 /// Time in which a cancel takes effect, in milliseconds: some heartbeats and a change of scheduler.
 const CANCEL_TIME: u64 = 2_000;
 /// Time for which a request may arrive again, in milliseconds.
@@ -22,6 +24,19 @@
     (request, world.requests[request].attempts[0].node)
 }
 
+/// Submits a job of one long task, whose front asks for no further capacity; returns the request and
+/// its front.
+fn begin_long(world: &mut World) -> (usize, usize) {
+    let request = world.request(1, 1, 16_000, LONG_TIME, false);
+    world.run_until(world.now + RUN_TIME);
+    (request, world.requests[request].attempts[0].node)
+}
+
+/// Returns the number of active runs.
+fn runs(world: &World) -> usize {
+    world.workers.iter().map(|worker| worker.runs.len()).sum()
+}
+
 fn scheduler(world: &World) -> usize {
     (0..INSTANCES).find(|node| world.schedules(*node)).expect("a scheduler")
 }
@@ -58,6 +73,45 @@
     }
 }
 
+#[test]
+fn front_that_was_cut_off_learns_of_a_cancel() {
+    // Guards against a job that runs on because its front had no link to the scheduler.
+    for seed in 0..40 {
+        let mut world = World::new(seed, 2, INSTANCES, 4);
+        let (request, front) = begin_long(&mut world);
+        let zone = world.instances[front].zone;
+        world.cut_zone(zone, 3_000);
+        world.run_until(world.now + 1_000);
+        let node = (0..INSTANCES).find(|node| world.instances[*node].zone != zone);
+        world.cancel(request, node.expect("an instance of the other zone"));
+        world.run_until(world.now + 2_000 + CANCEL_TIME);
+        assert_eq!(runs(&world), 0, "seed {seed}");
+        assert_eq!(world.requests[request].outcome, Some(Outcome::Failed), "seed {seed}");
+    }
+}
+
+#[test]
+fn cancels_that_reach_the_next_scheduler_early_are_forwarded() {
+    // Guards against a job that runs on because the scheduler froze as it was cancelled, and the next
+    // one learned of the cancel before it scheduled.
+    for seed in 0..200 {
+        let mut world = World::new(seed, 2, INSTANCES, 4);
+        let (request, front) = begin_long(&mut world);
+        let frozen = scheduler(&world);
+        if frozen == front {
+            continue;
+        }
+        world.pause(frozen, 2_000);
+        world.run_until(world.now + 50);
+        let others = (0..INSTANCES).filter(|node| *node != front && *node != frozen);
+        let others: Vec<usize> = others.collect();
+        world.cancel(request, others[usize::from(seed % 2 == 1)]);
+        world.run_until(world.now + 2_000 + CANCEL_TIME);
+        assert_eq!(runs(&world), 0, "seed {seed}");
+        assert_eq!(world.requests[request].outcome, Some(Outcome::Failed), "seed {seed}");
+    }
+}
+
 #[test]
 fn request_of_a_cancelled_job_that_arrives_again_starts_nothing() {
     for seed in 0..40 {
