fix(fleet): answer a cancel once another instance knows of it

Cause: a cancel was acknowledged before any other instance had it.

Change: the receivers of a caller's cancel, which are the scheduler or, at the scheduler, those that may replace it, send it back (Cancels.confirm), and the caller is answered then: 410 as before, some milliseconds later. If no one confirms it within 1.5 s, which is longer than it takes to replace a silent scheduler, or the instance has links to less than half of its peers, the answer is 503 with Retry-After and the line cancel-unconfirmed. The cancel stays in force there, and the others are told when they are back. A cancel at the job's own front is answered at once, as before.

Ruled out: to tell by lost links alone that the instance is cut off.

The store as a way around the partition was not tried: it would carry every cancel for the sake of this case.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,8 +11,8 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, DrainRead, InstanceInfo, Job, LogEvent, Member, Node, NotRunCause, Outcome, Output,
-    PollResult, StartResponse, VecMap,
+    CancelOutcome, Command, DrainRead, InstanceInfo, Job, LogEvent, Member, Node, NotRunCause,
+    Outcome, Output, PollResult, StartResponse, VecMap,
 };
 use cranberryhatch_schema::fleet::{self, Hello, frame::Body};
 use cranberryhatch_types::{InstanceId, Span, Time};
@@ -46,6 +46,8 @@
     clock: Clock,
     executor: Arc<Executor<'static>>,
     replies: Mutex<VecMap<u64, Sender<Outcome>>>,
+    // Callers who cancel a job, by ticket.
+    cancels: Mutex<VecMap<u64, Sender<CancelOutcome>>>,
     tickets: AtomicU64,
     catalog: RwLock<Option<Arc<Catalog>>>,
     event_logger: EventLogger,
@@ -72,6 +74,7 @@
             clock,
             executor,
             replies: Mutex::default(),
+            cancels: Mutex::default(),
             tickets: AtomicU64::new(0),
             catalog: RwLock::default(),
             event_logger: EventLogger::default(),
@@ -90,6 +93,10 @@
         self.replies.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn cancels(&self) -> MutexGuard<'_, VecMap<u64, Sender<CancelOutcome>>> {
+        self.cancels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the platform.
     pub const fn platform(&self) -> &Arc<P> {
         &self.platform
@@ -137,6 +144,12 @@
                     let _ = reply.try_send(outcome);
                 }
             }
+            Command::AnswerCancel { ticket, outcome } => {
+                if let Some(reply) = self.cancels().remove(&ticket) {
+                    // The caller may have disconnected.
+                    let _ = reply.try_send(outcome);
+                }
+            }
             Command::Send { to, message } => self.links.send(self, &to, message),
             Command::SetLinks { peers } => self.links.set_wanted(peers),
             Command::ResetLink { peer } => self.links.reset(&Arc::new(IgnoreEvents), &peer),
@@ -315,9 +328,13 @@
         outcome
     }
 
-    /// Cancels a job and returns whether this instance has it.
-    pub fn cancel(self: &Arc<Self>, job: &str) -> bool {
-        self.with_node(|node, now, out| node.cancel(job, now, out))
+    /// Cancels a job, which may be at another instance, and returns what is known of it.
+    pub async fn cancel(self: &Arc<Self>, job: &str) -> CancelOutcome {
+        let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
+        let (reply, answered) = async_channel::bounded(1);
+        self.cancels().insert(ticket, reply);
+        self.with_node(|node, now, out| node.cancel(ticket, job, now, out));
+        answered.recv().await.unwrap_or(CancelOutcome::Unconfirmed)
     }
 
     /// Returns whether an unfinished job has started, or `None` if this instance does not have it.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -96,7 +96,7 @@
 pub use members::{Member, Members, MembershipChange, Owners, text_hash};
 pub use need::Need;
 pub use node::{HEARTBEAT_INTERVAL, Node, PEER_TIMEOUT};
-pub use outcome::{NotRunCause, Outcome};
+pub use outcome::{CancelOutcome, NotRunCause, Outcome};
 pub use output::{
     Command, End, Lease, Message, Output, PollResponse, PollResult, RunEnd, Running, StartResponse,
     WorkerStatus,
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -389,6 +389,14 @@
         /// Whether this instance has the job.
         known: bool,
     },
+    /// A caller was told that the cancel of a job is not confirmed: this instance does not have the job,
+    /// and no other instance has confirmed the cancel.
+    CancelUnconfirmed {
+        /// Name of the job.
+        job: String,
+        /// Number of peers to which it has a link.
+        peers: usize,
+    },
     /// A request for a cancelled job was answered without a run.
     CanceledBefore {
         /// Name of the job.
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,6 +6,7 @@
 mod link;
 
 use bytes::Bytes;
+use cancel::UnconfirmedCancel;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
 use cranberryhatch_schema::fleet::{
     Ask, Beat, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
@@ -49,6 +50,7 @@
     owner: Owner,
     scheduler: Scheduler,
     canceled: CanceledJobs,
+    unconfirmed: Vec<UnconfirmedCancel>,
     // The instance that schedules.
     elected: Option<InstanceId>,
     links: VecMap<InstanceId, PeerLink>,
@@ -98,6 +100,7 @@
             owner,
             scheduler,
             canceled: CanceledJobs::default(),
+            unconfirmed: Vec::new(),
             elected: None,
             links: VecMap::default(),
             broken_links: VecMap::default(),
@@ -547,6 +550,7 @@
         self.scheduler.review_losses(&self.listing, now);
         self.scheduler.tick(now);
         self.canceled.remove_old(now);
+        self.time_out_cancels(now, out);
         if self.is_scheduler() {
             self.scheduler.replicate(&self.members.standby_schedulers(), now, out);
         }
--- a/crates/fleet/src/node/cancel.rs
+++ b/crates/fleet/src/node/cancel.rs
@@ -4,15 +4,70 @@
 use cranberryhatch_types::{InstanceId, Span, Time};
 
 use super::Node;
-use crate::{CANCEL_RETENTION, Output, log_event::LogEvent};
+use crate::{CANCEL_RETENTION, CancelOutcome, Command, Output, log_event::LogEvent};
+
+/// Time for which a caller waits until another instance confirms that it knows of a cancel; longer
+/// than it takes to replace a scheduler that is silent.
+const CONFIRM_TIMEOUT: Span = Span::from_ms(1_500);
+
+/// A caller's cancel that no other instance has confirmed yet.
+#[derive(Debug)]
+pub(super) struct UnconfirmedCancel {
+    ticket: u64,
+    job: String,
+    until: Time,
+}
 
 impl Node {
-    /// Cancels a job wherever it is, and returns whether it was known here.
-    pub fn cancel(&mut self, job: &str, now: Time, out: &mut Output) -> bool {
+    /// Cancels a job wherever it is. `ticket` identifies the caller's request in
+    /// [`Command::AnswerCancel`].
+    ///
+    /// The cancel of a job that this instance does not have is confirmed by the scheduler, or by an
+    /// instance that may replace this one. Without an answer it stays in force here, and the others
+    /// are told once they are reachable again.
+    pub fn cancel(&mut self, ticket: u64, job: &str, now: Time, out: &mut Output) {
         let known = self.cancel_here(job, CANCEL_RETENTION, None, now, out);
-        self.forward_cancel(job, None, now, out);
+        let is_told = self.forward_cancel(job, None, now, out);
+        if known {
+            answer(ticket, CancelOutcome::Ended, out);
+        } else if is_told || self.is_isolated() {
+            let until = now + CONFIRM_TIMEOUT;
+            self.unconfirmed.push(UnconfirmedCancel { ticket, job: job.to_owned(), until });
+        } else {
+            answer(ticket, CancelOutcome::Unknown, out);
+        }
         self.process_pending(now, false, out);
-        known
+    }
+
+    /// Answers the callers whose cancels were not confirmed in time.
+    pub(super) fn time_out_cancels(&mut self, now: Time, out: &mut Output) {
+        let peers = self.links.len();
+        for UnconfirmedCancel { ticket, job, .. } in
+            self.unconfirmed.extract_if(.., |cancel| cancel.until <= now)
+        {
+            out.log(LogEvent::CancelUnconfirmed { job, peers });
+            answer(ticket, CancelOutcome::Unconfirmed, out);
+        }
+    }
+
+    /// Answers the callers whose cancels a peer knows.
+    fn confirm_cancels(&mut self, cancels: &Cancels, out: &mut Output) {
+        if self.unconfirmed.is_empty() || self.is_isolated() {
+            return;
+        }
+        let is_known = |cancel: &mut UnconfirmedCancel| {
+            cancels.jobs.iter().any(|canceled| canceled.job == cancel.job)
+        };
+        for UnconfirmedCancel { ticket, .. } in self.unconfirmed.extract_if(.., is_known) {
+            answer(ticket, CancelOutcome::Unknown, out);
+        }
+    }
+
+    /// Returns whether this instance has links to less than half of the instances to which it should.
+    fn is_isolated(&self) -> bool {
+        let wanted = &self.topology.link_plan().links;
+        let linked = wanted.iter().filter(|peer| self.links.get(*peer).is_some()).count();
+        linked * 2 < wanted.len()
     }
 
     /// Handles cancels that a peer has sent.
@@ -23,6 +78,11 @@
         now: Time,
         out: &mut Output,
     ) {
+        if cancels.confirm {
+            let jobs = cancels.jobs.clone();
+            out.send(from, Body::Cancels(Cancels { jobs, confirm: false }));
+        }
+        self.confirm_cancels(cancels, out);
         for canceled in &cancels.jobs {
             let left = Span::from_ms(canceled.left_ms.into());
             let is_new = !self.canceled.contains(&canceled.job, now);
@@ -40,7 +100,8 @@
         if self.canceled.is_empty() {
             return;
         }
-        let message = self.canceled.to_message(now);
+        let confirm = !self.unconfirmed.is_empty();
+        let message = Cancels { confirm, ..self.canceled.to_message(now) };
         let peers = self.links.iter().map(|(peer, _)| peer);
         let is_receiver = |peer: &&InstanceId| {
             self.is_scheduler() || self.elected.as_ref().is_some_and(|elected| elected == *peer)
@@ -75,9 +136,17 @@
     }
 
     /// Sends a cancel to the scheduler or, as the scheduler, to the fronts of the job and to the
-    /// instances that may replace this one.
-    fn forward_cancel(&self, job: &str, from: Option<&InstanceId>, now: Time, out: &mut Output) {
-        let Some(message) = self.canceled.message_of(job, now) else { return };
+    /// instances that may replace this one; returns whether there is a receiver. The receivers of a
+    /// caller's cancel, which has no sender, confirm it.
+    fn forward_cancel(
+        &self,
+        job: &str,
+        from: Option<&InstanceId>,
+        now: Time,
+        out: &mut Output,
+    ) -> bool {
+        let Some(message) = self.canceled.message_of(job, now) else { return false };
+        let message = Cancels { confirm: from.is_none(), ..message };
         let mut receivers = if self.is_scheduler() {
             let mut receivers = self.members.standby_schedulers();
             receivers.extend(self.scheduler.fronts_of(job).cloned());
@@ -89,5 +158,10 @@
         receivers.dedup();
         receivers.retain(|to| Some(to) != from && *to != self.members.me().id);
         receivers.iter().for_each(|to| out.send(to, Body::Cancels(message.clone())));
+        !receivers.is_empty()
     }
 }
+
+fn answer(ticket: u64, outcome: CancelOutcome, out: &mut Output) {
+    out.commands.push(Command::AnswerCancel { ticket, outcome });
+}
--- a/crates/fleet/src/outcome.rs
+++ b/crates/fleet/src/outcome.rs
@@ -23,6 +23,19 @@
     GivenUp,
 }
 
+/// What an instance can tell a caller who cancels a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CancelOutcome {
+    /// This instance had the job and has ended it.
+    Ended,
+    /// This instance does not have the job, and the others know of the cancel.
+    Unknown,
+    /// This instance does not have the job, and no other has confirmed the cancel: they may go on
+    /// running it.
+    Unconfirmed,
+}
+
 /// Why a job was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/fleet/src/output.rs
+++ b/crates/fleet/src/output.rs
@@ -4,7 +4,7 @@
 use cranberryhatch_schema::fleet::frame::Body;
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
-use crate::{Incarnation, ListedWorker, Outcome, RunKey, log_event::LogEvent};
+use crate::{CancelOutcome, Incarnation, ListedWorker, Outcome, RunKey, log_event::LogEvent};
 
 /// Body of a message to another instance.
 pub type Message = Body;
@@ -26,6 +26,13 @@
         /// The answer.
         outcome: Outcome,
     },
+    /// Answer a caller who cancels a job.
+    AnswerCancel {
+        /// Identifies the caller's request, as passed to [`Node::cancel`](crate::Node::cancel).
+        ticket: u64,
+        /// The answer.
+        outcome: CancelOutcome,
+    },
     /// Send a message to a peer.
     Send {
         /// The peer.
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cranberryhatch_fleet::Outcome;
+use cranberryhatch_fleet::{CancelOutcome, Outcome};
 use world::World;
 
 /// Instances; callers submit the jobs of a test at the first one.
@@ -90,6 +90,32 @@
     }
 }
 
+#[test]
+fn isolated_instance_confirms_only_cancels_of_its_own_jobs() {
+    // Guards against a cancel that is acknowledged while the instances that run the job cannot know
+    // of it.
+    for seed in 0..40 {
+        let mut world = World::new(seed, INSTANCES, INSTANCES, 4);
+        let (request, front) = begin_long(&mut world);
+        let isolated = (front + 1) % INSTANCES;
+        world.cut_zone(world.instances[isolated].zone, 3_000);
+        // Before and after its links have timed out.
+        world.run_until(world.now + 20 * (seed % 50));
+        let node = if seed % 2 == 0 { isolated } else { (front + 2) % INSTANCES };
+        let expected =
+            if node == isolated { CancelOutcome::Unconfirmed } else { CancelOutcome::Unknown };
+        let ticket = world.cancel(request, node);
+        world.run_until(world.now + CANCEL_TIME);
+        assert_eq!(world.cancel_answer(ticket), Some(expected), "seed {seed}");
+        assert_eq!(runs(&world), usize::from(node == isolated), "seed {seed}");
+        world.run_until(world.now + 1_000 + CANCEL_TIME);
+        assert_eq!(runs(&world), 0, "seed {seed}: after the partition");
+        let own = world.request(2, 1, 16_000, LONG_TIME, false);
+        let ticket = world.cancel(own, world.requests[own].attempts[0].node);
+        assert_eq!(world.cancel_answer(ticket), Some(CancelOutcome::Ended), "seed {seed}");
+    }
+}
+
 #[test]
 fn cancels_that_reach_the_next_scheduler_early_are_forwarded() {
     // Guards against a job that runs on because the scheduler froze as it was cancelled, and the next
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -191,7 +191,10 @@
         Message::Losses(Losses { runs: vec![lost] }),
         Message::Superseded(superseded),
         Message::Yielded(Yielded { job: job() }),
-        Message::Cancels(Cancels { jobs: vec![CanceledJob { job: job(), left_ms: u32::MAX }] }),
+        Message::Cancels(Cancels {
+            jobs: vec![CanceledJob { job: job(), left_ms: u32::MAX }],
+            confirm: true,
+        }),
         Message::Submissions(Submissions {
             fronts: vec!["e-1".to_owned(), "e-2".to_owned()],
             submissions: vec![submission],
--- a/crates/fleet/tests/world/cancels.rs
+++ b/crates/fleet/tests/world/cancels.rs
@@ -1,14 +1,26 @@
 //! Cancels, and requests of answered jobs that arrive again.
 
+use cranberryhatch_fleet::CancelOutcome;
 use cranberryhatch_types::Time;
 
 use super::{Attempt, Request, World};
 
+/// Tickets of cancels start here, above those of submissions.
+const CANCEL_TICKETS: u64 = 1 << 32;
+
 impl World {
-    /// Cancels the job of a request at an instance, which need not have it.
-    pub fn cancel(&mut self, request: usize, node: usize) {
+    /// Cancels the job of a request at an instance, which need not have it; returns the ticket.
+    pub fn cancel(&mut self, request: usize, node: usize) -> u64 {
         let name = self.requests[request].job.name.clone();
-        self.with_node(node, |n, now, out| n.cancel(&name, now, out));
+        let ticket = CANCEL_TICKETS + self.order;
+        self.with_node(node, |n, now, out| n.cancel(ticket, &name, now, out));
+        ticket
+    }
+
+    /// Returns the answer to a cancel, if there is one.
+    pub fn cancel_answer(&self, ticket: u64) -> Option<CancelOutcome> {
+        let answer = self.cancel_answers.iter().find(|(answered, _)| *answered == ticket);
+        answer.map(|(_, outcome)| *outcome)
     }
 
     /// Delivers a request again at an instance, whether or not it has been answered.
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -21,9 +21,9 @@
 
 use bytes::Bytes;
 use cranberryhatch_fleet::{
-    Command, DrainRead, DropCause, Incarnation, InstanceInfo, Job, KindSettings, ListedWorker,
-    LogEvent, Member, Message, Need, Node, Outcome, Output, PollResponse, PollResult, RunKey,
-    StartResponse, Step,
+    CancelOutcome, Command, DrainRead, DropCause, Incarnation, InstanceInfo, Job, KindSettings,
+    ListedWorker, LogEvent, Member, Message, Need, Node, Outcome, Output, PollResponse, PollResult,
+    RunKey, StartResponse, Step,
 };
 use cranberryhatch_types::{Accels, Cores, Count, InstanceId, Span, Time, WorkerId};
 
@@ -330,6 +330,8 @@
     pub messages: u64,
     /// Opened workers, with the time.
     pub opened: Vec<(u64, WorkerId)>,
+    /// Answers to cancels, by ticket.
+    pub cancel_answers: Vec<(u64, CancelOutcome)>,
     /// Whether to print logged events.
     pub verbose: bool,
     /// Violations of the guarantees that were found.
@@ -429,6 +431,7 @@
             sent_starts: Vec::new(),
             messages: 0,
             opened: Vec::new(),
+            cancel_answers: Vec::new(),
             verbose: std::env::var_os("FUZZ_VERBOSE").is_some(),
             violations: Vec::new(),
             links: vec![vec![0; instances]; instances],
@@ -737,6 +740,9 @@
     fn execute(&mut self, node: usize, generation: u64, command: Command) {
         match command {
             Command::Answer { ticket, outcome } => self.answered(node, generation, ticket, outcome),
+            Command::AnswerCancel { ticket, outcome } => {
+                self.cancel_answers.push((ticket, outcome));
+            }
             Command::Send { to, message } => {
                 let to = self.index(&to);
                 let link = self.links[node][to];
