refactor(fleet): name the check of lost runs as its use

Reading the diff: OwnerRequests::may_outlast says what it answers, the list of unconfirmed cancels is described, and REMOVED_RETENTION makes no claim about the limits of jobs.

--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -5,8 +5,7 @@
 use cranberryhatch_fleet::KindSettings;
 use cranberryhatch_types::{Span, Time};
 
-/// Time for which jobs of a kind can be cancelled after the operator has removed it; no job waits
-/// that long for its end.
+/// Time for which jobs of a kind can be cancelled after the operator has removed it.
 pub const REMOVED_RETENTION: Span = Span::from_secs(600);
 
 /// A kind of job and where callers submit it.
@@ -67,10 +66,7 @@
         let latest = former.entries.iter().map(|entry| (entry.clone(), until));
         let mut removed: Vec<(CatalogEntry, Time)> = latest.chain(earlier).collect();
         let key = |entry: &CatalogEntry| (entry.host.clone(), entry.path.clone());
-        removed.retain(|(entry, _)| {
-            let place = self.entries.binary_search_by_key(&key(entry), key);
-            place.is_err()
-        });
+        removed.retain(|(entry, _)| self.entries.binary_search_by_key(&key(entry), key).is_err());
         removed.sort_by_key(|(entry, _)| key(entry));
         removed.dedup_by_key(|(entry, _)| key(entry));
         self.removed = removed;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -50,6 +50,7 @@
     owner: Owner,
     scheduler: Scheduler,
     canceled: CanceledJobs,
+    // Callers' cancels that no other instance has confirmed yet.
     unconfirmed: Vec<UnconfirmedCancel>,
     // The instance that schedules.
     elected: Option<InstanceId>,
--- a/crates/fleet/src/owner_requests.rs
+++ b/crates/fleet/src/owner_requests.rs
@@ -18,7 +18,7 @@
 impl OwnerRequests {
     /// Returns whether a run that was placed at the owner may outlast the owner's leases.
     #[must_use]
-    pub fn may_extend(&self, placed: &Placed) -> bool {
+    pub fn may_outlast(&self, placed: &Placed) -> bool {
         let is_unread = self.unread_since.is_some_and(|since| placed.requested_at >= since);
         is_unread || self.unanswered.binary_search(&placed.worker).is_ok()
     }
--- a/crates/fleet/src/task_state.rs
+++ b/crates/fleet/src/task_state.rs
@@ -90,7 +90,7 @@
             Phase::Placed(placed) if placed.owner == *owner && placed.lost_since.is_none() => {
                 // The owner may have received the start after it was last heard.
                 placed.lost_since = Some(heard.max(placed.requested_at));
-                placed.outlasts = requests.may_extend(placed);
+                placed.outlasts = requests.may_outlast(placed);
                 true
             }
             _ => false,
--- a/crates/fleet/tests/outlasting_runs.rs
+++ b/crates/fleet/tests/outlasting_runs.rs
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn run_of_a_lost_owner_is_kept_while_its_requests_may_extend_it() {
+fn run_of_a_lost_owner_is_kept_while_its_requests_may_outlast_it() {
     struct Case {
         name: &'static str,
         unanswered: &'static [&'static str],
@@ -177,7 +177,7 @@
 }
 
 #[test]
-fn resubmitted_task_waits_while_requests_of_a_lost_owner_may_extend_its_earlier_run() {
+fn resubmitted_task_waits_while_requests_of_a_lost_owner_may_outlast_its_earlier_run() {
     struct Case {
         name: &'static str,
         /// Whether the scheduler knew the earlier run.
