revert(fleet): do not wait for starts that a lost owner may not have read

The owner was never lost, has reported the ends on a link that is gone, and no next owner opens the worker, so nothing ends the wait. Jobs that are submitted again wait as long.

The list of workers with starts under way stays.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -341,7 +341,6 @@
             let limit = u64::from(beat.next_ms) * MISSED_HEARTBEATS;
             link.timeout = Span::from_ms(limit).max(PEER_TIMEOUT);
             link.heartbeat = Time::from_ms(beat.sent_ms);
-            link.echo_read = Time::from_ms(beat.seen_ms);
             link.resting = beat.rests;
         }
         self.set_unanswered_workers(from, &beat.unanswered);
--- a/crates/fleet/src/node/contact.rs
+++ b/crates/fleet/src/node/contact.rs
@@ -62,8 +62,6 @@
     pub(super) heartbeat: Time,
     // The heartbeat of the peer that this instance last echoed to it.
     pub(super) echoed: Time,
-    // The last heartbeat of this instance that the peer had read when it sent its own last one.
-    pub(super) echo_read: Time,
     // When this instance last requested a heartbeat.
     pub(super) echo_asked: Time,
     // Whether the peer announced that it was paused recently and does not schedule.
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -35,7 +35,6 @@
                 interval: Span::ZERO,
                 heartbeat: Time::ZERO,
                 echoed: Time::ZERO,
-                echo_read: Time::ZERO,
                 echo_asked: Time::ZERO,
                 resting: false,
             },
@@ -92,7 +91,7 @@
         self.broken_links
             .insert(peer.clone(), BrokenLink { broken_at: now, up_since: link.up_since });
         let unanswered = self.unanswered.remove(peer).unwrap_or_default();
-        let requests = OwnerRequests { unanswered, unread_since: Some(link.echo_read) };
+        let requests = OwnerRequests { unanswered };
         self.front.owner_unreachable(peer, &requests, link.heard_at, out);
         self.owner.front_link_lost(peer);
         self.scheduler.remove_instance(peer, &requests.unanswered, now);
--- a/crates/fleet/src/owner_requests.rs
+++ b/crates/fleet/src/owner_requests.rs
@@ -1,6 +1,6 @@
 //! What is known of the requests of an owner that became unreachable.
 
-use cranberryhatch_types::{Time, WorkerId};
+use cranberryhatch_types::WorkerId;
 
 use crate::Placed;
 
@@ -10,16 +10,12 @@
     /// Workers that have left requests with a lease unanswered which may start a run, or extend the
     /// leases of runs, after the loss of the owner, sorted.
     pub unanswered: Vec<WorkerId>,
-    /// Time from which on the owner may not have read this instance's starts when it sent that
-    /// heartbeat; `None` if it has read all.
-    pub unread_since: Option<Time>,
 }
 
 impl OwnerRequests {
     /// Returns whether a run that was placed at the owner may outlast the owner's leases.
     #[must_use]
     pub fn may_outlast(&self, placed: &Placed) -> bool {
-        let is_unread = self.unread_since.is_some_and(|since| placed.requested_at >= since);
-        is_unread || self.unanswered.binary_search(&placed.worker).is_ok()
+        self.unanswered.binary_search(&placed.worker).is_ok()
     }
 }
