--- a/review/standin-3/src/scenarios.rs
+++ b/review/standin-3/src/scenarios.rs
@@ -81,9 +81,9 @@
 fn spread(trouble: bool, cluster: &Cluster) {
     let mut random = Random::new(1);
     let mut clients = Vec::new();
-    for round in 0..240u64 {
+    for round in 0..360u64 {
         let step = Step {
-            count: 12 + random.below(12),
+            count: 24 + random.below(12),
             cpu: 3_000,
             memory: 64,
             length_ms: 100 + random.below(200),
@@ -94,8 +94,8 @@
         let name = format!("{:016x}", 0xe000_0000_0000_0000 + round);
         clients.push(cluster.submit(instance, PATH, &name, &job(step), 10_000));
         sleep(150);
-        if trouble && round % 20 == 10 {
-            cluster.cut_off(&cluster.instances[(round / 20) as usize % 6]);
+        if trouble && round % 15 == 10 {
+            cluster.cut_off(&cluster.instances[(round / 15) as usize % 6]);
             sleep(500);
             cluster.heal();
         }
