review: case 13, no cancel is confirmed once all instances were replaced

Each of six instances is removed for good and replaced at another address, one after the other. From then on a cancel at an instance other than the job's front is answered 503 for good (rule Acks): rows of instances that are gone stay in the register, and instances with links to less than half of the registered ones count as isolated.

--- a/review/standin-3/src/cluster.rs
+++ b/review/standin-3/src/cluster.rs
@@ -95,10 +95,12 @@
 }
 
 impl Cluster {
-    /// Starts the store and the workers; `zones` are those of the instances, in order.
+    /// Starts the store and the workers; `zones` are those of the first
+    /// instances, in order. As many `spares` may be added later, in the same zones.
     pub fn new(
         folder: PathBuf,
         zones: &[&str],
+        spares: usize,
         kinds: Vec<Kind>,
         routes: &[Route],
         history: Arc<History>,
@@ -123,11 +125,12 @@
         for worker in &workers {
             worker.report_to(&store);
         }
+        let zones: Vec<&str> = zones.iter().chain(&zones[..spares]).copied().collect();
         let names: Vec<String> =
             zones.iter().enumerate().map(|(i, zone)| format!("edge-{zone}-{}", i + 1)).collect();
         let cuts = Arc::new(Cuts::default());
         let mut instances = Vec::new();
-        for (index, (name, zone)) in names.iter().zip(zones).enumerate() {
+        for (index, (name, zone)) in names.iter().zip(&zones).enumerate() {
             let ip = format!("{base}.{}.1", index + 1);
             let settings = folder.join(format!("{name}.toml"));
             let seed = |index: usize| format!("\"{base}.{}.1:8166\"", index + 1);
@@ -155,13 +158,13 @@
         Self { instances, history, cuts, folder }
     }
 
-    /// Starts all instances and waits until they are ready and links have settled.
-    pub fn start(&self) {
-        for instance in &self.instances {
+    /// Starts the first instances and waits until they are ready and links have settled.
+    pub fn start(&self, count: usize) {
+        for instance in &self.instances[..count] {
             instance.launch();
         }
         let until = Instant::now() + Duration::from_secs(15);
-        for instance in &self.instances {
+        for instance in &self.instances[..count] {
             while !self.is_ready(instance) {
                 if Instant::now() > until {
                     eprintln!("{} is not ready; see {:?}", instance.name, self.folder);
--- a/review/standin-3/src/history.rs
+++ b/review/standin-3/src/history.rs
@@ -231,6 +231,11 @@
         state.violations.push((rule.to_owned(), text.to_owned()));
     }
 
+    /// Records a violation that the case itself has seen.
+    pub fn report(&self, rule: &str, text: &str) {
+        self.violate(&mut self.state.lock().expect("state"), rule, text);
+    }
+
     /// Checks what holds at the end; returns the broken rules and a summary.
     pub fn finish(&self) -> (Vec<(String, String)>, String) {
         let mut state = self.state.lock().expect("state");
--- a/review/standin-3/src/scenarios.rs
+++ b/review/standin-3/src/scenarios.rs
@@ -1,6 +1,11 @@
 //! The cases.
 
-use std::{path::PathBuf, sync::Arc, thread, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     cluster::{Cluster, Route},
@@ -14,13 +19,19 @@
 /// Zones of the instances and of the workers.
 const ZONES: [&str; 6] = ["praha-a", "praha-b", "kladno-c", "praha-a", "praha-b", "kladno-c"];
 
+/// Time within which a cancel has to be confirmed.
+const ACK_TIMEOUT_MS: u64 = 4_000;
+
 /// Runs a scenario; returns whether it could be run.
 pub fn run(name: &str, trouble: bool, folder: PathBuf, history: &Arc<History>) -> bool {
-    let cluster = Cluster::new(folder, &ZONES, kinds(), &[route()], Arc::clone(history));
-    cluster.start();
+    // One case replaces all instances.
+    let spares = if name == "replace" { ZONES.len() } else { 0 };
+    let cluster = Cluster::new(folder, &ZONES, spares, kinds(), &[route()], Arc::clone(history));
+    cluster.start(ZONES.len());
     match name {
         "cancel" => cancel(trouble, &cluster),
         "spread" => spread(trouble, &cluster),
+        "replace" => replace(trouble, &cluster),
         _ => return false,
     }
     let ended: Vec<&str> = cluster.ended();
@@ -104,3 +115,55 @@
         let _ = client.join();
     }
 }
+
+/// Each instance in turn is removed for good, and a new one comes at another address. Then jobs are
+/// cancelled at other instances than those at which their clients wait.
+fn replace(trouble: bool, cluster: &Cluster) {
+    let (old, new) = cluster.instances.split_at(ZONES.len());
+    if trouble {
+        for (old, new) in old.iter().zip(new) {
+            cluster.history.note(&format!("{} is removed for good", old.name));
+            old.kill();
+            sleep(2_000);
+            cluster.history.note(&format!("{} is added", new.name));
+            new.launch();
+            sleep(4_000);
+        }
+    } else {
+        sleep(36_000);
+    }
+    let present = if trouble { new } else { old };
+    // Longer than ContactMs, and than the instances take to read who is registered.
+    sleep(12_000);
+    let step = Step { count: 60, cpu: 14_000, memory: 64, length_ms: 300, ..Step::default() };
+    let mut clients = Vec::new();
+    let mut unconfirmed = 0;
+    for round in 0..6usize {
+        let name = format!("{:016x}", 0xf000_0000_0000_0000 + round as u64);
+        let front = &present[round];
+        clients.push(cluster.submit(front, PATH, &name, &job(step.clone()), 20_000));
+        sleep(400);
+        let asked = Instant::now();
+        let mut next = round;
+        // The client asks another instance first, and then the next ones until one confirms.
+        let is_confirmed = loop {
+            next += 1;
+            let status = cluster.cancel(&present[next % present.len()], PATH, &name);
+            if (200..300).contains(&status) || status == 410 {
+                break true;
+            }
+            if asked.elapsed() >= Duration::from_millis(ACK_TIMEOUT_MS) {
+                break false;
+            }
+        };
+        unconfirmed += usize::from(!is_confirmed);
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    if unconfirmed >= 3 {
+        let text =
+            format!("{unconfirmed} of 6 cancels have no 2xx or 410 after {ACK_TIMEOUT_MS} ms");
+        cluster.history.report("ACKS", &text);
+    }
+}
