review: case 11, tasks run twice after the scheduler's process is killed

Half of the orders get no answer and are carried out 2 s late, with leases that count from their arrival. The process that schedules and has the jobs is killed and comes back without what the others knew of runs that such orders keep alive; jobs that their clients send again start beside them (rule TWICE).

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/release/review-standin-3
 [ -x "$program" ] && [ -x target/release/cranberryhatch-edge ] || exit 2
-exec "$program" replace review/13/record.txt
+exec "$program" spread review/13/record.txt
--- a/review/standin-3/src/cluster.rs
+++ b/review/standin-3/src/cluster.rs
@@ -88,6 +88,7 @@
 }
 
 pub struct Cluster {
+    pub workers: Vec<Arc<Worker>>,
     pub instances: Vec<Arc<Instance>>,
     pub history: Arc<History>,
     pub cuts: Arc<Cuts>,
@@ -155,7 +156,7 @@
                 process: Mutex::new(None),
             }));
         }
-        Self { instances, history, cuts, folder }
+        Self { workers, instances, history, cuts, folder }
     }
 
     /// Starts the first instances and waits until they are ready and links have settled.
@@ -207,7 +208,7 @@
         job: &Job,
         limit_ms: u64,
     ) -> thread::JoinHandle<u16> {
-        self.history.add_job(name, job.clone());
+        self.history.add_job(name, job);
         let history = Arc::clone(&self.history);
         let (addr, to) = (instance.callers(), instance.name.clone());
         let (path, name, body) = (format!("{path}{name}"), name.to_owned(), job.body());
--- a/review/standin-3/src/history.rs
+++ b/review/standin-3/src/history.rs
@@ -101,9 +101,10 @@
         let _ = writeln!(self.file.lock().expect("file"), "{at:>6} {line}");
     }
 
-    pub fn add_job(&self, name: &str, job: Job) {
-        let record = Record { job, canceled_at: None, answers: Vec::new(), starts: 0 };
-        self.state.lock().expect("state").jobs.insert(name.to_owned(), record);
+    /// Records a job, unless it was handed in before.
+    pub fn add_job(&self, name: &str, job: &Job) {
+        let new = || Record { job: job.clone(), canceled_at: None, answers: Vec::new(), starts: 0 };
+        self.state.lock().expect("state").jobs.entry(name.to_owned()).or_insert_with(new);
     }
 
     /// Records the answer to a submission.
--- a/review/standin-3/src/http.rs
+++ b/review/standin-3/src/http.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+#[derive(Clone)]
 pub struct Request {
     pub path: String,
     pub headers: Vec<(String, String)>,
--- a/review/standin-3/src/scenarios.rs
+++ b/review/standin-3/src/scenarios.rs
@@ -24,11 +24,13 @@
 
 /// Runs a scenario; returns whether it could be run.
 pub fn run(name: &str, trouble: bool, folder: PathBuf, history: &Arc<History>) -> bool {
-    // One case replaces all instances.
+    // One case replaces all instances, another one needs room on workers of many owners.
     let spares = if name == "replace" { ZONES.len() } else { 0 };
-    let cluster = Cluster::new(folder, &ZONES, spares, kinds(), &[route()], Arc::clone(history));
+    let kinds = kinds(if name == "resend" { 24 } else { ZONES.len() });
+    let cluster = Cluster::new(folder, &ZONES, spares, kinds, &[route()], Arc::clone(history));
     cluster.start(ZONES.len());
     match name {
+        "resend" => resend(trouble, &cluster),
         "cancel" => cancel(trouble, &cluster),
         "spread" => spread(trouble, &cluster),
         "replace" => replace(trouble, &cluster),
@@ -46,8 +48,8 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
-/// Returns one worker for each instance, which rejects what does not fit.
-fn kinds() -> Vec<Kind> {
+/// Returns workers that reject what does not fit, in the zones of the instances.
+fn kinds(count: usize) -> Vec<Kind> {
     let kind = |zone: &&str| Kind {
         service: SERVICE.to_owned(),
         zone: (*zone).to_owned(),
@@ -55,7 +57,7 @@
         memory: 65_536,
         labels: vec!["a".to_owned(), format!("r-{zone}")],
     };
-    ZONES.iter().map(kind).collect()
+    ZONES.iter().cycle().take(count).map(kind).collect()
 }
 
 fn route() -> Route {
@@ -66,6 +68,53 @@
     Job { spec: "x".to_owned(), service: SERVICE.to_owned(), steps: vec![step] }
 }
 
+/// The instance that schedules is killed while workers carry out orders late, and the clients of its
+/// jobs send them again at other instances.
+fn resend(trouble: bool, cluster: &Cluster) {
+    let mut random = Random::new(1);
+    let front = &cluster.instances[4];
+    let step = Step { count: 18, cpu: 14_000, memory: 64, length_ms: 6_000, ..Step::default() };
+    for round in 0..6u64 {
+        let names = [0, 1].map(|job| format!("{:016x}", 0xb000_0000_0000_0000 + round * 2 + job));
+        let submit = |name: &String| {
+            let client = cluster.submit(front, PATH, name, &job(step.clone()), 9_000);
+            (name.clone(), client)
+        };
+        let clients = names.each_ref().map(submit);
+        sleep(800);
+        set_late(cluster, if trouble { 500 } else { 0 });
+        sleep(2_050 + random.below(300));
+        if trouble {
+            cluster.history.note(&format!("kill {}", front.name));
+            front.kill();
+            sleep(300);
+            front.launch();
+        }
+        sleep(1_000);
+        // Those whose channel broke send the job again 1.3 s after that.
+        let mut again = Vec::new();
+        for ((name, client), other) in clients.into_iter().zip([0, 2]) {
+            if trouble && client.join().unwrap_or(0) == 0 {
+                let other = &cluster.instances[other];
+                again.push(cluster.submit(other, PATH, &name, &job(step.clone()), 4_000));
+            }
+        }
+        sleep(1_500);
+        set_late(cluster, 0);
+        for client in again {
+            let _ = client.join();
+        }
+        sleep(if trouble { 1_500 } else { 3_000 });
+    }
+}
+
+fn set_late(cluster: &Cluster, permille: u64) {
+    if permille > 0 {
+        cluster.history.note("orders are carried out late");
+    }
+    cluster.workers.iter().for_each(|worker| worker.set_late(permille));
+}
+
 /// An instance is cut off from the others while a client waits there for a long job. The job is
 /// cancelled at another instance, which confirms it.
 fn cancel(trouble: bool, cluster: &Cluster) {
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -8,12 +8,16 @@
     time::{Duration, Instant},
 };
 
-use crate::{history::History, http, json::Json, store::Store};
+use crate::{history::History, http, json::Json, random::Random, store::Store};
 
 /// Longest lease.
 const HOLD_MAX_MS: u64 = 1_000;
 /// Time that a stop takes.
 const STOP_MS: u64 = 50;
+/// Shortest time after which an order without an answer is carried out, and how much longer it may
+/// take.
+const LATE_MS: u64 = 2_000;
+const LATE_SPREAD_MS: u64 = 200;
 /// Interval between status reports.
 const HEARTBEAT_MS: u64 = 1_500;
 
@@ -43,6 +47,9 @@
     // Highest run of each task that was stopped or has ended here.
     past: HashMap<String, u64>,
     lease_until: u64,
+    // Share of the orders that get no answer and are carried out late, in thousandths.
+    late: u64,
+    random: Random,
 }
 
 pub struct Worker {
@@ -70,6 +77,8 @@
             count: 0,
             past: HashMap::new(),
             lease_until: 0,
+            late: 0,
+            random: Random::new(u64::from(addr.port())),
         };
         let worker = Arc::new(Self {
             id,
@@ -81,7 +90,7 @@
             history,
         });
         let serving = Arc::clone(&worker);
-        http::serve(listener, move |request| Some(serving.answer(request)));
+        http::serve(listener, move |request| Worker::receive(&serving, request));
         let running = Arc::clone(&worker);
         thread::spawn(move || loop {
             thread::sleep(Duration::from_millis(1));
@@ -119,7 +128,32 @@
         5_000 + self.started.elapsed().as_millis() as u64
     }
 
-    fn answer(&self, request: &http::Request) -> (u16, String) {
+    /// Sets the share of the orders that get no answer and are carried out late, in thousandths. The
+    /// time of their leases counts from their arrival.
+    pub fn set_late(&self, permille: u64) {
+        self.state.lock().expect("state").late = permille;
+    }
+
+    fn receive(worker: &Arc<Self>, request: &http::Request) -> Option<(u16, String)> {
+        let mut state = worker.state.lock().expect("state");
+        let late = state.late;
+        let delay = (state.random.below(1_000) < late)
+            .then(|| LATE_MS + state.random.below(LATE_SPREAD_MS));
+        drop(state);
+        let Some(delay) = delay else { return Some(worker.answer(request, 0)) };
+        let (worker, request) = (Arc::clone(worker), request.clone());
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(delay));
+            let (status, _) = worker.answer(&request, delay);
+            worker.history.note(&format!("late {} at {}: {status}", request.path, worker.id));
+        });
+        // Longer than anyone waits for an answer.
+        thread::sleep(Duration::from_secs(4));
+        None
+    }
+
+    /// Carries out an order that arrives `delay` milliseconds late.
+    fn answer(&self, request: &http::Request, delay: u64) -> (u16, String) {
         let (path, body) = (request.path.as_str(), request.body.as_str());
         if path == "/healthz" {
             return (200, "{}".to_owned());
@@ -140,7 +174,7 @@
         let done = (200, format!("{{\"ClockMs\":{clock}}}"));
         let task = body.text("Task").unwrap_or_default().to_owned();
         let run = body.number("Run").unwrap_or(0);
-        let deadline = body.number("DeadlineMs");
+        let deadline = body.number("DeadlineMs").map(|deadline| deadline + delay);
         match path {
             "/-/run-start" => {
                 let deadline = deadline.unwrap_or(0);
@@ -185,7 +219,7 @@
                 if let Some(deadline) = deadline {
                     state.lease_until = state.lease_until.max(deadline.min(clock + HOLD_MAX_MS));
                 }
-                let wait = body.number("WaitMs").unwrap_or(0);
+                let wait = if delay == 0 { body.number("WaitMs").unwrap_or(0) } else { 0 };
                 let until = Instant::now() + Duration::from_millis(wait);
                 while state.ended.is_empty() && Instant::now() < until {
                     let left = until.saturating_duration_since(Instant::now());
