fix(fleet): check a step's limit and label where its tasks are started

Cause: the limit and the label were looked at by the scheduler alone. Two instances schedule for some 200 ms after such a cut or pause, neither knows what the other one grants, and an instance that schedules again has forgotten what it had granted.

Ruled out: an owner that takes a run for gone that its worker has; the model checks for it and found none.

Change: a start carries the label and the limit of its step, and the owner, which is the one instance that starts runs on a worker, refuses what its entry of the worker or the runs there do not allow. Runs without a response, deferred or being stopped count, and so do those that a new owner has found.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -782,6 +782,8 @@
         due_ms: place.due.map_or(0, |due| to_u32(due.since(place.requested_at).as_ms())),
         age_ms: Some(to_u32(now.since(job.arrived).as_ms())),
         start_number: place.start_number,
+        label: step.label.clone(),
+        spread: step.spread,
     })
 }
 
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -598,8 +598,12 @@
     Token,
     /// The worker runs tasks of another service.
     Service,
+    /// The worker does not have the label that the step requires.
+    Label,
     /// Another run of the task is on the worker.
     OtherRun,
+    /// The worker has as many tasks of the step as its limit allows.
+    Spread,
     /// The worker has no free capacity.
     NoRoom,
     /// Its lease could outlast the time after which a front assumes that a run on the worker has
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -119,9 +119,16 @@
         if worker.listed.service != start.service {
             return Err(StartRefusal::Service.into());
         }
+        if !worker.listed.has_label(&start.label) {
+            return Err(StartRefusal::Label.into());
+        }
         if worker.all_runs().any(|known| known.run.task == assigned.run.task) {
             return Err(StartRefusal::OtherRun.into());
         }
+        // Two instances may schedule at a time, and neither knows what the other one grants.
+        if start.spread > 0 && worker.step_count(&assigned.run.task) >= start.spread {
+            return Err(StartRefusal::Spread.into());
+        }
         if !assigned.need.fits(&worker.free()) {
             return Err(StartRefusal::NoRoom.into());
         }
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     AssignedRun, DeferredStart, Incarnation, LeasedRequest, ListedWorker, Need, PendingPoll,
-    ResponseTimes, RunKey, UnansweredLeases,
+    ResponseTimes, RunKey, TaskKey, UnansweredLeases,
     assigned_run::RunStage,
     output::Lease,
     run_lease::{LEASE, LEASE_SLACK, RUN_LIFETIME, earliest_clock, lease_length},
@@ -339,6 +339,17 @@
         self.runs.iter().chain(self.deferred.iter().map(|deferred| &deferred.assigned))
     }
 
+    /// Returns how many runs are of the step of a task, also those whose start is deferred or whose
+    /// response is missing.
+    #[must_use]
+    pub fn step_count(&self, task: &TaskKey) -> u32 {
+        let is_of_step = |assigned: &&AssignedRun| {
+            let known = &assigned.run.task;
+            (&known.job, known.step) == (&task.job, task.step)
+        };
+        u32::try_from(self.all_runs().filter(is_of_step).count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the capacity that no run holds.
     #[must_use]
     pub fn free(&self) -> Need {
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -78,6 +78,8 @@
         pace_permille: small(1_600),
         age_ms: Some(small(40)),
         start_number: 1,
+        label: String::new(),
+        spread: small(1),
     };
     let takeover = Takeover {
         worker: worker(),
--- a/crates/fleet/tests/owner.rs
+++ b/crates/fleet/tests/owner.rs
@@ -199,6 +199,11 @@
             change: |start| start.service = "other".to_owned(),
             cause: Some(StartRefusal::Service),
         },
+        Case {
+            name: "the worker's labels changed",
+            change: |start| start.label = "other".to_owned(),
+            cause: Some(StartRefusal::Label),
+        },
         Case {
             name: "exceeds the capacity of the worker",
             change: |start| start.need = Some((&need(33_000)).into()),
--- a/crates/fleet/tests/world/mod.rs
+++ b/crates/fleet/tests/world/mod.rs
@@ -10,6 +10,7 @@
 mod capacity;
 mod crashes;
 mod incarnations;
+pub mod limits;
 mod worker;
 mod zones;
 
@@ -179,6 +180,9 @@
     HealZone {
         zone: usize,
     },
+    HealInstance {
+        node: usize,
+    },
 }
 
 struct PollRequest {
@@ -310,6 +314,9 @@
     pub workers: Vec<FakeWorker>,
     pub cut_workers: Vec<usize>,
     pub cut_zones: Vec<usize>,
+    // Instances whose messages are held back, and these messages.
+    cut_instances: Vec<usize>,
+    held_messages: Vec<EventKind>,
     zones: usize,
     pub store: Store,
     pub known_incarnations: KnownIncarnations,
@@ -418,6 +425,8 @@
             workers,
             cut_workers: Vec::new(),
             cut_zones: Vec::new(),
+            cut_instances: Vec::new(),
+            held_messages: Vec::new(),
             zones,
             store: Store::new(instances),
             known_incarnations: KnownIncarnations::default(),
@@ -516,6 +525,9 @@
     }
 
     fn dispatch(&mut self, kind: EventKind) {
+        if self.is_held_back(&kind) {
+            return self.held_messages.push(kind);
+        }
         if let Some(node) = self.paused_receiver(&kind) {
             if self.is_deliverable(&kind) {
                 self.instances[node].waiting.push_back(kind);
@@ -657,6 +669,7 @@
             EventKind::ReplaceWorker { worker } => self.replace_worker(worker),
             EventKind::HealWorker { worker } => self.cut_workers.retain(|cut| *cut != worker),
             EventKind::HealZone { zone } => self.cut_zones.retain(|cut| *cut != zone),
+            EventKind::HealInstance { node } => self.heal_instance(node),
         }
     }
 
@@ -1048,6 +1061,9 @@
         if exceeds {
             self.violations.push(format!("{now}: {run:?} exceeds the capacity of {worker}"));
         }
+        if response == StartResponse::Started {
+            self.check_limits(worker, run);
+        }
         if responds {
             let worker = worker.clone();
             self.schedule_soon(EventKind::StartResponse {
@@ -1279,12 +1295,23 @@
         run_ms: u64,
         fails: bool,
     ) -> usize {
-        let limit = self.now + self.patience + run_ms * 4;
         let step =
             Step { tasks, need: need(cores), declared: Span::from_ms(run_ms), ..Step::default() };
+        self.request_step(name, step, policy("k"), fails)
+    }
+
+    /// Submits a job of one step at a random instance and returns the index of the request.
+    pub fn request_step(
+        &mut self,
+        name: u64,
+        step: Step,
+        settings: KindSettings,
+        fails: bool,
+    ) -> usize {
+        let limit = self.now + self.patience + step.declared.as_ms() * 4;
         let job = Job {
             name: format!("{name:016x}"),
-            settings: Arc::new(policy("k")),
+            settings: Arc::new(settings),
             payload: "x".into(),
             steps: vec![step],
             arrived: Time::from_ms(self.now),
