fix(fleet): count only instances that may be running when a cancel is confirmed

Cause: rows of instances that are gone stay in the register, and an instance counted as cut off from the others when it had links to less than half of the registered ones. It dropped the confirmations that it got.

Change: a registered instance without a link does not count if its process has ended, as a refused connection shows, or after 30 s without a link; partitions heal sooner. An instance without any link still counts as cut off.

Ruled out: removing rows from the register. An instance can't tell that another one is removed for good, and its row is what tells others where to look for it.

Result: cancels_are_confirmed_after_most_instances_were_removed failed before and passes.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,10 +1,12 @@
 //! State machine of one instance: combines the front, the owner, and the scheduler.
 
+mod absent;
 mod cancel;
 mod contact;
 mod drained;
 mod link;
 
+use absent::AbsentPeers;
 use bytes::Bytes;
 use cancel::UnconfirmedCancel;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
@@ -57,6 +59,7 @@
     links: VecMap<InstanceId, PeerLink>,
     // Members whose link broke and is not up again yet.
     broken_links: VecMap<InstanceId, BrokenLink>,
+    absent: AbsentPeers,
     // Workers of each peer on which runs may outlast its leases, sorted, as of its last heartbeat.
     unanswered: VecMap<InstanceId, Vec<WorkerId>>,
     owners: Owners,
@@ -105,6 +108,7 @@
             elected: None,
             links: VecMap::default(),
             broken_links: VecMap::default(),
+            absent: AbsentPeers::default(),
             unanswered: VecMap::default(),
             owners: Owners::default(),
             settings: (0, Bytes::new()),
--- a/crates/fleet/src/node/cancel.rs
+++ b/crates/fleet/src/node/cancel.rs
@@ -30,7 +30,7 @@
         let is_told = self.forward_cancel(job, None, now, out);
         if known {
             answer(ticket, CancelOutcome::Ended, out);
-        } else if is_told || self.is_isolated() {
+        } else if is_told || self.is_isolated(now) {
             let until = now + CONFIRM_TIMEOUT;
             self.unconfirmed.push(UnconfirmedCancel { ticket, job: job.to_owned(), until });
         } else {
@@ -51,8 +51,8 @@
     }
 
     /// Answers the callers whose cancels a peer knows.
-    fn confirm_cancels(&mut self, cancels: &Cancels, out: &mut Output) {
-        if self.unconfirmed.is_empty() || self.is_isolated() {
+    fn confirm_cancels(&mut self, cancels: &Cancels, now: Time, out: &mut Output) {
+        if self.unconfirmed.is_empty() || self.is_isolated(now) {
             return;
         }
         let is_known = |cancel: &mut UnconfirmedCancel| {
@@ -63,11 +63,17 @@
         }
     }
 
-    /// Returns whether this instance has links to less than half of the instances to which it should.
-    fn is_isolated(&self) -> bool {
+    /// Returns whether this instance has links to less than half of the instances that may be
+    /// running, or to none.
+    fn is_isolated(&self, now: Time) -> bool {
         let wanted = &self.topology.link_plan().links;
-        let linked = wanted.iter().filter(|peer| self.links.get(*peer).is_some()).count();
-        linked * 2 < wanted.len()
+        let (linked, missing): (Vec<&InstanceId>, Vec<&InstanceId>) =
+            wanted.iter().partition(|peer| self.links.get(*peer).is_some());
+        let is_out_of_reach =
+            |peer: &&&InstanceId| self.absent.is_out_of_reach(peer, self.started, now);
+        let out_of_reach = missing.iter().filter(is_out_of_reach).count();
+        let may_run = missing.iter().any(|peer| !self.absent.has_ended(peer));
+        linked.len() < out_of_reach || linked.is_empty() && may_run
     }
 
     /// Handles cancels that a peer has sent.
@@ -82,7 +88,7 @@
             let jobs = cancels.jobs.clone();
             out.send(from, Body::Cancels(Cancels { jobs, confirm: false }));
         }
-        self.confirm_cancels(cancels, out);
+        self.confirm_cancels(cancels, now, out);
         for canceled in &cancels.jobs {
             let left = Span::from_ms(canceled.left_ms.into());
             let is_new = !self.canceled.contains(&canceled.job, now);
--- a/crates/fleet/src/node/link.rs
+++ b/crates/fleet/src/node/link.rs
@@ -40,6 +40,7 @@
             },
         );
         self.scheduler.add_reachable(&id);
+        self.absent.add_link(&id);
         self.topology.insert(InstanceInfo::from(&peer));
         self.reviewed_at = Time::ZERO;
         if is_resumed {
@@ -70,10 +71,11 @@
         self.process_pending(now, false, out);
     }
 
-    /// Handles a peer that is unreachable for certain: its process has ended, or it timed out.
+    /// Handles a peer without a link that refuses connections: its process has ended.
     pub fn peer_gone(&mut self, peer: &InstanceId, now: Time, out: &mut Output) {
         // A link that is up belongs to a later incarnation of the peer.
         if self.links.get(peer).is_none() {
+            self.absent.set_ended(peer);
             self.remove_peer(peer, now, out);
             self.process_pending(now, false, out);
         }
@@ -82,6 +84,7 @@
     /// Marks the link to a peer as broken, with the runs and requests that used it.
     pub(super) fn break_link(&mut self, peer: &InstanceId, now: Time, out: &mut Output) {
         let Some(link) = self.links.remove(peer) else { return };
+        self.absent.lose_link(peer, now);
         let peers = self.links.len();
         out.log(LogEvent::PeerDown {
             peer: peer.clone(),
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -17,6 +17,9 @@
 /// Time for which a request may arrive again, in milliseconds.
 const REPEAT_TIME: u64 = 10_000;
 
+/// Time for which a removed instance is down, in milliseconds.
+const NEVER: u64 = 1_000_000;
+
 /// Submits a job of more tasks than the workers can run at a time; returns the request and its front.
 fn begin(world: &mut World) -> (usize, usize) {
     let request = world.request(1, 60, 16_000, RUN_TIME, false);
@@ -116,6 +119,40 @@
     }
 }
 
+// Guards against cancels that are never confirmed because instances that were removed for good count
+// as cut off.
+#[test]
+fn cancels_are_confirmed_after_most_instances_were_removed() {
+    struct Case {
+        name: &'static str,
+        /// Whether connections to a removed instance get no response instead of a refusal.
+        silent: bool,
+        /// Time since the last removal in milliseconds.
+        after: u64,
+    }
+    let cases = [
+        Case { name: "connections are refused", silent: false, after: 4_000 },
+        Case { name: "connections get no response", silent: true, after: 31_000 },
+    ];
+    for Case { name, silent, after } in cases {
+        for seed in 0..10 {
+            let mut world = World::new(seed, 2, 8, 4);
+            for removed in 0..5 {
+                world.kill(removed, silent, NEVER);
+                world.run_until(world.now + 2_000);
+            }
+            world.run_until(world.now + after);
+            let (request, front) = begin_long(&mut world);
+            let other = if front == 5 { 6 } else { 5 };
+            let ticket = world.cancel(request, other);
+            world.run_until(world.now + CANCEL_TIME);
+            let answer = world.cancel_answer(ticket);
+            assert_eq!(answer, Some(CancelOutcome::Unknown), "{name}, seed {seed}");
+            assert_eq!(runs(&world), 0, "{name}, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn cancels_that_reach_the_next_scheduler_early_are_forwarded() {
     // Guards against a job that runs on because the scheduler froze as it was cancelled, and the next
