fix(fleet): confirm a cancel once the fronts of the job know of it

Cause: the scheduler confirmed a cancel as soon as it had it, whether the front of the job, which starts the tasks, knew of it or not.

Change: the scheduler confirms a cancel once each front of the job that it knows has sent it back; fronts whose process has ended have no jobs. Without that, the caller is answered 503 after 1.5 s, as an unconfirmed cancel is now, and may cancel again. Messages that only inform (Cancels.notice) confirm nothing, so that the list of a new scheduler is not taken for a confirmation; only the cancels for which a caller waits are to be confirmed by it.

Ruled out: to look at lost links alone. A link to an idle peer lasts 2.8 s.

--- a/crates/edge/src/journal.rs
+++ b/crates/edge/src/journal.rs
@@ -327,7 +327,9 @@
             let source = source.as_ref().map_or("caller", |peer| peer.as_str());
             log::info!(job, source, known; "{name}");
         }
-        LogEvent::CancelUnconfirmed { job, peers } => log::warn!(job, peers; "{name}"),
+        LogEvent::CancelUnconfirmed { job, peers, fronts } => {
+            log::warn!(job, peers, fronts; "{name}");
+        }
         LogEvent::CanceledBefore { job } => log::info!(job; "{name}"),
         LogEvent::EntryOutdated { worker, incarnation, listed } => {
             let (born_ms, listed_ms) = (incarnation.born_ms(), listed.born_ms());
--- a/crates/fleet/src/canceled_jobs.rs
+++ b/crates/fleet/src/canceled_jobs.rs
@@ -63,14 +63,14 @@
     #[must_use]
     pub fn to_message(&self, now: Time) -> Cancels {
         let jobs = self.jobs.iter().map(|(job, until)| message(job, *until, now)).collect();
-        Cancels { jobs, confirm: false }
+        Cancels { jobs, ..Cancels::default() }
     }
 
     /// Returns a message with one job, or `None` if it is not remembered.
     #[must_use]
     pub fn message_of(&self, job: &str, now: Time) -> Option<Cancels> {
         let until = self.jobs.get(job).filter(|until| now < **until)?;
-        Some(Cancels { jobs: vec![message(job, *until, now)], confirm: false })
+        Some(Cancels { jobs: vec![message(job, *until, now)], ..Cancels::default() })
     }
 }
 
--- a/crates/fleet/src/log_event.rs
+++ b/crates/fleet/src/log_event.rs
@@ -396,6 +396,9 @@
         job: String,
         /// Number of peers to which it has a link.
         peers: usize,
+        /// Number of fronts of the job that have not confirmed it, as far as it knows them as the
+        /// scheduler.
+        fronts: usize,
     },
     /// A request for a cancelled job was answered without a run.
     CanceledBefore {
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -11,7 +11,7 @@
 use cancel::UnconfirmedCancel;
 use contact::{AnnouncedState, BrokenLink, PeerLink};
 use cranberryhatch_schema::fleet::{
-    Ask, Beat, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
+    Ask, Beat, Cancels, Losses, Settings, Superseded, Takeover, Workers, frame::Body,
 };
 use cranberryhatch_types::{InstanceId, Span, Time, WorkerId};
 
@@ -52,13 +52,14 @@
     owner: Owner,
     scheduler: Scheduler,
     canceled: CanceledJobs,
-    // Callers' cancels that no other instance has confirmed yet.
+    // Cancels that the instances that may have the job have not confirmed yet.
     unconfirmed: Vec<UnconfirmedCancel>,
     // The instance that schedules.
     elected: Option<InstanceId>,
     links: VecMap<InstanceId, PeerLink>,
     // Members whose link broke and is not up again yet.
     broken_links: VecMap<InstanceId, BrokenLink>,
+    // Peers without a link.
     absent: AbsentPeers,
     // Workers of each peer on which runs may outlast its leases, sorted, as of its last heartbeat.
     unanswered: VecMap<InstanceId, Vec<WorkerId>>,
@@ -261,6 +262,7 @@
 
     fn handle_ask(&mut self, front: &InstanceId, ask: Ask, now: Time, out: &mut Output) {
         if let Some(cancels) = self.canceled.message_of(&ask.job, now) {
+            let cancels = Cancels { notice: true, ..cancels };
             return out.send(front, Body::Cancels(cancels));
         }
         let runs = self.scheduler.unnamed_losses(&ask, now);
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -119,6 +119,30 @@
     }
 }
 
+// Guards against a cancel that is acknowledged while the front of the job is cut off and goes on
+// starting its tasks.
+#[test]
+fn cancel_is_confirmed_only_once_the_front_of_the_job_knows_it() {
+    for seed in 0..40 {
+        let mut world = World::new(seed, INSTANCES, INSTANCES, 4);
+        let (request, front) = begin_long(&mut world);
+        world.cut_zone(world.instances[front].zone, 5_000);
+        // Before and after its links have timed out.
+        world.run_until(world.now + 40 * (seed % 50));
+        let other = (front + 1 + (seed as usize) % (INSTANCES - 1)) % INSTANCES;
+        let ticket = world.cancel(request, other);
+        world.run_until(world.now + CANCEL_TIME);
+        let answer = world.cancel_answer(ticket);
+        assert_eq!(answer, Some(CancelOutcome::Unconfirmed), "seed {seed}");
+        world.run_until(world.now + 5_000);
+        assert_eq!(runs(&world), 0, "seed {seed}: after the partition");
+        let ticket = world.cancel(request, other);
+        world.run_until(world.now + CANCEL_TIME);
+        let answer = world.cancel_answer(ticket);
+        assert_eq!(answer, Some(CancelOutcome::Unknown), "seed {seed}: after the partition");
+    }
+}
+
 // Guards against cancels that are never confirmed because instances that were removed for good count
 // as cut off.
 #[test]
--- a/crates/fleet/tests/malformed.rs
+++ b/crates/fleet/tests/malformed.rs
@@ -196,6 +196,7 @@
         Message::Cancels(Cancels {
             jobs: vec![CanceledJob { job: job(), left_ms: u32::MAX }],
             confirm: true,
+            notice: false,
         }),
         Message::Submissions(Submissions {
             fronts: vec!["e-1".to_owned(), "e-2".to_owned()],
