fix(fleet): an instance that does not schedule confirms a peer's cancel to its scheduler only

Cause: while the scheduler is replaced, an instance may ask one that does not schedule yet. That one does not look for the fronts of the job, and confirmed at once.

Change: an instance that is neither the scheduler nor asked by its scheduler sends its answer as a notice, which confirms nothing.

--- a/crates/fleet/src/node/cancel.rs
+++ b/crates/fleet/src/node/cancel.rs
@@ -175,6 +175,8 @@
             }
         }
         if cancels.confirm && !confirmed.jobs.is_empty() {
+            // While the scheduler changes, an instance is asked that does not know the fronts of a job.
+            confirmed.notice = !self.is_scheduler() && self.elected.as_ref() != Some(from);
             out.send(from, Body::Cancels(confirmed));
         }
     }
--- a/crates/fleet/tests/cancels.rs
+++ b/crates/fleet/tests/cancels.rs
@@ -143,6 +143,24 @@
     }
 }
 
+// Guards against a cancel that is confirmed by an instance that does not schedule yet, while the one
+// that schedules is cut off with the job.
+#[test]
+fn cancel_is_not_confirmed_by_an_instance_that_does_not_schedule_yet() {
+    for seed in [2_466].into_iter().chain(0..100) {
+        let mut world = World::new(seed, INSTANCES, INSTANCES, 4);
+        let (request, front) = begin_long(&mut world);
+        world.cut_zone(world.instances[front].zone, 5_000);
+        // Around the silence after which the scheduler is replaced.
+        world.run_until(world.now + 240 + seed % 120);
+        let other = (front + 1 + (seed as usize) % (INSTANCES - 1)) % INSTANCES;
+        let ticket = world.cancel(request, other);
+        world.run_until(world.now + CANCEL_TIME);
+        let answer = world.cancel_answer(ticket);
+        assert_eq!(answer, Some(CancelOutcome::Unconfirmed), "seed {seed}");
+    }
+}
+
 // Guards against cancels that are never confirmed because instances that were removed for good count
 // as cut off.
 #[test]
